--- /dev/null
+++ b/src/transport/event_loop.cc
@@ -0,0 +1,105 @@
+#include "transport/event_loop.h"
+
+#include "transport/h2o_api.h"
+
+#include <algorithm>
+#include <csignal>
+
+// Timers are kept in an ordered map of due time and id instead of h2o's timeout
+// lists, because an h2o list holds one duration and deadlines have many. The
+// loop waits in epoll at most until the first timer is due.
+
+namespace galenaflow::transport {
+
+namespace {
+constexpr std::int32_t MaxWaitMs = 1000;
+} // namespace
+
+EventLoop::EventLoop() : Handle(h2o_evloop_create()) {
+  // A write to a closed connection is reported by its error code.
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+// h2o_evloop_destroy() of h2o 2.2 is not implemented for epoll sockets that are
+// still registered, so the loop lives as long as the process.
+EventLoop::~EventLoop() = default;
+
+state::TimePoint EventLoop::now() const { return System.now(); }
+
+state::WallMillis EventLoop::wallNow() const { return System.wallNow(); }
+
+void EventLoop::post(std::function<void()> task) {
+  Posted.push_back(std::move(task));
+}
+
+TimerId EventLoop::schedule(state::Duration delay, std::function<void()> task) {
+  const TimerId id = ++LastTimer;
+  const state::TimePoint due = now() + std::max(delay, state::Duration(0));
+  Timers.emplace(std::make_pair(due, id), std::move(task));
+  DueTimes.emplace(id, due);
+  return id;
+}
+
+void EventLoop::cancel(TimerId id) {
+  const auto it = DueTimes.find(id);
+  if (it == DueTimes.end())
+    return;
+  Timers.erase({it->second, id});
+  DueTimes.erase(it);
+}
+
+void EventLoop::run() {
+  Stopped = false;
+  while (!Stopped)
+    turn(waitMs());
+}
+
+bool EventLoop::runUntil(const std::function<bool()> &done,
+                         state::Duration limit) {
+  const state::TimePoint end = now() + limit;
+  while (!done()) {
+    if (now() >= end)
+      return false;
+    turn(std::min(waitMs(), 10));
+  }
+  return true;
+}
+
+void EventLoop::turn(std::int32_t maxWaitMs) {
+  h2o_evloop_run(Handle, maxWaitMs);
+  runDueTimers();
+  runPosted();
+}
+
+void EventLoop::runDueTimers() {
+  const state::TimePoint current = now();
+  while (!Timers.empty() && Timers.begin()->first.first <= current) {
+    auto node = Timers.extract(Timers.begin());
+    DueTimes.erase(node.key().second);
+    node.mapped()();
+  }
+}
+
+void EventLoop::runPosted() {
+  // Messages posted by these tasks wait for the next turn, so that sockets are
+  // not starved by tasks that post to each other.
+  std::deque<std::function<void()>> batch;
+  batch.swap(Posted);
+  for (auto &task : batch)
+    task();
+}
+
+std::int32_t EventLoop::waitMs() const {
+  if (!Posted.empty())
+    return 0;
+  if (Timers.empty())
+    return MaxWaitMs;
+  const auto left = Timers.begin()->first.first - now();
+  if (left <= state::Duration(0))
+    return 0;
+  const auto ms = std::chrono::ceil<std::chrono::milliseconds>(left).count();
+  return static_cast<std::int32_t>(
+      std::min<std::int64_t>(ms, static_cast<std::int64_t>(MaxWaitMs)));
+}
+
+} // namespace galenaflow::transport
--- /dev/null
+++ b/src/transport/event_loop.h
@@ -0,0 +1,72 @@
+#ifndef GALENAFLOW_TRANSPORT_EVENT_LOOP_H
+#define GALENAFLOW_TRANSPORT_EVENT_LOOP_H
+
+#include "state/clock.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+struct st_h2o_evloop_t;
+
+/// Sockets and the event loop. Everything in this namespace belongs to one
+/// loop and is called on that loop's thread, except where stated.
+namespace galenaflow::transport {
+
+/// Identifies a scheduled timer. Zero names no timer.
+using TimerId = std::uint64_t;
+
+/// An h2o event loop with one-shot timers and a queue of posted messages.
+class EventLoop final : public state::Clock {
+public:
+  EventLoop();
+  ~EventLoop() override;
+  EventLoop(const EventLoop &) = delete;
+  EventLoop &operator=(const EventLoop &) = delete;
+
+  state::TimePoint now() const override;
+  state::WallMillis wallNow() const override;
+
+  /// Runs `task` after the current callback has returned.
+  void post(std::function<void()> task);
+
+  /// Runs `task` once after `delay`. Resolution is 1 ms.
+  TimerId schedule(state::Duration delay, std::function<void()> task);
+
+  /// Cancels a timer. Does nothing when it has already run.
+  void cancel(TimerId id);
+
+  /// Runs until stop() is called.
+  void run();
+
+  /// Runs until `done` returns true, checking after each turn of the loop, or
+  /// until `limit` has passed. Returns whether `done` became true.
+  bool runUntil(const std::function<bool()> &done, state::Duration limit);
+
+  /// Ends run() after the current turn.
+  void stop() { Stopped = true; }
+
+  /// The loop of h2o, for the sources of this layer.
+  st_h2o_evloop_t *handle() const { return Handle; }
+
+private:
+  void turn(std::int32_t maxWaitMs);
+  void runDueTimers();
+  void runPosted();
+  std::int32_t waitMs() const;
+
+  st_h2o_evloop_t *Handle;
+  state::SystemClock System;
+  bool Stopped = false;
+  TimerId LastTimer = 0;
+  std::deque<std::function<void()>> Posted;
+  std::map<std::pair<state::TimePoint, TimerId>, std::function<void()>> Timers;
+  std::unordered_map<TimerId, state::TimePoint> DueTimes;
+};
+
+} // namespace galenaflow::transport
+
+#endif
--- /dev/null
+++ b/src/transport/http_client.h
@@ -0,0 +1,68 @@
+#ifndef GALENAFLOW_TRANSPORT_HTTP_CLIENT_H
+#define GALENAFLOW_TRANSPORT_HTTP_CLIENT_H
+
+#include "state/error.h"
+#include "transport/event_loop.h"
+#include "transport/http_message.h"
+#include "transport/socket_address.h"
+
+#include <functional>
+#include <memory>
+
+namespace galenaflow::transport {
+
+/// How an exchange failed.
+struct HttpFailure {
+  state::Error Cause;
+
+  /// False only when it is certain that no byte of the request has left.
+  bool MaybeSent = false;
+};
+
+using HttpResult = tl::expected<HttpResponse, HttpFailure>;
+using HttpCallback = std::function<void(HttpResult)>;
+
+/// At most one HTTP/1.1 connection to one address, with one request in flight.
+/// The connection is kept open between requests. The number of these objects
+/// for an address is therefore a bound on the connections to it.
+class HttpConnection {
+public:
+  HttpConnection(EventLoop &loop, const SocketAddress &address);
+  ~HttpConnection();
+  HttpConnection(const HttpConnection &) = delete;
+  HttpConnection &operator=(const HttpConnection &) = delete;
+
+  /// Sends a request and calls `callback` exactly once, never before send()
+  /// returns. Must not be called while busy. After `timeout` the exchange
+  /// fails with DeadlineExceeded and the connection is closed. A response that
+  /// ends before its announced length fails with Unavailable.
+  void send(const HttpRequest &request, state::Duration timeout,
+            HttpCallback callback);
+
+  /// Fails the exchange in flight with Cancelled and closes the connection,
+  /// because the response can no longer be told from that of a later request.
+  void cancel();
+
+  /// Closes an idle connection.
+  void closeIdle();
+
+  bool isBusy() const;
+
+  /// Whether an idle connection is kept open.
+  bool isConnected() const;
+
+  /// Time of the last completed response, or of construction.
+  state::TimePoint lastUsed() const;
+
+  /// Largest accepted response body in bytes.
+  static constexpr std::size_t MaxResponseBytes = std::size_t{4} << 20;
+
+  struct Impl;
+
+private:
+  std::shared_ptr<Impl> Self;
+};
+
+} // namespace galenaflow::transport
+
+#endif
--- /dev/null
+++ b/src/transport/http_server.cc
@@ -0,0 +1,274 @@
+#include "transport/http_server.h"
+
+#include "transport/h2o_api.h"
+
+#include <cstring>
+#include <openssl/ssl.h>
+#include <unistd.h>
+
+// One h2o context serves one listener. Every request is copied out of h2o's
+// memory and handed to the handler with a responder. The responder is kept
+// alive by an entry in the request's memory pool: h2o disposes of the pool when
+// the response has been written or the connection is gone, and the dispose
+// callback is the only reliable notice of either.
+
+namespace galenaflow::transport {
+
+using state::ErrorCode;
+using state::makeError;
+
+namespace {
+
+class Responder;
+
+struct RoutingHandler {
+  h2o_handler_t Super;
+  HttpServer::Impl *Server;
+};
+
+} // namespace
+
+struct HttpServer::Impl {
+  EventLoop &Loop;
+  HttpServerOptions Options;
+  HttpHandler Handler;
+  h2o_globalconf_t Config{};
+  h2o_context_t Context{};
+  h2o_accept_ctx_t AcceptContext{};
+  SSL_CTX *Tls = nullptr;
+  h2o_socket_t *Listener = nullptr;
+  std::size_t Connections = 0;
+  std::size_t Requests = 0;
+
+  Impl(EventLoop &loop, HttpServerOptions options, HttpHandler handler)
+      : Loop(loop), Options(std::move(options)), Handler(std::move(handler)) {}
+
+  void configure();
+  static void onAccept(h2o_socket_t *listener, const char *err);
+  static void onSocketClosed(void *data);
+  static int onRequest(h2o_handler_t *handler, h2o_req_t *req);
+};
+
+namespace {
+
+class Responder final : public HttpResponder {
+public:
+  Responder(h2o_req_t *req, HttpServer::Impl *server)
+      : Req(req), Server(server) {
+    ++Server->Requests;
+  }
+
+  void send(HttpResponse response) override {
+    if (!isOpen())
+      return;
+    Sent = true;
+    Body = std::move(response.Body);
+    Req->res.status = response.Status;
+    Req->res.reason = "";
+    Req->res.content_length = Body.size();
+    for (const auto &[name, value] : response.Headers.items())
+      addHeader(name, value);
+    Generator.proceed = [](h2o_generator_t *, h2o_req_t *) {};
+    Generator.stop = [](h2o_generator_t *, h2o_req_t *) {};
+    h2o_iovec_t buf = h2o_iovec_init(Body.data(), Body.size());
+    h2o_start_response(Req, &Generator);
+    h2o_send(Req, &buf, 1, H2O_SEND_STATE_FINAL);
+  }
+
+  bool isOpen() const override { return Req != nullptr && !Sent; }
+
+  void onDisconnect(std::function<void()> callback) override {
+    Disconnected = std::move(callback);
+  }
+
+  void abort() override {
+    if (!isOpen())
+      return;
+    Sent = true;
+    Req->res.status = 500;
+    Req->res.reason = "";
+    Req->res.content_length = SIZE_MAX;
+    Req->http1_is_persistent = 0;
+    Generator.proceed = [](h2o_generator_t *, h2o_req_t *) {};
+    Generator.stop = [](h2o_generator_t *, h2o_req_t *) {};
+    h2o_start_response(Req, &Generator);
+    h2o_send(Req, nullptr, 0, H2O_SEND_STATE_ERROR);
+  }
+
+  /// Called when h2o frees the request.
+  void detach() {
+    --Server->Requests;
+    Req = nullptr;
+    if (!Sent && Disconnected)
+      Server->Loop.post(std::move(Disconnected));
+  }
+
+private:
+  void addHeader(const std::string &name, const std::string &value) {
+    const h2o_iovec_t n = h2o_strdup(&Req->pool, name.data(), name.size());
+    const h2o_iovec_t v = h2o_strdup(&Req->pool, value.data(), value.size());
+    h2o_add_header_by_str(&Req->pool, &Req->res.headers, n.base, n.len, 1,
+                          nullptr, v.base, v.len);
+  }
+
+  h2o_req_t *Req;
+  HttpServer::Impl *Server;
+  h2o_generator_t Generator{};
+  bool Sent = false;
+  std::string Body;
+  std::function<void()> Disconnected;
+};
+
+void disposeResponder(void *slot) {
+  auto *holder = static_cast<std::shared_ptr<Responder> *>(slot);
+  (*holder)->detach();
+  holder->~shared_ptr<Responder>();
+}
+
+std::string toString(h2o_iovec_t v) { return {v.base, v.len}; }
+
+HttpRequest copyRequest(h2o_req_t *req) {
+  HttpRequest request;
+  request.Method = toString(req->method);
+  request.Path = toString(req->path);
+  for (std::size_t i = 0; i != req->headers.size; ++i) {
+    const h2o_header_t &header = req->headers.entries[i];
+    request.Headers.add(toString(*header.name), toString(header.value));
+  }
+  if (req->entity.base != nullptr)
+    request.Body = toString(req->entity);
+  return request;
+}
+
+state::Result<SSL_CTX *> createTlsContext(const HttpServerOptions &options) {
+  SSL_CTX *tls = SSL_CTX_new(TLS_server_method());
+  SSL_CTX_set_min_proto_version(tls, TLS1_2_VERSION);
+  if (SSL_CTX_use_certificate_chain_file(
+          tls, options.CertificateFile.c_str()) != 1) {
+    SSL_CTX_free(tls);
+    return makeError(ErrorCode::InvalidArgument,
+                     "cannot load certificate " + options.CertificateFile);
+  }
+  if (SSL_CTX_use_PrivateKey_file(tls, options.KeyFile.c_str(),
+                                  SSL_FILETYPE_PEM) != 1 ||
+      SSL_CTX_check_private_key(tls) != 1) {
+    SSL_CTX_free(tls);
+    return makeError(ErrorCode::InvalidArgument,
+                     "cannot load key " + options.KeyFile);
+  }
+  h2o_ssl_register_alpn_protocols(tls, h2o_http2_alpn_protocols);
+  return tls;
+}
+
+} // namespace
+
+void HttpServer::Impl::configure() {
+  h2o_config_init(&Config);
+  Config.max_request_entity_size = Options.MaxBodyBytes;
+  Config.server_name = h2o_iovec_init(H2O_STRLIT("galenaflow"));
+  const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Options.RequestTimeout);
+  Config.http1.req_timeout = static_cast<std::uint64_t>(timeout.count());
+  h2o_hostconf_t *host = h2o_config_register_host(
+      &Config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+  h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
+  auto *handler = reinterpret_cast<RoutingHandler *>(
+      h2o_create_handler(path, sizeof(RoutingHandler)));
+  handler->Super.on_req = &Impl::onRequest;
+  handler->Server = this;
+  h2o_context_init(&Context, Loop.handle(), &Config);
+  AcceptContext.ctx = &Context;
+  AcceptContext.hosts = Config.hosts;
+}
+
+void HttpServer::Impl::onAccept(h2o_socket_t *listener, const char *err) {
+  if (err != nullptr)
+    return;
+  auto *self = static_cast<Impl *>(listener->data);
+  h2o_socket_t *sock = h2o_evloop_socket_accept(listener);
+  if (sock == nullptr)
+    return;
+  if (self->Connections >= self->Options.MaxConnections) {
+    h2o_socket_close(sock);
+    return;
+  }
+  ++self->Connections;
+  sock->on_close.cb = &Impl::onSocketClosed;
+  sock->on_close.data = self;
+  h2o_accept(&self->AcceptContext, sock);
+}
+
+void HttpServer::Impl::onSocketClosed(void *data) {
+  --static_cast<Impl *>(data)->Connections;
+}
+
+int HttpServer::Impl::onRequest(h2o_handler_t *handler, h2o_req_t *req) {
+  Impl *self = reinterpret_cast<RoutingHandler *>(handler)->Server;
+  auto responder = std::make_shared<Responder>(req, self);
+  void *slot = h2o_mem_alloc_shared(
+      &req->pool, sizeof(std::shared_ptr<Responder>), &disposeResponder);
+  new (slot) std::shared_ptr<Responder>(responder);
+  self->Handler(copyRequest(req), std::move(responder));
+  return 0;
+}
+
+HttpServer::HttpServer(EventLoop &loop, HttpServerOptions options,
+                       HttpHandler handler)
+    : Self(std::make_unique<Impl>(loop, std::move(options),
+                                  std::move(handler))) {
+  Self->configure();
+}
+
+// h2o cannot dispose of a context with open connections. Servers live as long
+// as their process or test, so the h2o objects are released with it.
+HttpServer::~HttpServer() {
+  if (Self->Listener != nullptr)
+    h2o_socket_close(Self->Listener);
+  if (Self->Connections != 0)
+    static_cast<void>(Self.release());
+}
+
+state::Result<SocketAddress> HttpServer::listen(SocketAddress address) {
+  if (!Self->Options.CertificateFile.empty()) {
+    auto tls = createTlsContext(Self->Options);
+    if (!tls)
+      return tl::unexpected(tls.error());
+    Self->Tls = *tls;
+    Self->AcceptContext.ssl_ctx = *tls;
+  }
+  const auto fd = listenOn(address);
+  if (!fd)
+    return tl::unexpected(fd.error());
+  Self->Listener = h2o_evloop_socket_create(Self->Loop.handle(), *fd,
+                                            H2O_SOCKET_FLAG_DONT_READ);
+  Self->Listener->data = Self.get();
+  h2o_socket_read_start(Self->Listener, &Impl::onAccept);
+  return address;
+}
+
+state::Result<bool> HttpServer::reloadCertificate() {
+  if (Self->Options.CertificateFile.empty())
+    return false;
+  auto tls = createTlsContext(Self->Options);
+  if (!tls)
+    return tl::unexpected(tls.error());
+  // Open connections hold references to the old context.
+  SSL_CTX_free(Self->Tls);
+  Self->Tls = *tls;
+  Self->AcceptContext.ssl_ctx = *tls;
+  return true;
+}
+
+void HttpServer::drain() {
+  if (Self->Listener == nullptr)
+    return;
+  h2o_socket_close(Self->Listener);
+  Self->Listener = nullptr;
+  h2o_context_request_shutdown(&Self->Context);
+}
+
+std::size_t HttpServer::openConnections() const { return Self->Connections; }
+
+std::size_t HttpServer::openRequests() const { return Self->Requests; }
+
+} // namespace galenaflow::transport
--- /dev/null
+++ b/src/transport/http_server.h
@@ -0,0 +1,83 @@
+#ifndef GALENAFLOW_TRANSPORT_HTTP_SERVER_H
+#define GALENAFLOW_TRANSPORT_HTTP_SERVER_H
+
+#include "state/error.h"
+#include "transport/event_loop.h"
+#include "transport/http_message.h"
+#include "transport/socket_address.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace galenaflow::transport {
+
+/// The way to answer one request. Held by whoever computes the answer. When the
+/// caller disconnects first, send() has no effect.
+class HttpResponder {
+public:
+  virtual ~HttpResponder() = default;
+
+  /// Sends the response. Only the first call counts.
+  virtual void send(HttpResponse response) = 0;
+
+  /// Whether the caller is still connected and no response has been sent.
+  virtual bool isOpen() const = 0;
+
+  /// Calls `callback` once if the caller disconnects before the response.
+  virtual void onDisconnect(std::function<void()> callback) = 0;
+
+  /// Closes the connection without a response.
+  virtual void abort() = 0;
+};
+
+using HttpHandler =
+    std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
+
+struct HttpServerOptions {
+  /// Largest request body in bytes; larger ones are answered with 413.
+  std::size_t MaxBodyBytes = std::size_t{64} * 1024;
+
+  /// Connections above this number are closed when accepted.
+  std::size_t MaxConnections = 10000;
+
+  /// A connection that sends no complete request for this long is closed.
+  state::Duration RequestTimeout = std::chrono::seconds(10);
+
+  /// PEM files; both empty for plain text. HTTP/2 is offered by ALPN.
+  std::string CertificateFile;
+  std::string KeyFile;
+};
+
+/// An HTTP/1.1 and HTTP/2 server on h2o. All requests go to one handler.
+class HttpServer {
+public:
+  HttpServer(EventLoop &loop, HttpServerOptions options, HttpHandler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
+
+  /// Starts to accept. Port 0 picks a free port. Returns the bound address.
+  state::Result<SocketAddress> listen(SocketAddress address);
+
+  /// Reads the certificate and key files again; open connections keep the old
+  /// ones. Returns false without TLS. Error: InvalidArgument; the old
+  /// certificate then stays in use.
+  state::Result<bool> reloadCertificate();
+
+  /// Stops accepting and asks open connections to close once their requests
+  /// have been answered.
+  void drain();
+
+  std::size_t openConnections() const;
+  std::size_t openRequests() const;
+
+  struct Impl;
+
+private:
+  std::unique_ptr<Impl> Self;
+};
+
+} // namespace galenaflow::transport
+
+#endif
--- /dev/null
+++ b/src/transport/socket_address.h
@@ -0,0 +1,37 @@
+#ifndef GALENAFLOW_TRANSPORT_SOCKET_ADDRESS_H
+#define GALENAFLOW_TRANSPORT_SOCKET_ADDRESS_H
+
+#include "state/error.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <sys/socket.h>
+
+namespace galenaflow::transport {
+
+/// An IP number with a port. Names are not resolved: processes address each
+/// other by number only.
+struct SocketAddress {
+  sockaddr_storage Storage{};
+  socklen_t Length = 0;
+
+  const sockaddr *data() const {
+    return reinterpret_cast<const sockaddr *>(&Storage);
+  }
+  sockaddr *data() { return reinterpret_cast<sockaddr *>(&Storage); }
+
+  /// "127.0.0.1:80" or "[::1]:80".
+  std::string toText() const;
+};
+
+/// Parses "127.0.0.1:80" or "[::1]:80". Error: InvalidArgument.
+state::Result<SocketAddress> parseSocketAddress(std::string_view text);
+
+/// Opens a non-blocking listening socket. Port 0 picks a free port, which
+/// `address` then holds. Error: Unavailable.
+state::Result<int> listenOn(SocketAddress &address);
+
+} // namespace galenaflow::transport
+
+#endif
