Add the bounded connection pool to a replica

Cause: a replica refuses connections above its limit, connecting costs up to 6 ms, and connections can go silent without an error.

Change: BackendPool keeps at most the allowed number of connections, prefers the last used one, lets abandoned answers arrive, and probes idle or suspect connections before use.

Conclusion: the fan-out can use direct connections within a share.

--- /dev/null
+++ b/src/transport/backend_pool.cc
@@ -0,0 +1,198 @@
+#include "transport/backend_pool.h"
+
+#include <algorithm>
+
+// A replica refuses connections above its published limit, and each connection
+// costs it milliseconds and a slot to set up. The pool therefore prefers the
+// connection that was used last, closes none that still works, and lets the
+// answer of an abandoned exchange arrive instead of closing its connection.
+//
+// A connection can go silent for good while new ones work. The only sign is an
+// answer that does not come. After one exchange has timed out, every other idle
+// connection is suspect and must answer a probe before it carries a request.
+
+namespace galenaflow::transport {
+
+struct BackendPool::Member {
+  Member(EventLoop &loop, const SocketAddress &address)
+      : Connection(loop, address) {}
+
+  HttpConnection Connection;
+  ExchangeId Exchange = 0; ///< zero while idle or probing
+  bool Suspect = false;
+  HttpCallback Callback;
+  TimerId Grace = 0;
+};
+
+namespace {
+
+HttpRequest probeRequest() { return {"GET", "/healthz", {}, ""}; }
+
+} // namespace
+
+BackendPool::BackendPool(EventLoop &loop, const SocketAddress &address,
+                         BackendPoolOptions options)
+    : Loop(loop), Address(address), Options(options) {}
+
+BackendPool::~BackendPool() {
+  for (const auto &member : Members)
+    Loop.cancel(member->Grace);
+}
+
+void BackendPool::setLimit(std::size_t limit) {
+  Limit = limit;
+  trim();
+}
+
+void BackendPool::warm(std::size_t count) {
+  const std::size_t wanted = std::min(count, Limit);
+  while (Members.size() < wanted)
+    probe(*addMember());
+}
+
+ExchangeId BackendPool::send(const HttpRequest &request,
+                             state::Duration timeout, HttpCallback callback) {
+  Member *member = findUsable();
+  if (member == nullptr)
+    return 0;
+  const ExchangeId id = ++LastExchange;
+  ++Counters.Exchanges;
+  member->Exchange = id;
+  member->Callback = std::move(callback);
+  member->Connection.send(request, timeout, [this, member](HttpResult result) {
+    const bool timedOut = !result && result.error().Cause.Code ==
+                                         state::ErrorCode::DeadlineExceeded;
+    const HttpCallback done = std::move(member->Callback);
+    member->Callback = nullptr;
+    // The connection is freed first, so that the callback can send again.
+    finished(*member, timedOut);
+    if (done)
+      done(std::move(result));
+    announceFree();
+  });
+  return id;
+}
+
+void BackendPool::abandon(ExchangeId id) {
+  const auto it =
+      std::find_if(Members.begin(), Members.end(), [id](const auto &member) {
+        return id != 0 && member->Exchange == id;
+      });
+  if (it == Members.end())
+    return;
+  Member &member = **it;
+  ++Counters.Abandoned;
+  member.Callback = nullptr;
+  member.Grace = Loop.schedule(Options.AbandonGrace, [this, &member] {
+    member.Grace = 0;
+    ++Counters.SilentClosed;
+    member.Connection.cancel();
+  });
+}
+
+bool BackendPool::hasFree() const {
+  if (Members.size() < Limit)
+    return true;
+  const state::TimePoint oldest = Loop.now() - Options.IdleProbeAge;
+  return std::any_of(
+      Members.begin(), Members.end(), [oldest](const auto &member) {
+        return !member->Connection.isBusy() && !member->Suspect &&
+               (member->Connection.lastUsed() > oldest ||
+                !member->Connection.isConnected());
+      });
+}
+
+std::size_t BackendPool::busy() const {
+  return static_cast<std::size_t>(
+      std::count_if(Members.begin(), Members.end(), [](const auto &member) {
+        return member->Connection.isBusy();
+      }));
+}
+
+BackendPool::Member *BackendPool::findUsable() {
+  if (Members.size() > Limit)
+    return nullptr;
+  const state::TimePoint oldest = Loop.now() - Options.IdleProbeAge;
+  Member *best = nullptr;
+  Member *unconnected = nullptr;
+  for (const auto &member : Members) {
+    if (member->Connection.isBusy())
+      continue;
+    if (!member->Connection.isConnected()) {
+      unconnected = member.get();
+      continue;
+    }
+    if (member->Suspect || member->Connection.lastUsed() <= oldest) {
+      probe(*member);
+      continue;
+    }
+    if (best == nullptr ||
+        member->Connection.lastUsed() > best->Connection.lastUsed())
+      best = member.get();
+  }
+  if (best != nullptr)
+    return best;
+  if (unconnected != nullptr) {
+    unconnected->Suspect = false;
+    return unconnected;
+  }
+  return Members.size() < Limit ? addMember() : nullptr;
+}
+
+BackendPool::Member *BackendPool::addMember() {
+  Members.push_back(std::make_unique<Member>(Loop, Address));
+  return Members.back().get();
+}
+
+void BackendPool::probe(Member &member) {
+  ++Counters.Probes;
+  member.Connection.send(probeRequest(), Options.ProbeTimeout,
+                         [this, &member](const HttpResult &result) {
+                           member.Suspect = false;
+                           if (!result &&
+                               result.error().Cause.Code ==
+                                   state::ErrorCode::DeadlineExceeded)
+                             ++Counters.SilentClosed;
+                           trim();
+                           announceFree();
+                         });
+}
+
+void BackendPool::finished(Member &member, bool timedOut) {
+  member.Exchange = 0;
+  member.Suspect = false;
+  Loop.cancel(member.Grace);
+  member.Grace = 0;
+  if (timedOut) {
+    ++Counters.SilentClosed;
+    for (const auto &other : Members)
+      if (!other->Connection.isBusy())
+        other->Suspect = true;
+    member.Suspect = false;
+  }
+  trim();
+}
+
+void BackendPool::trim() {
+  // A member is destroyed by a posted message, because this can run inside one
+  // of its own callbacks.
+  while (Members.size() > Limit) {
+    const auto it =
+        std::find_if(Members.begin(), Members.end(), [](const auto &member) {
+          return !member->Connection.isBusy() && member->Callback == nullptr;
+        });
+    if (it == Members.end())
+      return;
+    (*it)->Connection.closeIdle();
+    Loop.cancel((*it)->Grace);
+    Loop.post([doomed = std::shared_ptr<Member>(std::move(*it))] {});
+    Members.erase(it);
+  }
+}
+
+void BackendPool::announceFree() {
+  if (Freed && hasFree())
+    Freed();
+}
+
+} // namespace galenaflow::transport
--- /dev/null
+++ b/src/transport/backend_pool.h
@@ -0,0 +1,95 @@
+#ifndef GALENAFLOW_TRANSPORT_BACKEND_POOL_H
+#define GALENAFLOW_TRANSPORT_BACKEND_POOL_H
+
+#include "transport/http_client.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace galenaflow::transport {
+
+/// Identifies an exchange of a pool. Zero names none.
+using ExchangeId = std::uint64_t;
+
+struct BackendPoolOptions {
+  /// An idle connection older than this is probed before it carries a request,
+  /// because something between the ends may have dropped its state.
+  state::Duration IdleProbeAge = std::chrono::seconds(10);
+
+  /// A probe without an answer for this long closes the connection.
+  state::Duration ProbeTimeout = std::chrono::milliseconds(500);
+
+  /// An abandoned exchange without an answer for this long closes the
+  /// connection.
+  state::Duration AbandonGrace = std::chrono::milliseconds(500);
+};
+
+struct BackendPoolCounters {
+  std::uint64_t Exchanges = 0;
+  std::uint64_t Probes = 0;
+  std::uint64_t SilentClosed = 0; ///< connections closed for silence
+  std::uint64_t Abandoned = 0;
+};
+
+/// The connections of this process to one replica, bounded by a limit that can
+/// change at any time. The owner queues requests while no connection is free.
+class BackendPool {
+public:
+  BackendPool(EventLoop &loop, const SocketAddress &address,
+              BackendPoolOptions options = {});
+  ~BackendPool();
+  BackendPool(const BackendPool &) = delete;
+  BackendPool &operator=(const BackendPool &) = delete;
+
+  /// Sets the number of connections that may exist. Idle connections above it
+  /// are closed at once, busy ones when their exchange has ended.
+  void setLimit(std::size_t limit);
+
+  /// Opens connections until `count` exist, within the limit, so that later
+  /// requests do not pay for connecting.
+  void warm(std::size_t count);
+
+  /// Sends a request on a free connection. Returns zero and does not call
+  /// `callback` when none is free. After `timeout` the connection is closed and
+  /// the idle connections are probed before their next use.
+  ExchangeId send(const HttpRequest &request, state::Duration timeout,
+                  HttpCallback callback);
+
+  /// Drops the callback of an exchange whose answer is no longer needed and
+  /// keeps the connection for reuse, if the answer arrives in time.
+  void abandon(ExchangeId id);
+
+  /// Called whenever a connection has become free.
+  void onFree(std::function<void()> callback) { Freed = std::move(callback); }
+
+  bool hasFree() const;
+  std::size_t busy() const;
+  std::size_t size() const { return Members.size(); }
+  const BackendPoolCounters &counters() const { return Counters; }
+
+private:
+  struct Member;
+
+  Member *findUsable();
+  Member *addMember();
+  void probe(Member &member);
+  void finished(Member &member, bool timedOut);
+  void trim();
+  void announceFree();
+
+  EventLoop &Loop;
+  SocketAddress Address;
+  BackendPoolOptions Options;
+  std::size_t Limit = 0;
+  ExchangeId LastExchange = 0;
+  std::vector<std::unique_ptr<Member>> Members;
+  std::function<void()> Freed;
+  BackendPoolCounters Counters;
+};
+
+} // namespace galenaflow::transport
+
+#endif
--- /dev/null
+++ b/tests/backend_pool_test.cc
@@ -0,0 +1,128 @@
+#include "transport/backend_pool.h"
+#include "transport/http_server.h"
+
+#include <catch2/catch.hpp>
+
+using namespace galenaflow;
+using namespace galenaflow::transport;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto TestLimit = 20s;
+
+/// A server that answers at once, except for "/hold".
+struct HoldingServer {
+  EventLoop Loop;
+  std::vector<std::shared_ptr<HttpResponder>> Held;
+  HttpServer Server{
+      Loop, {}, [this](const HttpRequest &request, const auto &responder) {
+        if (request.Path == "/hold")
+          Held.push_back(responder);
+        else
+          responder->send(jsonResponse(200, "{}"));
+      }};
+  SocketAddress Address = *Server.listen(*parseSocketAddress("127.0.0.1:0"));
+
+  bool until(const std::function<bool()> &done) {
+    return Loop.runUntil(done, TestLimit);
+  }
+};
+
+HttpRequest get(std::string path) { return {"GET", std::move(path), {}, ""}; }
+
+} // namespace
+
+TEST_CASE("a pool never opens more connections than its limit") {
+  HoldingServer server;
+  BackendPool pool(server.Loop, server.Address);
+  pool.setLimit(3);
+  int done = 0;
+  int accepted = 0;
+  for (int i = 0; i != 5; ++i)
+    if (pool.send(get("/hold"), 10s, [&](const HttpResult &) { ++done; }) != 0)
+      ++accepted;
+  CHECK(accepted == 3);
+  CHECK_FALSE(pool.hasFree());
+  REQUIRE(server.until([&] { return server.Held.size() == 3; }));
+  CHECK(server.Server.openConnections() == 3);
+  for (const auto &responder : server.Held)
+    responder->send(jsonResponse(200, "{}"));
+  REQUIRE(server.until([&] { return done == 3; }));
+  CHECK(pool.hasFree());
+}
+
+TEST_CASE("a lowered limit closes idle connections at once and busy ones after "
+          "their exchange") {
+  HoldingServer server;
+  BackendPool pool(server.Loop, server.Address);
+  pool.setLimit(4);
+  pool.warm(4);
+  REQUIRE(server.until([&] { return pool.busy() == 0; }));
+  REQUIRE(server.until([&] { return server.Server.openConnections() == 4; }));
+  int done = 0;
+  pool.send(get("/hold"), 10s, [&](const HttpResult &) { ++done; });
+  pool.send(get("/hold"), 10s, [&](const HttpResult &) { ++done; });
+  REQUIRE(server.until([&] { return server.Held.size() == 2; }));
+  pool.setLimit(1);
+  CHECK(pool.size() == 2);
+  CHECK(pool.send(get("/"), 10s, [](const HttpResult &) {}) == 0);
+  for (const auto &responder : server.Held)
+    responder->send(jsonResponse(200, "{}"));
+  REQUIRE(server.until([&] { return done == 2; }));
+  CHECK(pool.size() == 1);
+  REQUIRE(server.until([&] { return server.Server.openConnections() == 1; }));
+}
+
+TEST_CASE("an abandoned exchange is not reported and its connection is reused "
+          "when the answer arrives") {
+  HoldingServer server;
+  BackendPool pool(server.Loop, server.Address);
+  pool.setLimit(1);
+  bool reported = false;
+  const auto id = pool.send(get("/hold"), 10s,
+                            [&](const HttpResult &) { reported = true; });
+  REQUIRE(server.until([&] { return server.Held.size() == 1; }));
+  pool.abandon(id);
+  server.Held[0]->send(jsonResponse(200, "late"));
+  REQUIRE(server.until([&] { return pool.busy() == 0; }));
+  std::string body;
+  pool.send(get("/"), 10s, [&](const HttpResult &result) {
+    body = result ? result->Body : "failed";
+  });
+  REQUIRE(server.until([&] { return !body.empty(); }));
+  CHECK(body == "{}");
+  CHECK_FALSE(reported);
+  CHECK(server.Server.openConnections() == 1);
+}
+
+TEST_CASE("an abandoned exchange without an answer gives its connection back "
+          "after the grace time") {
+  HoldingServer server;
+  BackendPoolOptions options;
+  options.AbandonGrace = 20ms;
+  BackendPool pool(server.Loop, server.Address, options);
+  pool.setLimit(1);
+  pool.abandon(pool.send(get("/hold"), 10s, [](const HttpResult &) {}));
+  REQUIRE(server.until([&] { return pool.hasFree(); }));
+  CHECK(pool.counters().SilentClosed == 1);
+}
+
+TEST_CASE("after a timeout the sibling connections are probed before use") {
+  HoldingServer server;
+  BackendPool pool(server.Loop, server.Address);
+  pool.setLimit(2);
+  pool.warm(2);
+  REQUIRE(server.until([&] { return pool.busy() == 0; }));
+  const auto probes = pool.counters().Probes;
+  bool failed = false;
+  pool.send(get("/hold"), 20ms,
+            [&](const HttpResult &result) { failed = !result; });
+  REQUIRE(server.until([&] { return failed; }));
+  bool answered = false;
+  REQUIRE(pool.send(get("/"), 10s, [&](const HttpResult &result) {
+    answered = result.has_value();
+  }) != 0);
+  CHECK(pool.counters().Probes == probes + 1);
+  REQUIRE(server.until([&] { return answered; }));
+}
