--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -5,7 +5,7 @@
 
 packages=(
   ccache clang-format clang-tidy cmake curl g++ make ninja-build valgrind
-  catch2 flatbuffers-compiler libabsl-dev libboost-dev libexpected-dev
+  python3 catch2 flatbuffers-compiler libabsl-dev libboost-dev libexpected-dev
   libflatbuffers-dev libh2o-evloop-dev librapidcheck-dev libspdlog-dev
   libssl-dev libxxhash-dev nlohmann-json3-dev zlib1g-dev
 )
