--- /dev/null
+++ b/src/coordination/query_collaborators.h
@@ -0,0 +1,92 @@
+#ifndef GALENAFLOW_COORDINATION_QUERY_COLLABORATORS_H
+#define GALENAFLOW_COORDINATION_QUERY_COLLABORATORS_H
+
+#include "coordination/sub_request.h"
+
+#include <memory>
+#include <optional>
+#include <span>
+
+/// Decisions that all executions of one service share.
+namespace galenaflow::coordination {
+
+struct SnapshotChoice {
+  state::SnapshotId Snapshot = 0;
+  std::shared_ptr<const state::Layout> Layout;
+};
+
+class SnapshotSelector {
+public:
+  virtual ~SnapshotSelector() = default;
+
+  /// The snapshot for a new query, or nothing when no snapshot is served.
+  virtual std::optional<SnapshotChoice>
+  select(std::string_view service,
+         std::span<const state::SnapshotId> excluded) = 0;
+};
+
+/// The replicas of one shard or pool service, in listed order. At most 64 are
+/// considered.
+struct ReplicaCandidates {
+  std::span<const state::ReplicaId> Replicas;
+  std::uint64_t Excluded = 0; ///< bit i excludes Replicas[i]
+};
+
+/// How a sub-request ended, for the statistics of its replica.
+enum class AttemptOutcome {
+  Answered,
+  Failed,    ///< timeout, broken connection, invalid response
+  NotRun,    ///< refused, shed or snapshot gone: alive, but no latency sample
+  Cancelled, ///< given up; the elapsed time is a lower bound of its latency
+};
+
+class ReplicaSelector {
+public:
+  virtual ~ReplicaSelector() = default;
+
+  /// Index into the candidates, or nothing when none is usable.
+  virtual std::optional<std::size_t> choose(const ReplicaCandidates &candidates,
+                                            TimePoint now) = 0;
+  virtual void onSent(std::string_view replica, TimePoint now) = 0;
+  virtual void onEnded(std::string_view replica, AttemptOutcome outcome,
+                       Duration elapsed, TimePoint now) = 0;
+};
+
+/// When to hedge, for one service and operation.
+class HedgePolicy {
+public:
+  virtual ~HedgePolicy() = default;
+
+  /// Adds the refill of `n` primary sub-requests to the budget.
+  virtual void onPrimariesSent(std::size_t n) = 0;
+  virtual void onLatency(Duration latency) = 0;
+
+  /// Estimated 95th percentile of sub-request latency; nothing before enough
+  /// samples have arrived.
+  virtual std::optional<Duration> p95() const = 0;
+
+  /// Takes the token for one hedge. False when the budget is used up or
+  /// hedging is off.
+  virtual bool tryTake() = 0;
+};
+
+class RetryBudget {
+public:
+  virtual ~RetryBudget() = default;
+
+  virtual void onPrimariesSent(std::size_t n) = 0;
+
+  /// Takes the token for one retry.
+  virtual bool tryTake() = 0;
+};
+
+struct Collaborators {
+  SnapshotSelector &Snapshots; ///< unused for pool services
+  ReplicaSelector &Replicas;
+  HedgePolicy &Hedging;
+  RetryBudget &Retries;
+};
+
+} // namespace galenaflow::coordination
+
+#endif
--- /dev/null
+++ b/src/coordination/query_execution.cc
@@ -0,0 +1,452 @@
+#include "coordination/query_execution.h"
+
+#include "coordination/top_k_merge.h"
+
+#include <algorithm>
+#include <cmath>
+
+// Each shard of the chosen layout is pending, answered or missing. The query
+// ends when no shard is pending, at the straggler cut-off, or at the deadline.
+//
+// A sub-request number indexes the list of attempts and is never reused, also
+// not after a restart on another snapshot, so a late response can never be
+// taken for that of a newer attempt. A response counts only while its attempt
+// is open and if it names the shard and snapshot that were asked for.
+//
+// A pending shard has one wake-up time. While an attempt is open, it is the
+// time of the next hedge; otherwise it is the time of the next retry. The
+// earliest wake-up is kept in NextWake; it may be too early after a shard was
+// answered, which costs one needless scan and saves a search on each response.
+
+namespace galenaflow::coordination {
+
+using state::ErrorCode;
+
+namespace {
+
+/// Bounds of the rules in section 9 of the design page.
+constexpr std::uint8_t MaxRetriesLatency = 1;
+constexpr std::uint8_t MaxRetriesCoverage = 3;
+constexpr int CutOffFactor = 3;
+constexpr Duration MinCutOff = std::chrono::milliseconds(20);
+
+/// A shard that cannot be asked now (no usable replica, no token, all replicas
+/// already failed) is tried again after a quarter of the remaining time, so
+/// that the tries spread over the deadline.
+constexpr Duration MinRetryWait = std::chrono::milliseconds(10);
+constexpr int RetryWaitDivisor = 4;
+constexpr std::uint8_t MaxWaits = 6;
+
+/// The selector considers this many replicas of a shard.
+constexpr std::size_t MaxReplicas = 64;
+
+AttemptOutcome outcomeOf(FailureReason reason) {
+  switch (reason) {
+  case FailureReason::Refused:
+  case FailureReason::Shed:
+  case FailureReason::SnapshotGone:
+    return AttemptOutcome::NotRun;
+  case FailureReason::Cancelled:
+    return AttemptOutcome::Cancelled;
+  default:
+    return AttemptOutcome::Failed;
+  }
+}
+
+std::uint64_t bitOf(std::size_t i) { return std::uint64_t{1} << i; }
+
+} // namespace
+
+QueryExecution::QueryExecution(QueryOptions options, Collaborators shared)
+    : Options(std::move(options)), Shared(shared) {}
+
+QueryActions QueryExecution::start(TimePoint now) {
+  StartedAt = now;
+  DeadlineAt = now + Options.Deadline;
+  auto choice = Shared.Snapshots.select(Options.Service, {});
+  if (!choice || !choice->Layout || choice->Layout->Shards.empty()) {
+    finish(state::Error{ErrorCode::Unavailable,
+                        "no snapshot of " + Options.Service + " is served"},
+           now);
+    return std::move(Actions);
+  }
+  beginRound(std::move(*choice), now);
+  Shared.Hedging.onPrimariesSent(Counts.Primaries);
+  Shared.Retries.onPrimariesSent(Counts.Primaries);
+  return conclude(now);
+}
+
+void QueryExecution::beginRound(SnapshotChoice choice, TimePoint now) {
+  Choice = std::move(choice);
+  const std::size_t n = Choice.Layout->Shards.size();
+  Shards.clear();
+  Shards.resize(n);
+  Attempts.reserve(Attempts.size() + n);
+  Actions.reserve(Actions.size() + n + 1);
+  Pending = n;
+  AnsweredShards = 0;
+  NextWake = TimePoint::max();
+  for (std::size_t i = 0; i < n; ++i)
+    if (!send(i, AttemptKind::Primary, 0, now))
+      waitOrGiveUp(i, FailureReason::NoReplica, now);
+}
+
+bool QueryExecution::send(std::size_t shard, AttemptKind kind,
+                          std::uint64_t excluded, TimePoint now) {
+  const state::Shard &listed = Choice.Layout->Shards[shard];
+  const auto pick = Shared.Replicas.choose({listed.Replicas, excluded}, now);
+  if (!pick || *pick >= std::min(listed.Replicas.size(), MaxReplicas))
+    return false;
+  ShardState &it = Shards[shard];
+  const auto number = static_cast<SubRequestNumber>(Attempts.size());
+  Attempts.push_back({static_cast<std::uint32_t>(shard),
+                      static_cast<std::uint8_t>(*pick), true, now});
+  it.Tried |= bitOf(*pick);
+  ++it.OpenAttempts;
+  switch (kind) {
+  case AttemptKind::Primary:
+    ++Counts.Primaries;
+    break;
+  case AttemptKind::Hedge:
+    ++Counts.Hedges;
+    ++it.Hedges;
+    break;
+  case AttemptKind::Retry:
+    ++Counts.Retries;
+    break;
+  }
+  const std::string_view replica = listed.Replicas[*pick];
+  Shared.Replicas.onSent(replica, now);
+  Actions.push_back(SendSubRequest{number, listed.Number, replica,
+                                   Choice.Snapshot, DeadlineAt - now, kind});
+  const auto p95 = Shared.Hedging.p95();
+  wakeShardAt(it, p95 ? now + *p95 : TimePoint::max());
+  return true;
+}
+
+void QueryExecution::wakeShardAt(ShardState &shard, TimePoint at) {
+  shard.WakeAt = at;
+  NextWake = std::min(NextWake, at);
+}
+
+QueryExecution::Attempt *QueryExecution::openAttempt(SubRequestNumber number) {
+  if (Finished || number >= Attempts.size() || !Attempts[number].Open)
+    return nullptr;
+  return &Attempts[number];
+}
+
+QueryActions QueryExecution::onResponse(SubResponse response, TimePoint now) {
+  Attempt *attempt = openAttempt(response.Number);
+  if (!attempt) {
+    ++Counts.Discarded;
+    return {};
+  }
+  const std::size_t i = attempt->ShardIndex;
+  AnyRan = true;
+  const bool matches = response.Shard == Choice.Layout->Shards[i].Number &&
+                       response.Snapshot == Choice.Snapshot &&
+                       hitsInOrder(response.Hits);
+  if (!matches) {
+    ++Counts.Discarded;
+    failAttempt(*attempt, FailureReason::InvalidResponse, true, now);
+    return conclude(now);
+  }
+  Shared.Hedging.onLatency(now - attempt->SentAt);
+  endAttempt(*attempt, AttemptOutcome::Answered, now);
+  cancelOpen(i, now);
+  ShardState &it = Shards[i];
+  it.Status = ShardStatus::Answered;
+  it.Hits = std::move(response.Hits);
+  it.Body = std::move(response.Body);
+  --Pending;
+  ++AnsweredShards;
+  return conclude(now);
+}
+
+QueryActions QueryExecution::onFailure(const SubFailure &failure,
+                                       TimePoint now) {
+  Attempt *attempt = openAttempt(failure.Number);
+  if (!attempt)
+    return {};
+  failAttempt(*attempt, failure.Reason, failure.MayHaveRun, now);
+  return conclude(now);
+}
+
+QueryActions QueryExecution::onTimer(TimePoint now) {
+  if (Finished)
+    return {};
+  TimerAt = TimePoint::max();
+  if (now < DeadlineAt && now >= NextWake)
+    wakeShards(now);
+  return conclude(now);
+}
+
+QueryActions QueryExecution::onCallerCancel(TimePoint now) {
+  if (Finished)
+    return {};
+  finish(state::Error{ErrorCode::Cancelled, "the caller gave up"}, now);
+  return std::move(Actions);
+}
+
+void QueryExecution::endAttempt(Attempt &attempt, AttemptOutcome outcome,
+                                TimePoint now) {
+  attempt.Open = false;
+  --Shards[attempt.ShardIndex].OpenAttempts;
+  const auto &listed = Choice.Layout->Shards[attempt.ShardIndex];
+  Shared.Replicas.onEnded(listed.Replicas[attempt.ReplicaIndex], outcome,
+                          now - attempt.SentAt, now);
+}
+
+void QueryExecution::cancel(SubRequestNumber number, TimePoint now) {
+  AnyMayHaveRun = true;
+  endAttempt(Attempts[number], AttemptOutcome::Cancelled, now);
+  Actions.push_back(CancelSubRequest{number});
+}
+
+void QueryExecution::cancelOpen(std::size_t shard, TimePoint now) {
+  for (SubRequestNumber i = 0; Shards[shard].OpenAttempts > 0; ++i)
+    if (Attempts[i].Open && Attempts[i].ShardIndex == shard)
+      cancel(i, now);
+}
+
+void QueryExecution::cancelAll(TimePoint now) {
+  for (SubRequestNumber i = 0; i < Attempts.size(); ++i)
+    if (Attempts[i].Open)
+      cancel(i, now);
+}
+
+void QueryExecution::failAttempt(Attempt &attempt, FailureReason reason,
+                                 bool mayHaveRun, TimePoint now) {
+  const std::size_t i = attempt.ShardIndex;
+  ShardState &it = Shards[i];
+  AnyMayHaveRun = AnyMayHaveRun || mayHaveRun;
+  endAttempt(attempt, outcomeOf(reason), now);
+  it.Reason = reason;
+  if (reason == FailureReason::SnapshotGone)
+    it.Gone |= bitOf(attempt.ReplicaIndex);
+  if (it.OpenAttempts > 0)
+    return; // another attempt for the shard may still answer
+  if (reason == FailureReason::SnapshotGone && redirect(i, now))
+    return;
+  resend(i, now);
+}
+
+bool QueryExecution::redirect(std::size_t shard, TimePoint now) {
+  if (now >= DeadlineAt)
+    return false;
+  if (!send(shard, AttemptKind::Retry, Shards[shard].Tried, now))
+    return false;
+  ++Counts.Redirects;
+  return true;
+}
+
+void QueryExecution::resend(std::size_t shard, TimePoint now) {
+  ShardState &it = Shards[shard];
+  const bool untriedLeft =
+      it.Tried != 0 &&
+      Shared.Replicas
+          .choose({Choice.Layout->Shards[shard].Replicas, it.Tried}, now)
+          .has_value();
+  if (it.Gone != 0 && !untriedLeft) {
+    // No usable replica is known to have the snapshot.
+    RestartWanted = RestartWanted || Counts.Restarts == 0;
+    return giveUp(shard, FailureReason::SnapshotGone);
+  }
+  const auto most = prefersCoverage() ? MaxRetriesCoverage : MaxRetriesLatency;
+  if (it.Retries >= most || now >= DeadlineAt)
+    return giveUp(shard, it.Reason);
+  if (!ask(shard, untriedLeft, now))
+    waitOrGiveUp(shard, it.Reason, now);
+}
+
+bool QueryExecution::ask(std::size_t shard, bool untriedLeft, TimePoint now) {
+  ShardState &it = Shards[shard];
+  if (it.Tried == 0) // no replica was usable so far
+    return send(shard, AttemptKind::Primary, 0, now);
+  // Asking a replica again at once that has just failed would rarely help.
+  if (!untriedLeft && it.Waits == 0)
+    return false;
+  const std::uint64_t excluded = untriedLeft ? it.Tried : it.Gone;
+  const auto &replicas = Choice.Layout->Shards[shard].Replicas;
+  if (!Shared.Replicas.choose({replicas, excluded}, now) ||
+      !Shared.Retries.tryTake())
+    return false;
+  ++it.Retries;
+  return send(shard, AttemptKind::Retry, excluded, now);
+}
+
+void QueryExecution::waitOrGiveUp(std::size_t shard, FailureReason reason,
+                                  TimePoint now) {
+  ShardState &it = Shards[shard];
+  it.Reason = reason;
+  if (!prefersCoverage() || it.Waits >= MaxWaits)
+    return giveUp(shard, reason);
+  ++it.Waits;
+  wakeShardAt(
+      it, now + std::max(MinRetryWait, (DeadlineAt - now) / RetryWaitDivisor));
+}
+
+void QueryExecution::giveUp(std::size_t shard, FailureReason reason) {
+  Shards[shard].Status = ShardStatus::Missing;
+  Shards[shard].Reason = reason;
+  --Pending;
+}
+
+void QueryExecution::wakeShards(TimePoint now) {
+  NextWake = TimePoint::max();
+  for (std::size_t i = 0; i < Shards.size(); ++i) {
+    ShardState &it = Shards[i];
+    if (it.Status != ShardStatus::Pending)
+      continue;
+    if (it.WakeAt > now)
+      NextWake = std::min(NextWake, it.WakeAt);
+    else if (it.OpenAttempts > 0)
+      hedge(i, now);
+    else
+      resend(i, now);
+  }
+}
+
+void QueryExecution::hedge(std::size_t shard, TimePoint now) {
+  ShardState &it = Shards[shard];
+  it.WakeAt = TimePoint::max();
+  if (it.Hedges > 0 && !prefersCoverage())
+    return;
+  const auto &replicas = Choice.Layout->Shards[shard].Replicas;
+  if (!Shared.Replicas.choose({replicas, it.Tried}, now))
+    return;
+  if (const auto kind = takeHedgeToken(now)) {
+    send(shard, *kind, it.Tried, now);
+    return;
+  }
+  if (const auto p95 = Shared.Hedging.p95())
+    wakeShardAt(it, now + std::max(*p95, MinRetryWait));
+}
+
+std::optional<AttemptKind> QueryExecution::takeHedgeToken(TimePoint now) {
+  if (Shared.Hedging.tryTake())
+    return AttemptKind::Hedge;
+  // A response that has taken half the deadline counts as a failure when the
+  // plan prefers coverage, because waiting for the rest leaves no time to
+  // retry.
+  const bool late = now - StartedAt >= Options.Deadline / 2;
+  if (prefersCoverage() && late && Shared.Retries.tryTake())
+    return AttemptKind::Retry;
+  return std::nullopt;
+}
+
+bool QueryExecution::coverageReached() const {
+  const double needed =
+      std::ceil(Options.MinCoverage * static_cast<double>(Shards.size()) -
+                1e-9); // 0.95 * 20 is slightly above 19 in binary
+  return AnsweredShards > 0 && static_cast<double>(AnsweredShards) >= needed;
+}
+
+TimePoint QueryExecution::cutOff() const {
+  const auto p95 = Shared.Hedging.p95();
+  if (prefersCoverage() || !p95)
+    return DeadlineAt;
+  return std::min(DeadlineAt,
+                  StartedAt + std::max(MinCutOff, *p95 * CutOffFactor));
+}
+
+bool QueryExecution::restart(TimePoint now) {
+  RestartWanted = false;
+  if (now >= DeadlineAt)
+    return false;
+  const state::SnapshotId gone = Choice.Snapshot;
+  auto choice = Shared.Snapshots.select(Options.Service, {&gone, 1});
+  if (!choice || !choice->Layout || choice->Snapshot == gone ||
+      choice->Layout->Shards.empty())
+    return false;
+  ++Counts.Restarts;
+  cancelAll(now);
+  EarlierLayouts.push_back(Choice.Layout);
+  beginRound(std::move(*choice), now);
+  return true;
+}
+
+QueryActions QueryExecution::conclude(TimePoint now) {
+  if (RestartWanted)
+    restart(now);
+  if (Pending == 0 || now >= DeadlineAt ||
+      (coverageReached() && now >= cutOff()))
+    finishByCoverage(now);
+  else
+    armTimer();
+  return std::move(Actions);
+}
+
+void QueryExecution::armTimer() {
+  TimePoint at = std::min(NextWake, DeadlineAt);
+  if (coverageReached())
+    at = std::min(at, cutOff());
+  if (at >= TimerAt)
+    return;
+  TimerAt = at;
+  Actions.push_back(SetTimer{at});
+}
+
+void QueryExecution::finishByCoverage(TimePoint now) {
+  if (coverageReached())
+    return finish(std::nullopt, now);
+  const bool late = Pending > 0 || now >= DeadlineAt;
+  finish(
+      state::Error{late ? ErrorCode::DeadlineExceeded : ErrorCode::Unavailable,
+                   std::to_string(AnsweredShards) + " of " +
+                       std::to_string(Shards.size()) +
+                       " shards answered, fewer than min_coverage"},
+      now);
+}
+
+RanState QueryExecution::ranState() const {
+  if (AnyRan)
+    return RanState::Ran;
+  return AnyMayHaveRun ? RanState::Unknown : RanState::NotRun;
+}
+
+void QueryExecution::fillCoverage(QueryOutcome &outcome) const {
+  outcome.Coverage.Asked = static_cast<std::uint32_t>(Shards.size());
+  outcome.Coverage.Answered = static_cast<std::uint32_t>(AnsweredShards);
+  for (std::size_t i = 0; i < Shards.size(); ++i) {
+    const ShardState &it = Shards[i];
+    if (it.Status == ShardStatus::Answered)
+      continue;
+    // An open attempt at the end means that its replica was too slow.
+    const bool open = it.OpenAttempts > 0;
+    outcome.Coverage.Missing.push_back(
+        {Choice.Layout->Shards[i].Number,
+         open ? FailureReason::Timeout : it.Reason});
+  }
+}
+
+void QueryExecution::fillHits(QueryOutcome &outcome) {
+  std::vector<std::span<const Hit>> lists;
+  lists.reserve(AnsweredShards);
+  outcome.Bodies.reserve(AnsweredShards);
+  for (ShardState &it : Shards) {
+    if (it.Status != ShardStatus::Answered)
+      continue;
+    lists.emplace_back(it.Hits);
+    outcome.Bodies.push_back(std::move(it.Body));
+  }
+  MergedHits merged = mergeTopK(lists, Options.Limit);
+  outcome.Hits = std::move(merged.Hits);
+  Counts.Duplicates = merged.Duplicates;
+}
+
+void QueryExecution::finish(std::optional<state::Error> error, TimePoint now) {
+  auto outcome = std::make_unique<QueryOutcome>();
+  outcome->Snapshot = Choice.Snapshot;
+  fillCoverage(*outcome);
+  cancelAll(now);
+  if (!error)
+    fillHits(*outcome);
+  outcome->Error = std::move(error);
+  outcome->Ran = ranState();
+  outcome->Counts = Counts;
+  Finished = true;
+  Actions.push_back(FinishQuery{std::move(outcome)});
+}
+
+} // namespace galenaflow::coordination
--- /dev/null
+++ b/src/coordination/query_execution.h
@@ -0,0 +1,163 @@
+#ifndef GALENAFLOW_COORDINATION_QUERY_EXECUTION_H
+#define GALENAFLOW_COORDINATION_QUERY_EXECUTION_H
+
+#include "coordination/query_collaborators.h"
+#include "state/error.h"
+#include "state/plan_catalog.h"
+
+#include <string>
+#include <variant>
+
+namespace galenaflow::coordination {
+
+struct QueryOptions {
+  std::string Service;
+  state::Preference Prefer = state::Preference::Latency;
+  double MinCoverage = 0;   ///< 0 to 1
+  std::uint32_t Limit = 10; ///< hits in the answer
+  Duration Deadline{0};     ///< from the start
+};
+
+struct MissingShard {
+  state::ShardNumber Shard = 0;
+  FailureReason Reason = FailureReason::Timeout;
+};
+
+struct Coverage {
+  std::uint32_t Asked = 0;
+  std::uint32_t Answered = 0;
+  std::vector<MissingShard> Missing; ///< ordered by shard
+};
+
+struct AttemptCounts {
+  std::uint32_t Primaries = 0;
+  std::uint32_t Hedges = 0;
+  std::uint32_t Retries = 0;
+  /// Sent to another replica after `snapshot_gone`. These are retries that
+  /// spend no token, since the first replica did no work.
+  std::uint32_t Redirects = 0;
+  std::uint32_t Discarded = 0; ///< late, repeated, unknown or foreign responses
+  std::uint32_t Duplicates = 0; ///< hits removed for their id
+  std::uint32_t Restarts = 0;   ///< rounds on another snapshot, at most 1
+};
+
+/// The end of a query. `Error` is set when the caller gets no answer.
+struct QueryOutcome {
+  std::optional<state::Error> Error;
+  RanState Ran = RanState::NotRun;
+  state::SnapshotId Snapshot = 0;
+  coordination::Coverage Coverage;
+  std::vector<Hit> Hits;
+  std::vector<std::shared_ptr<const void>> Bodies; ///< keep the hits valid
+  AttemptCounts Counts;
+};
+
+/// Held by pointer, so that the many other actions stay small.
+struct FinishQuery {
+  std::unique_ptr<QueryOutcome> Outcome;
+};
+
+using QueryAction =
+    std::variant<SendSubRequest, CancelSubRequest, SetTimer, FinishQuery>;
+using QueryActions = std::vector<QueryAction>;
+
+/// One query: fans out to every shard of one snapshot, hedges and retries
+/// within the budgets, and merges the answer. Each event returns actions that
+/// the owner carries out in order. Every sub-request is ended by one response
+/// or failure, or is cancelled; after a cancel, no event is needed. After
+/// FinishQuery, events return no actions.
+class QueryExecution {
+public:
+  QueryExecution(QueryOptions options, Collaborators shared);
+
+  QueryActions start(TimePoint now);
+  QueryActions onResponse(SubResponse response, TimePoint now);
+  QueryActions onFailure(const SubFailure &failure, TimePoint now);
+  QueryActions onTimer(TimePoint now);
+  QueryActions onCallerCancel(TimePoint now);
+
+  bool finished() const { return Finished; }
+
+  /// Includes responses that arrived after the end.
+  const AttemptCounts &counts() const { return Counts; }
+
+private:
+  enum class ShardStatus : std::uint8_t { Pending, Answered, Missing };
+
+  struct Attempt {
+    std::uint32_t ShardIndex = 0;
+    std::uint8_t ReplicaIndex = 0;
+    bool Open = true;
+    TimePoint SentAt;
+  };
+
+  struct ShardState {
+    ShardStatus Status = ShardStatus::Pending;
+    FailureReason Reason = FailureReason::Timeout;
+    std::uint8_t OpenAttempts = 0;
+    std::uint8_t Retries = 0;
+    std::uint8_t Hedges = 0;
+    std::uint8_t Waits = 0;
+    std::uint64_t Tried = 0; ///< bit i: Replicas[i] was asked
+    std::uint64_t Gone = 0;  ///< bit i: Replicas[i] lacks the snapshot
+    TimePoint WakeAt = TimePoint::max(); ///< next hedge, or retry if none open
+    std::vector<Hit> Hits;
+    std::shared_ptr<const void> Body;
+  };
+
+  void beginRound(SnapshotChoice choice, TimePoint now);
+  bool restart(TimePoint now);
+  bool send(std::size_t shard, AttemptKind kind, std::uint64_t excluded,
+            TimePoint now);
+  void endAttempt(Attempt &attempt, AttemptOutcome outcome, TimePoint now);
+  void cancelOpen(std::size_t shard, TimePoint now);
+  void cancelAll(TimePoint now);
+  void cancel(SubRequestNumber number, TimePoint now);
+  void failAttempt(Attempt &attempt, FailureReason reason, bool mayHaveRun,
+                   TimePoint now);
+  void resend(std::size_t shard, TimePoint now);
+  bool redirect(std::size_t shard, TimePoint now);
+  void waitOrGiveUp(std::size_t shard, FailureReason reason, TimePoint now);
+  void giveUp(std::size_t shard, FailureReason reason);
+  void hedge(std::size_t shard, TimePoint now);
+  std::optional<AttemptKind> takeHedgeToken(TimePoint now);
+  bool ask(std::size_t shard, bool untriedLeft, TimePoint now);
+  void wakeShards(TimePoint now);
+  void wakeShardAt(ShardState &shard, TimePoint at);
+  Attempt *openAttempt(SubRequestNumber number);
+  bool coverageReached() const;
+  TimePoint cutOff() const;
+  QueryActions conclude(TimePoint now);
+  void armTimer();
+  void finish(std::optional<state::Error> error, TimePoint now);
+  void finishByCoverage(TimePoint now);
+  void fillCoverage(QueryOutcome &outcome) const;
+  void fillHits(QueryOutcome &outcome);
+  RanState ranState() const;
+  bool prefersCoverage() const {
+    return Options.Prefer == state::Preference::Coverage;
+  }
+
+  QueryOptions Options;
+  Collaborators Shared;
+  TimePoint StartedAt;
+  TimePoint DeadlineAt;
+  SnapshotChoice Choice;
+  std::vector<std::shared_ptr<const state::Layout>> EarlierLayouts;
+  std::vector<Attempt> Attempts; ///< indexed by sub-request number
+  std::vector<ShardState> Shards;
+  std::size_t Pending = 0;
+  std::size_t AnsweredShards = 0;
+  TimePoint NextWake = TimePoint::max();
+  TimePoint TimerAt = TimePoint::max();
+  AttemptCounts Counts;
+  QueryActions Actions;
+  bool AnyRan = false;
+  bool AnyMayHaveRun = false;
+  bool RestartWanted = false;
+  bool Finished = false;
+};
+
+} // namespace galenaflow::coordination
+
+#endif
--- /dev/null
+++ b/src/coordination/sub_request.h
@@ -0,0 +1,87 @@
+#ifndef GALENAFLOW_COORDINATION_SUB_REQUEST_H
+#define GALENAFLOW_COORDINATION_SUB_REQUEST_H
+
+#include "state/clock.h"
+#include "state/topology.h"
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+/// Requests to single replicas, as the query path sees them. No I/O.
+namespace galenaflow::coordination {
+
+using state::Duration;
+using state::TimePoint;
+
+/// Why a sub-request ended without a usable response, or why a shard is
+/// missing from an answer.
+enum class FailureReason {
+  Timeout,          ///< no response within the time allowed
+  Refused,          ///< the replica refused it (draining, cold)
+  Shed,             ///< the replica shed it under load
+  ConnectionFailed, ///< no connection, or it broke
+  SnapshotGone,     ///< the replica no longer serves the snapshot
+  InvalidResponse,  ///< malformed, truncated, or for another shard or snapshot
+  NoReplica,        ///< no replica of the shard can be asked
+  Cancelled,        ///< cancelled before a response
+};
+
+/// The name in answers, for example "snapshot_gone".
+std::string_view failureReasonName(FailureReason reason);
+
+/// What is known about a request having run on a backend server.
+enum class RanState { NotRun, Ran, Unknown };
+
+/// "not_run", "ran" or "unknown".
+std::string_view ranStateName(RanState ran);
+
+/// Number of a sub-request, unique within its execution and never reused.
+using SubRequestNumber = std::uint32_t;
+
+enum class AttemptKind { Primary, Hedge, Retry };
+
+/// One hit. Both views point into the body that the response's owner holds.
+struct Hit {
+  std::string_view Id;
+  double Score = 0;
+  std::string_view Json; ///< the hit as raw JSON text
+};
+
+struct SubResponse {
+  SubRequestNumber Number = 0;
+  state::ShardNumber Shard = 0;
+  state::SnapshotId Snapshot = 0;
+  std::vector<Hit> Hits;            ///< by descending score, then by id
+  std::shared_ptr<const void> Body; ///< keeps the views valid
+};
+
+struct SubFailure {
+  SubRequestNumber Number = 0;
+  FailureReason Reason = FailureReason::ConnectionFailed;
+  bool MayHaveRun = true; ///< false only with proof
+};
+
+/// Ask one replica. `Replica` stays valid as long as the execution.
+struct SendSubRequest {
+  SubRequestNumber Number = 0;
+  state::ShardNumber Shard = 0;
+  std::string_view Replica;
+  state::SnapshotId Snapshot = 0;
+  Duration Timeout{0};
+  AttemptKind Kind = AttemptKind::Primary;
+};
+
+struct CancelSubRequest {
+  SubRequestNumber Number = 0;
+};
+
+/// Call `onTimer` at this time. Replaces the earlier timer.
+struct SetTimer {
+  TimePoint At;
+};
+
+} // namespace galenaflow::coordination
+
+#endif
