Add the authenticated link between daemons

Daemons need ordered, authenticated messages that no other process can read as valid. PeerSession is the handshake and the frame parser without I/O; PeerNetwork keeps one link to each wanted peer on the event loop.

--- /dev/null
+++ b/src/transport/peer_link.cc
@@ -0,0 +1,389 @@
+#include "transport/peer_link.h"
+
+#include "transport/h2o_api.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <unistd.h>
+
+// A link is a socket with a PeerSession. One write is in flight at a time; what
+// is queued meanwhile goes out with the next one.
+//
+// Two daemons may dial each other at once. Both then keep the link that the
+// daemon with the smaller (VM id, instance) dialled. Two links dialled by the
+// same daemon mean that this daemon no longer has the older one, which is
+// therefore closed.
+//
+// One timer serves heartbeats, silence and dialling. When the timer itself runs
+// late, this process was paused, and the peers' frames wait unread in the
+// sockets. The silence of all links is then measured anew.
+
+namespace galenaflow::transport {
+
+using Owner = std::pair<std::string, std::string>;
+
+namespace {
+constexpr state::Duration TickInterval = std::chrono::milliseconds(50);
+constexpr int MaxBackoffDoublings = 16;
+
+Owner ownerOf(const PeerIdentity &peer) { return {peer.VmId, peer.Instance}; }
+
+struct Link {
+  PeerNetwork::Impl *Network = nullptr;
+  h2o_socket_t *Socket = nullptr;
+  PeerSession Session;
+  bool Dialled;
+  bool Connecting;
+  bool Announced = false;
+  bool Writing = false;
+  std::string Target; // the dialled address
+  std::string InFlight;
+  state::TimePoint Created;
+  state::TimePoint LastSent;
+  state::TimePoint LastReceived;
+};
+using LinkPtr = std::shared_ptr<Link>;
+
+struct Dial {
+  state::TimePoint NextAttempt;
+  int Failures = 0;
+  Owner Reached; // who answered at the address last
+};
+} // namespace
+
+struct PeerNetwork::Impl {
+  EventLoop &Loop;
+  PeerNetworkOptions Options;
+  PeerCallbacks Callbacks;
+  std::mt19937_64 Random;
+  h2o_socket_t *Listener = nullptr;
+  TimerId Timer = 0;
+  state::TimePoint LastTick;
+  std::map<Link *, LinkPtr> Links;
+  std::map<Owner, LinkPtr> ByPeer;
+  std::map<std::string, Dial> Wanted;
+  std::array<std::uint64_t, LinkCloseCount> Closed{};
+  std::uint64_t Sent = 0;
+  std::uint64_t Received = 0;
+
+  Impl(EventLoop &loop, PeerNetworkOptions options, PeerCallbacks callbacks)
+      : Loop(loop), Options(std::move(options)),
+        Callbacks(std::move(callbacks)), Random(Options.Seed) {}
+
+  LinkPtr addLink(h2o_socket_t *socket, bool dialled, std::string target);
+  void startReading(const LinkPtr &link);
+  void dial(const std::string &address, Dial &dial);
+  void noteFailure(const std::string &address);
+  bool isLinked(const std::string &address) const;
+  void process(const LinkPtr &link, std::string_view bytes);
+  bool announce(const LinkPtr &link);
+  void flush(const LinkPtr &link);
+  void close(const LinkPtr &link, LinkClose reason);
+  void tick();
+  void checkLink(const LinkPtr &link, state::TimePoint now);
+
+  static void onAccept(h2o_socket_t *listener, const char *err);
+  static void onConnect(h2o_socket_t *socket, const char *err);
+  static void onRead(h2o_socket_t *socket, const char *err);
+  static void onWritten(h2o_socket_t *socket, const char *err);
+  static LinkPtr linkOf(h2o_socket_t *socket);
+};
+
+LinkPtr PeerNetwork::Impl::linkOf(h2o_socket_t *socket) {
+  auto *link = static_cast<Link *>(socket->data);
+  return link->Network->Links.at(link);
+}
+
+LinkPtr PeerNetwork::Impl::addLink(h2o_socket_t *socket, bool dialled,
+                                   std::string target) {
+  const auto now = Loop.now();
+  auto link = std::make_shared<Link>(Link{
+      this, socket, PeerSession(Options.Session, dialled, randomNonce()),
+      dialled, dialled, false, false, std::move(target), "", now, now, now});
+  socket->data = link.get();
+  Links.emplace(link.get(), link);
+  return link;
+}
+
+void PeerNetwork::Impl::onAccept(h2o_socket_t *listener, const char *err) {
+  if (err != nullptr)
+    return;
+  auto *self = static_cast<Impl *>(listener->data);
+  h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
+  if (socket == nullptr)
+    return;
+  const auto unproven = std::ranges::count_if(self->Links, [](const auto &it) {
+    return !it.second->Announced && !it.second->Dialled;
+  });
+  if (static_cast<std::size_t>(unproven) >= self->Options.MaxUnproven) {
+    h2o_socket_close(socket);
+    return;
+  }
+  self->startReading(self->addLink(socket, false, ""));
+}
+
+void PeerNetwork::Impl::startReading(const LinkPtr &link) {
+  link->Connecting = false;
+  h2o_socket_read_start(link->Socket, &Impl::onRead);
+  flush(link);
+}
+
+void PeerNetwork::Impl::dial(const std::string &address, Dial &dial) {
+  // A failure of this attempt is counted when its link closes. Until then, the
+  // pending link keeps the address from being dialled again.
+  dial.NextAttempt = Loop.now() + Options.Silence;
+  auto parsed = parseSocketAddress(address);
+  h2o_socket_t *socket = nullptr;
+  if (parsed)
+    socket = h2o_socket_connect(Loop.handle(), parsed->data(), parsed->Length,
+                                &Impl::onConnect);
+  if (socket == nullptr) {
+    ++Closed[static_cast<std::size_t>(LinkClose::ConnectFailed)];
+    noteFailure(address);
+    return;
+  }
+  addLink(socket, true, address);
+}
+
+void PeerNetwork::Impl::noteFailure(const std::string &address) {
+  const auto it = Wanted.find(address);
+  if (it == Wanted.end())
+    return;
+  Dial &dial = it->second;
+  const auto wait =
+      std::min(Options.MaxBackoff,
+               Options.MinBackoff * (std::int64_t{1} << dial.Failures));
+  dial.Failures = std::min(dial.Failures + 1, MaxBackoffDoublings);
+  std::uniform_int_distribution<std::int64_t> jitter(wait.count() / 2,
+                                                     wait.count());
+  dial.NextAttempt = Loop.now() + state::Duration(jitter(Random));
+}
+
+void PeerNetwork::Impl::onConnect(h2o_socket_t *socket, const char *err) {
+  const LinkPtr link = linkOf(socket);
+  if (err != nullptr)
+    link->Network->close(link, LinkClose::ConnectFailed);
+  else
+    link->Network->startReading(link);
+}
+
+void PeerNetwork::Impl::onRead(h2o_socket_t *socket, const char *err) {
+  const LinkPtr link = linkOf(socket);
+  if (err != nullptr) {
+    link->Network->close(link, link->Session.insideFrame()
+                                   ? LinkClose::Truncated
+                                   : LinkClose::PeerClosed);
+    return;
+  }
+  const std::string bytes(socket->input->bytes, socket->input->size);
+  h2o_buffer_consume(&socket->input, socket->input->size);
+  link->Network->process(link, bytes);
+}
+
+void PeerNetwork::Impl::process(const LinkPtr &link, std::string_view bytes) {
+  link->LastReceived = Loop.now();
+  Received += bytes.size();
+  std::vector<PeerFrame> frames;
+  const LinkClose fault = link->Session.receive(bytes, frames);
+  if (link->Session.isUp() && !link->Announced && !announce(link))
+    return;
+  // Frames before the faulty one were authentic.
+  for (const PeerFrame &frame : frames) {
+    if (link->Socket == nullptr)
+      return;
+    Callbacks.Message(link->Session.peer(), frame.Type, frame.Payload);
+  }
+  if (link->Socket == nullptr)
+    return;
+  if (fault != LinkClose::None)
+    close(link, fault);
+  else
+    flush(link);
+}
+
+bool PeerNetwork::Impl::announce(const LinkPtr &link) {
+  const Owner owner = ownerOf(link->Session.peer());
+  const Owner self = ownerOf(Options.Session.Self);
+  const auto target = Wanted.find(link->Target);
+  if (target != Wanted.end())
+    target->second.Reached = owner;
+  if (owner == self) {
+    close(link, LinkClose::SelfConnection);
+    return false;
+  }
+  const auto it = ByPeer.find(owner);
+  if (it != ByPeer.end()) {
+    const LinkPtr old = it->second;
+    const bool keepDialled = self < owner;
+    if (old->Dialled != link->Dialled && old->Dialled == keepDialled) {
+      close(link, LinkClose::Duplicate);
+      return false;
+    }
+    close(old, LinkClose::Duplicate);
+  }
+  link->Announced = true;
+  ByPeer[owner] = link;
+  const auto dialled = Wanted.find(link->Session.peer().Address);
+  if (dialled != Wanted.end())
+    dialled->second.Failures = 0;
+  Callbacks.Up(link->Session.peer());
+  return link->Socket != nullptr;
+}
+
+void PeerNetwork::Impl::flush(const LinkPtr &link) {
+  if (link->Session.outputBytes() + link->InFlight.size() >
+      Options.MaxOutputBytes) {
+    close(link, LinkClose::OutputOverflow);
+    return;
+  }
+  if (link->Writing || link->Connecting || link->Session.outputBytes() == 0)
+    return;
+  link->InFlight = link->Session.takeOutput();
+  link->Writing = true;
+  link->LastSent = Loop.now();
+  Sent += link->InFlight.size();
+  h2o_iovec_t buf =
+      h2o_iovec_init(link->InFlight.data(), link->InFlight.size());
+  h2o_socket_write(link->Socket, &buf, 1, &Impl::onWritten);
+}
+
+void PeerNetwork::Impl::onWritten(h2o_socket_t *socket, const char *err) {
+  const LinkPtr link = linkOf(socket);
+  link->Writing = false;
+  link->InFlight.clear();
+  if (err != nullptr)
+    link->Network->close(link, LinkClose::PeerClosed);
+  else
+    link->Network->flush(link);
+}
+
+void PeerNetwork::Impl::close(const LinkPtr &link, LinkClose reason) {
+  if (link->Socket == nullptr)
+    return;
+  h2o_socket_close(link->Socket);
+  link->Socket = nullptr;
+  Links.erase(link.get());
+  ++Closed[static_cast<std::size_t>(reason)];
+  if (!link->Target.empty())
+    noteFailure(link->Target);
+  if (!link->Announced)
+    return;
+  const auto it = ByPeer.find(ownerOf(link->Session.peer()));
+  if (it != ByPeer.end() && it->second == link)
+    ByPeer.erase(it);
+  Callbacks.Down(link->Session.peer(), reason);
+}
+
+bool PeerNetwork::Impl::isLinked(const std::string &address) const {
+  return std::ranges::any_of(Links, [&](const auto &it) {
+    const Link &link = *it.second;
+    return link.Target == address ||
+           (link.Announced && link.Session.peer().Address == address);
+  });
+}
+
+void PeerNetwork::Impl::tick() {
+  const auto now = Loop.now();
+  const bool paused = now - LastTick > Options.Heartbeat;
+  LastTick = now;
+  std::vector<LinkPtr> links;
+  for (const auto &it : Links)
+    links.push_back(it.second);
+  for (const LinkPtr &link : links) {
+    if (paused)
+      link->LastReceived = now;
+    checkLink(link, now);
+  }
+  for (auto &[address, dialState] : Wanted)
+    if (now >= dialState.NextAttempt &&
+        address != Options.Session.Self.Address && !isLinked(address))
+      dial(address, dialState);
+  Timer = Loop.schedule(TickInterval, [this] { tick(); });
+}
+
+void PeerNetwork::Impl::checkLink(const LinkPtr &link, state::TimePoint now) {
+  if (link->Socket == nullptr)
+    return;
+  if (!link->Announced && now - link->Created > Options.Silence)
+    close(link, LinkClose::HandshakeTimeout);
+  else if (link->Announced && now - link->LastReceived > Options.Silence)
+    close(link, LinkClose::Silent);
+  else if (link->Announced && now - link->LastSent >= Options.Heartbeat) {
+    link->Session.sendHeartbeat();
+    flush(link);
+  }
+}
+
+PeerNetwork::PeerNetwork(EventLoop &loop, PeerNetworkOptions options,
+                         PeerCallbacks callbacks)
+    : Self(std::make_shared<Impl>(loop, std::move(options),
+                                  std::move(callbacks))) {
+  Self->LastTick = loop.now();
+  Self->Timer =
+      loop.schedule(state::Duration(0), [impl = Self.get()] { impl->tick(); });
+}
+
+PeerNetwork::~PeerNetwork() {
+  Self->Loop.cancel(Self->Timer);
+  Self->Callbacks.Down = [](const PeerIdentity &, LinkClose) {};
+  while (!Self->Links.empty())
+    Self->close(LinkPtr(Self->Links.begin()->second), LinkClose::Local);
+  if (Self->Listener != nullptr)
+    h2o_socket_close(Self->Listener);
+}
+
+state::Result<SocketAddress> PeerNetwork::listen(SocketAddress address) {
+  const auto fd = listenOn(address);
+  if (!fd)
+    return tl::unexpected(fd.error());
+  Self->Listener = h2o_evloop_socket_create(Self->Loop.handle(), *fd,
+                                            H2O_SOCKET_FLAG_DONT_READ);
+  Self->Listener->data = Self.get();
+  h2o_socket_read_start(Self->Listener, &Impl::onAccept);
+  if (Self->Options.Session.Self.Address.empty())
+    Self->Options.Session.Self.Address = address.toText();
+  return address;
+}
+
+void PeerNetwork::setWanted(const std::vector<std::string> &addresses) {
+  std::map<std::string, Dial> wanted;
+  for (const std::string &address : addresses) {
+    const auto it = Self->Wanted.find(address);
+    wanted[address] = it != Self->Wanted.end() ? it->second : Dial{};
+  }
+  Self->Wanted = std::move(wanted);
+}
+
+void PeerNetwork::setKeys(std::vector<std::string> keys) {
+  Self->Options.Session.Keys = std::move(keys);
+}
+
+bool PeerNetwork::send(const PeerIdentity &peer, std::uint16_t type,
+                       std::string_view payload) {
+  const auto it = Self->ByPeer.find(ownerOf(peer));
+  if (it == Self->ByPeer.end())
+    return false;
+  const LinkPtr link = it->second;
+  if (!link->Session.send(type, payload))
+    return false;
+  Self->flush(link);
+  return link->Socket != nullptr;
+}
+
+std::vector<PeerIdentity> PeerNetwork::connected() const {
+  std::vector<PeerIdentity> peers;
+  for (const auto &it : Self->ByPeer)
+    peers.push_back(it.second->Session.peer());
+  return peers;
+}
+
+std::uint64_t PeerNetwork::closed(LinkClose reason) const {
+  return Self->Closed[static_cast<std::size_t>(reason)];
+}
+
+std::uint64_t PeerNetwork::bytesSent() const { return Self->Sent; }
+std::uint64_t PeerNetwork::bytesReceived() const { return Self->Received; }
+
+} // namespace galenaflow::transport
--- /dev/null
+++ b/src/transport/peer_session.cc
@@ -0,0 +1,292 @@
+#include "transport/peer_session.h"
+
+#include <algorithm>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+
+// A frame is: u32 payload length, u16 type, u16 version, u64 sequence number,
+// payload, 16 bytes of MAC. Numbers are big-endian.
+//
+// Both sides first send a hello: nonce, version range, ids of their keys and
+// identity. Its MAC is zero, since no key is agreed on yet. The transcript (the
+// hello of the dialling side, then that of the accepting side, with header) is
+// covered by the proofs and by the session keys, so an altered hello fails
+// there. The key with the smallest id that both sides hold is used, so both
+// choose the same one during a rotation. The proof names the role of its
+// sender, so a proof that is sent back to its author is not accepted.
+//
+// There is one session key for each direction. The sequence number of a frame
+// must be the next one, and the MAC covers it. A recorded frame is therefore
+// valid neither again, nor in another order, direction or session.
+
+namespace galenaflow::transport {
+
+namespace {
+
+constexpr std::size_t HeaderBytes = 16;
+constexpr std::size_t MacBytes = 16;
+constexpr std::size_t KeyIdBytes = 8;
+constexpr std::size_t MaxHelloPayload = 4096;
+constexpr std::size_t MaxKeys = 2;
+
+constexpr std::uint16_t HelloType = 1;
+constexpr std::uint16_t ProofType = 2;
+constexpr std::uint16_t HeartbeatType = 3;
+
+template <typename T> void putNumber(std::string &out, T value) {
+  for (int shift = 8 * (static_cast<int>(sizeof(T)) - 1); shift >= 0;
+       shift -= 8)
+    out.push_back(static_cast<char>((value >> shift) & 0xff));
+}
+
+template <typename T> T readNumber(std::string_view bytes) {
+  T value = 0;
+  for (std::size_t i = 0; i != sizeof(T); ++i)
+    value = static_cast<T>((value << 8) | static_cast<unsigned char>(bytes[i]));
+  return value;
+}
+
+void putText(std::string &out, std::string_view text) {
+  putNumber(out, static_cast<std::uint16_t>(text.size()));
+  out.append(text);
+}
+
+/// Reads fields from untrusted bytes. Failed stays set after a short read.
+struct FieldReader {
+  std::string_view Rest;
+  bool Failed = false;
+
+  std::string_view bytes(std::size_t n) {
+    if (Failed || Rest.size() < n) {
+      Failed = true;
+      return {};
+    }
+    const std::string_view field = Rest.substr(0, n);
+    Rest.remove_prefix(n);
+    return field;
+  }
+  std::uint16_t number() {
+    const auto field = bytes(2);
+    return Failed ? std::uint16_t{0} : readNumber<std::uint16_t>(field);
+  }
+  std::string text() { return std::string(bytes(number())); }
+};
+
+std::string hmac(std::string_view key, std::string_view text) {
+  unsigned char digest[EVP_MAX_MD_SIZE];
+  unsigned int size = 0;
+  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+       reinterpret_cast<const unsigned char *>(text.data()), text.size(),
+       digest, &size);
+  return {reinterpret_cast<const char *>(digest), size};
+}
+
+std::string keyId(std::string_view key) {
+  return hmac(key, "galenaflow peer key id").substr(0, KeyIdBytes);
+}
+
+bool sameBytes(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::string encodeHeader(std::size_t size, std::uint16_t type,
+                         std::uint16_t version, std::uint64_t sequence) {
+  std::string header;
+  putNumber(header, static_cast<std::uint32_t>(size));
+  putNumber(header, type);
+  putNumber(header, version);
+  putNumber(header, sequence);
+  return header;
+}
+
+} // namespace
+
+std::string_view linkCloseName(LinkClose reason) {
+  constexpr std::array<std::string_view, LinkCloseCount> names = {
+      "none",           "local",
+      "peer_closed",    "truncated",
+      "connect_failed", "handshake_timeout",
+      "bad_hello",      "version_mismatch",
+      "no_common_key",  "bad_proof",
+      "too_large",      "bad_version",
+      "bad_sequence",   "bad_mac",
+      "silent",         "output_overflow",
+      "duplicate",      "self_connection"};
+  return names[static_cast<std::size_t>(reason)];
+}
+
+PeerNonce randomNonce() {
+  PeerNonce nonce{};
+  RAND_bytes(nonce.data(), static_cast<int>(nonce.size()));
+  return nonce;
+}
+
+PeerSession::PeerSession(const PeerSessionOptions &options, bool dialled,
+                         const PeerNonce &nonce)
+    : Options(options), Dialled(dialled) {
+  writeHello(nonce);
+}
+
+void PeerSession::writeHello(const PeerNonce &nonce) {
+  std::string payload(reinterpret_cast<const char *>(nonce.data()),
+                      nonce.size());
+  putNumber(payload, Options.MinVersion);
+  putNumber(payload, Options.MaxVersion);
+  const std::size_t n = std::min(Options.Keys.size(), MaxKeys);
+  putNumber(payload, static_cast<std::uint16_t>(n));
+  for (std::size_t i = 0; i != n; ++i)
+    payload += keyId(Options.Keys[i]);
+  putText(payload, Options.Self.VmId);
+  putText(payload, Options.Self.Instance);
+  putText(payload, Options.Self.DataCentre);
+  putText(payload, Options.Self.Address);
+  OwnHello =
+      encodeHeader(payload.size(), HelloType, Options.MaxVersion, NextSent++) +
+      payload;
+  Output += OwnHello;
+  Output.append(MacBytes, '\0');
+}
+
+LinkClose PeerSession::receive(std::string_view bytes,
+                               std::vector<PeerFrame> &frames) {
+  Input.append(bytes);
+  std::size_t used = 0;
+  LinkClose result = LinkClose::None;
+  while (result == LinkClose::None && Input.size() - used >= HeaderBytes) {
+    const std::string_view rest = std::string_view(Input).substr(used);
+    const std::size_t size = readNumber<std::uint32_t>(rest);
+    // Before the handshake is complete, anybody can send. The smaller limit
+    // bounds the memory that a stranger can occupy.
+    if (size > (isUp() ? MaxFramePayload : MaxHelloPayload))
+      return LinkClose::TooLarge;
+    if (rest.size() < HeaderBytes + size + MacBytes)
+      break;
+    result =
+        takeFrame(rest.substr(0, HeaderBytes), rest.substr(HeaderBytes, size),
+                  rest.substr(HeaderBytes + size, MacBytes), frames);
+    used += HeaderBytes + size + MacBytes;
+  }
+  Input.erase(0, used);
+  return result;
+}
+
+LinkClose PeerSession::takeFrame(std::string_view header,
+                                 std::string_view payload, std::string_view mac,
+                                 std::vector<PeerFrame> &frames) {
+  if (Phase == HandshakePhase::Hello)
+    return takeHello(header, payload);
+  const LinkClose fault = checkFrame(header, payload, mac);
+  if (fault != LinkClose::None)
+    return fault;
+  const auto type = readNumber<std::uint16_t>(header.substr(4));
+  if (Phase == HandshakePhase::Proof)
+    return takeProof(type, payload);
+  if (type >= FirstMessageType)
+    frames.push_back({type, std::string(payload)});
+  return LinkClose::None;
+}
+
+LinkClose PeerSession::checkFrame(std::string_view header,
+                                  std::string_view payload,
+                                  std::string_view mac) {
+  if (readNumber<std::uint16_t>(header.substr(6)) != Version)
+    return LinkClose::BadVersion;
+  if (readNumber<std::uint64_t>(header.substr(8)) != NextReceived)
+    return LinkClose::BadSequence;
+  std::string text(header);
+  text.append(payload);
+  if (!sameBytes(hmac(ReceiveKey, text).substr(0, MacBytes), mac))
+    return LinkClose::BadMac;
+  ++NextReceived;
+  return LinkClose::None;
+}
+
+LinkClose PeerSession::takeHello(std::string_view header,
+                                 std::string_view payload) {
+  FieldReader in{payload};
+  const auto nonce = in.bytes(std::tuple_size_v<PeerNonce>);
+  const std::uint16_t low = in.number();
+  const std::uint16_t high = in.number();
+  const std::uint16_t keyCount = in.number();
+  if (readNumber<std::uint16_t>(header.substr(4)) != HelloType ||
+      readNumber<std::uint64_t>(header.substr(8)) != 0 || keyCount > MaxKeys)
+    return LinkClose::BadHello;
+  std::vector<std::string> theirIds;
+  for (std::uint16_t i = 0; i != keyCount; ++i)
+    theirIds.emplace_back(in.bytes(KeyIdBytes));
+  Peer = {in.text(), in.text(), in.text(), in.text()};
+  if (in.Failed || Peer.VmId.empty() || low > high)
+    return LinkClose::BadHello;
+  if (std::string_view(OwnHello).substr(HeaderBytes, nonce.size()) == nonce)
+    return LinkClose::BadHello;
+  Version = std::min(high, Options.MaxVersion);
+  if (Version < std::max(low, Options.MinVersion))
+    return LinkClose::VersionMismatch;
+  PeerHello = std::string(header).append(payload);
+  ++NextReceived;
+  return chooseKey(theirIds);
+}
+
+LinkClose PeerSession::chooseKey(const std::vector<std::string> &theirIds) {
+  std::string bestId;
+  for (std::size_t i = 0; i != std::min(Options.Keys.size(), MaxKeys); ++i) {
+    const std::string id = keyId(Options.Keys[i]);
+    const bool shared = std::ranges::find(theirIds, id) != theirIds.end();
+    if (shared && (bestId.empty() || id < bestId)) {
+      bestId = id;
+      Key = Options.Keys[i];
+    }
+  }
+  if (bestId.empty())
+    return LinkClose::NoCommonKey;
+  const std::string transcript =
+      Dialled ? OwnHello + PeerHello : PeerHello + OwnHello;
+  const std::string fromDialler = hmac(Key, "frames of dialler" + transcript);
+  const std::string fromAcceptor = hmac(Key, "frames of acceptor" + transcript);
+  SendKey = Dialled ? fromDialler : fromAcceptor;
+  ReceiveKey = Dialled ? fromAcceptor : fromDialler;
+  Phase = HandshakePhase::Proof;
+  writeFrame(ProofType, proof(Dialled));
+  return LinkClose::None;
+}
+
+std::string PeerSession::proof(bool ofDialler) const {
+  const std::string transcript =
+      Dialled ? OwnHello + PeerHello : PeerHello + OwnHello;
+  return hmac(Key, (ofDialler ? "proof of dialler" : "proof of acceptor") +
+                       transcript);
+}
+
+LinkClose PeerSession::takeProof(std::uint16_t type, std::string_view payload) {
+  if (type != ProofType || !sameBytes(proof(!Dialled), payload))
+    return LinkClose::BadProof;
+  Phase = HandshakePhase::Up;
+  return LinkClose::None;
+}
+
+bool PeerSession::send(std::uint16_t type, std::string_view payload) {
+  if (!isUp() || payload.size() > MaxFramePayload || type < FirstMessageType)
+    return false;
+  writeFrame(type, payload);
+  return true;
+}
+
+void PeerSession::sendHeartbeat() { writeFrame(HeartbeatType, {}); }
+
+void PeerSession::writeFrame(std::uint16_t type, std::string_view payload) {
+  std::string frame = encodeHeader(payload.size(), type, Version, NextSent++);
+  frame.append(payload);
+  Output += frame;
+  Output.append(hmac(SendKey, frame), 0, MacBytes);
+}
+
+std::string PeerSession::takeOutput() {
+  std::string taken;
+  taken.swap(Output);
+  return taken;
+}
+
+} // namespace galenaflow::transport
