Add the stand-in for backend servers

Tests and measurements need the far side of the backend protocol, with faults. Writes that ran are journalled.

The replicas use a small HTTP/1.1 server of their own instead of transport::HttpServer, because they must truncate and reset responses, delay new connections and count refused ones.

--- /dev/null
+++ b/tests/standin/backend_replica.h
@@ -0,0 +1,163 @@
+#ifndef GALENAFLOW_STANDIN_BACKEND_REPLICA_H
+#define GALENAFLOW_STANDIN_BACKEND_REPLICA_H
+
+#include "standin/raw_http_server.h"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace galenaflow::standin {
+
+enum class WorkKind { Search, Suggest, Read, Write };
+inline constexpr std::size_t WorkKindCount = 4;
+
+/// A snapshot that a replica serves.
+struct ServedSnapshot {
+  std::uint64_t Id = 0;
+  std::uint64_t Layout = 0;
+  std::uint32_t ShardCount = 1;
+  std::vector<std::uint32_t> Shards; ///< shards that this replica holds
+
+  bool operator==(const ServedSnapshot &) const = default;
+};
+
+/// What can be set for a replica, at its start and while it runs. The JSON
+/// names are the member names in snake_case. Faults are probabilities for one
+/// work request.
+struct ReplicaKnobs {
+  std::uint32_t Slots = 2;
+  std::uint32_t QueueLimit = 64;      ///< waiting requests; above it: shed
+  std::uint32_t ConnectionLimit = 25; ///< above it, new ones are reset
+  double ConnectionCostMs = 0;        ///< before a new connection is read
+  double SearchMs = 4;                ///< mean service times
+  double SuggestMs = 1;
+  double ReadMs = 1;
+  double WriteMs = 2;
+  double Sigma = 0.5;             ///< of the log-normal distribution
+  std::uint32_t ColdRequests = 0; ///< served slower after the start
+  double ColdFactor = 5;
+  double Slowness = 1;           ///< factor on all service times
+  std::uint32_t Listings = 1000; ///< of the whole service
+  double LoadLagMs = 0;          ///< age of health and load reports
+  std::string State = "serving"; ///< "starting" answers 503 cold
+  std::string Drain = "off";     ///< "off", "serve" or "refuse"
+  bool Down = false;             ///< listener closed, connections reset
+  bool Silent = false;           ///< accepts, never answers anything
+  double Stall = 0;              ///< work is never answered
+  double WrongSnapshot = 0;
+  double Truncate = 0;
+  double DuplicateHit = 0;
+  double ForeignId = 0;
+  double Reset = 0; ///< reset in place of the answer
+  double Shed = 0;  ///< refused although there is room
+};
+
+/// A write that ran.
+struct JournalEntry {
+  std::string Replica;
+  std::string Key;
+  std::string BodySha256;
+  std::string SubRequestId;
+  std::int64_t StartedMs = 0; ///< since the Unix epoch
+};
+
+/// Facts that all replicas of a process share.
+struct BackendLog {
+  std::vector<JournalEntry> Journal;
+  std::uint64_t RepeatedSubRequests = 0;
+
+  /// Notes a sub-request and counts it when the same query asked the same
+  /// shard before. A query is told by its trace, so retries and hedges count.
+  void noteSubRequest(const std::string &trace, std::uint32_t shard);
+
+private:
+  static constexpr std::size_t MaxRemembered = 200'000;
+  std::unordered_map<std::string, std::uint32_t> Seen;
+  std::deque<std::string> Order;
+};
+
+/// One replica of a backend service with its own listener.
+class BackendReplica {
+public:
+  BackendReplica(transport::EventLoop &loop, BackendLog &log,
+                 const nlohmann::json &config, std::uint64_t seed);
+  ~BackendReplica();
+
+  /// Starts to accept. Port 0 picks a free port.
+  state::Result<bool> listen();
+
+  /// Changes the knobs that `changes` names, and with "snapshots",
+  /// "add_snapshots" and "remove_snapshots" (ids) the snapshots. Returns a
+  /// message for an unknown name or a value of the wrong type, and then
+  /// changes nothing.
+  std::string apply(const nlohmann::json &changes);
+
+  nlohmann::json stats() const;
+  const std::string &id() const { return Id; }
+  std::string address() const { return Address.toText(); }
+
+private:
+  struct Work;
+  using WorkPtr = std::shared_ptr<Work>;
+  struct LoadSample;
+
+  void handle(transport::HttpRequest request, const RawConnectionPtr &conn);
+  void handleWork(transport::HttpRequest request, const RawConnectionPtr &conn);
+  void handleCancel(const std::string &id, const RawConnectionPtr &conn);
+  bool refuse(const Work &work);
+  bool injectEarlyFault(const WorkPtr &work);
+  void enqueue(const WorkPtr &work);
+  void startNext();
+  void start(const WorkPtr &work);
+  void finish(const WorkPtr &work);
+  void notRun(const Work &work, int status, const char *reason);
+  void answer(const Work &work);
+  transport::HttpResponse answerSearch(const Work &work);
+  transport::HttpResponse answerRead(const Work &work) const;
+  transport::HttpResponse withState(transport::HttpResponse response) const;
+  state::Duration serviceTime(const Work &work);
+  bool strike(double probability, const char *fault);
+  const ServedSnapshot *findSnapshot(std::uint64_t id) const;
+  const std::vector<std::uint32_t> &shardListings(const ServedSnapshot &served,
+                                                  std::uint32_t shard);
+  LoadSample currentLoad() const;
+  LoadSample reportedLoad();
+  void noteLoad();
+  void applyConnectionKnobs();
+  void noteDrain(const std::string &before);
+
+  transport::EventLoop &Loop;
+  BackendLog &Log;
+  std::string Id;
+  std::string ServiceName;
+  transport::SocketAddress Address;
+  ReplicaKnobs Knobs;
+  std::vector<ServedSnapshot> Snapshots;
+  std::unique_ptr<RawHttpServer> Server;
+  std::mt19937_64 Random;
+  std::deque<WorkPtr> Queue;
+  std::map<std::string, WorkPtr> Open; ///< queued and running, by id
+  bool WasListening = false;
+  std::uint32_t InService = 0;
+  std::uint64_t Served = 0;
+  std::deque<LoadSample> Loads;
+  std::map<std::pair<std::uint64_t, std::uint32_t>, std::vector<std::uint32_t>>
+      ListingCache;
+  state::TimePoint DrainStart{};
+  std::int64_t LastWorkAfterDrainMs = -1;
+  std::array<std::uint64_t, WorkKindCount> Run{};
+  std::map<std::string, std::uint64_t> Counts;
+  std::map<std::string, std::uint64_t> Faults;
+};
+
+} // namespace galenaflow::standin
+
+#endif
