--- /dev/null
+++ b/src/coordination/outlier_detector.cc
@@ -0,0 +1,149 @@
+#include "coordination/outlier_detector.h"
+
+#include <algorithm>
+
+// The replicas of each shard of each layout, and of each pool, form a group. A
+// replica may belong to several groups and is ejected only if the cap of every
+// one of them allows it. Pointers into the map stay valid, as it is a node map
+// that only setTopology changes.
+
+namespace galenaflow::coordination {
+
+namespace {
+
+constexpr double SampleWeight = 0.1;
+constexpr std::uint32_t MaxDoublings = 16;
+
+} // namespace
+
+void OutlierDetector::addGroup(const std::vector<state::ReplicaId> &replicas,
+                               const StringMap<ReplicaState> &old) {
+  const auto group = static_cast<std::uint32_t>(Groups.size());
+  Groups.emplace_back();
+  for (const state::ReplicaId &id : replicas) {
+    auto [it, added] = Replicas.try_emplace(id);
+    if (const auto before = old.find(id); added && before != old.end()) {
+      it->second = before->second;
+      it->second.Groups.clear();
+    }
+    it->second.Groups.push_back(group);
+    Groups.back().push_back(&it->second);
+  }
+}
+
+void OutlierDetector::setTopology(const state::Topology &topology) {
+  const StringMap<ReplicaState> old = std::move(Replicas);
+  Replicas.clear();
+  Groups.clear();
+  Services.clear();
+  for (const auto &[name, service] : topology.Services) {
+    for (const state::Layout &layout : service.Layouts)
+      for (const state::Shard &shard : layout.Shards)
+        addGroup(shard.Replicas, old);
+    std::vector<state::ReplicaId> all;
+    for (const state::Replica &replica : service.Replicas)
+      all.push_back(replica.Id);
+    if (service.Kind == state::ServiceKind::Pool)
+      addGroup(all, old);
+    std::vector<ReplicaState *> &members = Services.emplace_back();
+    for (const state::ReplicaId &id : all)
+      if (const auto it = Replicas.find(id); it != Replicas.end())
+        members.push_back(&it->second);
+  }
+}
+
+void OutlierDetector::onSent(std::string_view replica, TimePoint now) {
+  const auto it = Replicas.find(replica);
+  if (it != Replicas.end() && it->second.Ejected &&
+      now >= it->second.EjectedUntil)
+    it->second.ProbeOpen = true;
+}
+
+void OutlierDetector::onEnded(std::string_view replica, AttemptOutcome outcome,
+                              Duration elapsed, TimePoint now) {
+  const auto found = Replicas.find(replica);
+  if (found == Replicas.end())
+    return;
+  ReplicaState &it = found->second;
+  const bool probe = it.ProbeOpen;
+  it.ProbeOpen = false;
+  const auto micros = static_cast<double>(elapsed.count());
+  if (outcome == AttemptOutcome::Answered ||
+      (outcome == AttemptOutcome::Cancelled && micros > it.EwmaMicros)) {
+    const double weight = it.Samples == 0 ? 1 : SampleWeight;
+    it.EwmaMicros += weight * (micros - it.EwmaMicros);
+    ++it.Samples;
+  }
+  if (outcome == AttemptOutcome::Answered) {
+    it.Failures = 0;
+    if (probe)
+      readmit(it);
+  }
+  if (outcome != AttemptOutcome::Failed)
+    return;
+  ++it.Failures;
+  if (probe || (!it.Ejected && it.Failures >= Options.ConsecutiveFailures))
+    eject(it, now);
+}
+
+bool OutlierDetector::capAllows(const ReplicaState &replica) const {
+  if (replica.Ejected)
+    return true; // counted already
+  return std::ranges::all_of(replica.Groups, [&](std::uint32_t group) {
+    const auto &members = Groups[group];
+    const auto ejected = std::ranges::count_if(
+        members, [](const ReplicaState *it) { return it->Ejected; });
+    return static_cast<std::size_t>(ejected) + 1 <= members.size() / 2;
+  });
+}
+
+void OutlierDetector::eject(ReplicaState &replica, TimePoint now) {
+  if (!capAllows(replica))
+    return;
+  const std::uint32_t doublings = std::min(replica.Ejections, MaxDoublings);
+  replica.Ejected = true;
+  replica.EjectedUntil =
+      now + std::min(Options.MaxEjection,
+                     Options.BaseEjection * (std::int64_t{1} << doublings));
+  ++replica.Ejections;
+  replica.Failures = 0;
+  replica.Samples = 0;
+}
+
+void OutlierDetector::readmit(ReplicaState &replica) {
+  replica.Ejected = false;
+  // One success does not clear the history of a replica that fails in turns.
+  replica.Ejections = replica.Ejections > 0 ? replica.Ejections - 1 : 0;
+}
+
+void OutlierDetector::compareLatencies(TimePoint now) {
+  for (const auto &members : Services) {
+    std::vector<double> known;
+    for (const ReplicaState *it : members)
+      if (!it->Ejected && it->Samples >= Options.MinSamples)
+        known.push_back(it->EwmaMicros);
+    if (known.size() < 3)
+      continue; // with two, either might be the outlier
+    const auto middle = known.begin() + static_cast<long>(known.size() / 2);
+    std::nth_element(known.begin(), middle, known.end());
+    const double bound = *middle * Options.LatencyFactor;
+    for (ReplicaState *it : members)
+      if (!it->Ejected && it->Samples >= Options.MinSamples &&
+          it->EwmaMicros > bound)
+        eject(*it, now);
+  }
+}
+
+bool OutlierDetector::mayUse(std::string_view replica, TimePoint now) const {
+  const auto it = Replicas.find(replica);
+  if (it == Replicas.end() || !it->second.Ejected)
+    return true;
+  return now >= it->second.EjectedUntil && !it->second.ProbeOpen;
+}
+
+bool OutlierDetector::isEjected(std::string_view replica) const {
+  const auto it = Replicas.find(replica);
+  return it != Replicas.end() && it->second.Ejected;
+}
+
+} // namespace galenaflow::coordination
--- /dev/null
+++ b/src/coordination/outlier_detector.h
@@ -0,0 +1,65 @@
+#ifndef GALENAFLOW_COORDINATION_OUTLIER_DETECTOR_H
+#define GALENAFLOW_COORDINATION_OUTLIER_DETECTOR_H
+
+#include "coordination/query_collaborators.h"
+#include "coordination/string_map.h"
+
+namespace galenaflow::coordination {
+
+struct OutlierOptions {
+  std::uint32_t ConsecutiveFailures = 5;
+  double LatencyFactor = 5;      ///< times the median of the service
+  std::uint32_t MinSamples = 20; ///< before latency is compared
+  Duration BaseEjection = std::chrono::seconds(1);
+  Duration MaxEjection = std::chrono::seconds(60);
+};
+
+/// Takes replicas out of use that fail or are far slower than the others of
+/// their service. At most half of the replicas of a shard or pool are out at a
+/// time. After the ejection time, one request at a time probes the replica; a
+/// success re-admits it, and a failure ejects it for twice as long.
+class OutlierDetector {
+public:
+  explicit OutlierDetector(OutlierOptions options = {}) : Options(options) {}
+
+  /// Keeps the state of replicas that are still listed.
+  void setTopology(const state::Topology &topology);
+
+  void onSent(std::string_view replica, TimePoint now);
+  void onEnded(std::string_view replica, AttemptOutcome outcome,
+               Duration elapsed, TimePoint now);
+
+  /// Compares latencies within each service. Call about once a second.
+  void compareLatencies(TimePoint now);
+
+  /// False while ejected, and while a probe is open.
+  bool mayUse(std::string_view replica, TimePoint now) const;
+  bool isEjected(std::string_view replica) const;
+
+private:
+  struct ReplicaState {
+    std::uint32_t Failures = 0; ///< in a row
+    std::uint32_t Samples = 0;
+    double EwmaMicros = 0;
+    std::uint32_t Ejections = 0; ///< in a row, for the exponential time
+    bool Ejected = false;
+    bool ProbeOpen = false;
+    TimePoint EjectedUntil;
+    std::vector<std::uint32_t> Groups;
+  };
+
+  void eject(ReplicaState &replica, TimePoint now);
+  void readmit(ReplicaState &replica);
+  bool capAllows(const ReplicaState &replica) const;
+  void addGroup(const std::vector<state::ReplicaId> &replicas,
+                const StringMap<ReplicaState> &old);
+
+  OutlierOptions Options;
+  StringMap<ReplicaState> Replicas;
+  std::vector<std::vector<const ReplicaState *>> Groups;
+  std::vector<std::vector<ReplicaState *>> Services;
+};
+
+} // namespace galenaflow::coordination
+
+#endif
--- a/src/coordination/query_collaborators.h
+++ b/src/coordination/query_collaborators.h
@@ -30,6 +30,8 @@
 struct ReplicaCandidates {
   std::span<const state::ReplicaId> Replicas;
   std::uint64_t Excluded = 0; ///< bit i excludes Replicas[i]
+  /// Replicas that report this snapshot are preferred. 0 means any.
+  state::SnapshotId Snapshot = 0;
 };
 
 /// How a sub-request ended, for the statistics of its replica.
--- a/src/coordination/query_execution.cc
+++ b/src/coordination/query_execution.cc
@@ -94,7 +94,8 @@
 bool QueryExecution::send(std::size_t shard, AttemptKind kind,
                           std::uint64_t excluded, TimePoint now) {
   const state::Shard &listed = Choice.Layout->Shards[shard];
-  const auto pick = Shared.Replicas.choose({listed.Replicas, excluded}, now);
+  const auto pick =
+      Shared.Replicas.choose({listed.Replicas, excluded, Choice.Snapshot}, now);
   if (!pick || *pick >= std::min(listed.Replicas.size(), MaxReplicas))
     return false;
   ShardState &it = Shards[shard];
@@ -243,10 +244,11 @@
 void QueryExecution::resend(std::size_t shard, TimePoint now) {
   ShardState &it = Shards[shard];
   const bool untriedLeft =
-      it.Tried != 0 &&
-      Shared.Replicas
-          .choose({Choice.Layout->Shards[shard].Replicas, it.Tried}, now)
-          .has_value();
+      it.Tried != 0 && Shared.Replicas
+                           .choose({Choice.Layout->Shards[shard].Replicas,
+                                    it.Tried, Choice.Snapshot},
+                                   now)
+                           .has_value();
   if (it.Gone != 0 && !untriedLeft) {
     // No usable replica is known to have the snapshot.
     RestartWanted = RestartWanted || Counts.Restarts == 0;
@@ -268,7 +270,7 @@
     return false;
   const std::uint64_t excluded = untriedLeft ? it.Tried : it.Gone;
   const auto &replicas = Choice.Layout->Shards[shard].Replicas;
-  if (!Shared.Replicas.choose({replicas, excluded}, now) ||
+  if (!Shared.Replicas.choose({replicas, excluded, Choice.Snapshot}, now) ||
       !Shared.Retries.tryTake())
     return false;
   ++it.Retries;
@@ -313,7 +315,7 @@
   if (it.Hedges > 0 && !prefersCoverage())
     return;
   const auto &replicas = Choice.Layout->Shards[shard].Replicas;
-  if (!Shared.Replicas.choose({replicas, it.Tried}, now))
+  if (!Shared.Replicas.choose({replicas, it.Tried, Choice.Snapshot}, now))
     return;
   if (const auto kind = takeHedgeToken(now)) {
     send(shard, *kind, it.Tried, now);
--- /dev/null
+++ b/src/coordination/replica_selector.cc
@@ -0,0 +1,218 @@
+#include "coordination/replica_selector.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+// Own measurements go before the load report, which lags by a poll interval
+// and more: in-flight counts are exact for this process, and latency shows a
+// slow replica within one response. A cancelled sub-request counts as a sample
+// when it took longer than the estimate, since otherwise a replica whose
+// responses always lose against hedges would keep its good estimate.
+
+namespace galenaflow::coordination {
+
+namespace {
+
+constexpr double SampleWeight = 0.2;
+constexpr double DefaultMicros = 1000;
+constexpr std::size_t MaxCandidates = 64;
+
+} // namespace
+
+AdaptiveReplicaSelector::AdaptiveReplicaSelector(OutlierDetector &outliers,
+                                                 std::mt19937_64 random,
+                                                 ReplicaSelectorOptions options)
+    : Outliers(outliers), Random(random), Options(options) {}
+
+AdaptiveReplicaSelector::ReplicaState &
+AdaptiveReplicaSelector::stateOf(std::string_view replica) {
+  const auto it = Replicas.find(replica);
+  if (it != Replicas.end())
+    return it->second;
+  return Replicas.try_emplace(std::string(replica)).first->second;
+}
+
+const AdaptiveReplicaSelector::ReplicaState *
+AdaptiveReplicaSelector::find(std::string_view replica) const {
+  const auto it = Replicas.find(replica);
+  return it == Replicas.end() ? nullptr : &it->second;
+}
+
+bool AdaptiveReplicaSelector::usable(std::string_view replica,
+                                     TimePoint now) const {
+  if (const ReplicaState *it = find(replica))
+    if (it->Draining || it->Leaving || it->Health == ReplicaHealth::Starting)
+      return false;
+  return Outliers.mayUse(replica, now);
+}
+
+bool AdaptiveReplicaSelector::servesSnapshot(std::string_view replica,
+                                             state::SnapshotId id) const {
+  const ReplicaState *it = find(replica);
+  return it && std::ranges::any_of(it->Report.Snapshots, [&](const auto &s) {
+           return s.Snapshot == id;
+         });
+}
+
+double AdaptiveReplicaSelector::estimate(const ReplicaState &it, double best,
+                                         TimePoint now) const {
+  if (!it.HasSample)
+    return best;
+  if (it.EwmaMicros <= best)
+    return it.EwmaMicros;
+  const auto idle = static_cast<double>((now - it.SampleAt).count());
+  const auto half = static_cast<double>(Options.ForgetHalfLife.count());
+  return best + (it.EwmaMicros - best) * std::exp2(-idle / half);
+}
+
+double AdaptiveReplicaSelector::cost(const ReplicaState &it, double best,
+                                     TimePoint now) const {
+  double queue = it.InFlight;
+  const bool fresh = it.HasSample && now - it.SampleAt < Options.OwnSampleLife;
+  if (!fresh)
+    queue = std::max(queue, static_cast<double>(it.Report.InFlight) +
+                                it.Report.Queued);
+  double cost = estimate(it, best, now) * (queue + 1);
+  if (now < it.RampUntil) {
+    const auto left = static_cast<double>((it.RampUntil - now).count());
+    const auto ramp = static_cast<double>(Options.RampTime.count());
+    cost *= 1 + (Options.RampPenalty - 1) * left / ramp;
+  }
+  return cost;
+}
+
+std::optional<std::size_t>
+AdaptiveReplicaSelector::choose(const ReplicaCandidates &candidates,
+                                TimePoint now) {
+  if (candidates.Snapshot != 0)
+    if (const auto it = pick(candidates, true, now))
+      return it;
+  return pick(candidates, false, now);
+}
+
+std::optional<std::size_t>
+AdaptiveReplicaSelector::pick(const ReplicaCandidates &candidates,
+                              bool needSnapshot, TimePoint now) {
+  Usable.clear();
+  double best = std::numeric_limits<double>::infinity();
+  const std::size_t n = std::min(candidates.Replicas.size(), MaxCandidates);
+  for (std::size_t i = 0; i < n; ++i) {
+    const state::ReplicaId &id = candidates.Replicas[i];
+    if ((candidates.Excluded >> i) & 1 || !usable(id, now))
+      continue;
+    if (needSnapshot && !servesSnapshot(id, candidates.Snapshot))
+      continue;
+    Usable.push_back(i);
+    const ReplicaState &it = stateOf(id);
+    if (it.HasSample)
+      best = std::min(best, it.EwmaMicros);
+  }
+  if (Usable.empty())
+    return std::nullopt;
+  if (std::isinf(best))
+    best = DefaultMicros;
+  // A random start breaks ties evenly. Among many candidates only two random
+  // ones are compared, so that processes do not all pick the same replica.
+  const std::size_t first = Random() % Usable.size();
+  const std::size_t scanned =
+      Usable.size() <= Options.FullScanUpTo ? Usable.size() : 2;
+  const std::size_t step =
+      scanned == Usable.size() ? 1 : 1 + Random() % (Usable.size() - 1);
+  std::size_t chosen = Usable[first];
+  double lowest = std::numeric_limits<double>::infinity();
+  for (std::size_t k = 0; k < scanned; ++k) {
+    const std::size_t i = Usable[(first + k * step) % Usable.size()];
+    const double it = cost(stateOf(candidates.Replicas[i]), best, now);
+    if (it < lowest) {
+      lowest = it;
+      chosen = i;
+    }
+  }
+  return chosen;
+}
+
+void AdaptiveReplicaSelector::onSent(std::string_view replica, TimePoint now) {
+  ++stateOf(replica).InFlight;
+  Outliers.onSent(replica, now);
+}
+
+void AdaptiveReplicaSelector::onEnded(std::string_view replica,
+                                      AttemptOutcome outcome, Duration elapsed,
+                                      TimePoint now) {
+  ReplicaState &it = stateOf(replica);
+  if (it.InFlight > 0)
+    --it.InFlight;
+  const auto micros = static_cast<double>(elapsed.count());
+  const bool bound =
+      outcome == AttemptOutcome::Cancelled || outcome == AttemptOutcome::Failed;
+  if (outcome == AttemptOutcome::Answered ||
+      (bound && micros > it.EwmaMicros)) {
+    const double weight = it.HasSample ? SampleWeight : 1;
+    it.EwmaMicros += weight * (micros - it.EwmaMicros);
+    it.HasSample = true;
+    it.SampleAt = now;
+  }
+  Outliers.onEnded(replica, outcome, elapsed, now);
+}
+
+void AdaptiveReplicaSelector::onHealth(std::string_view replica,
+                                       ReplicaHealth health, TimePoint now) {
+  ReplicaState &it = stateOf(replica);
+  if (health == ReplicaHealth::Serving && it.Health == ReplicaHealth::Starting)
+    it.RampUntil = now + Options.RampTime;
+  it.Health = health;
+  if (health == ReplicaHealth::Draining)
+    it.Draining = true;
+  if (health == ReplicaHealth::Serving)
+    it.Draining = false;
+}
+
+void AdaptiveReplicaSelector::onLoadReport(std::string_view replica,
+                                           LoadReport report, TimePoint) {
+  stateOf(replica).Report = std::move(report);
+}
+
+void AdaptiveReplicaSelector::onDraining(std::string_view replica) {
+  stateOf(replica).Draining = true;
+}
+
+void AdaptiveReplicaSelector::setLeaving(std::string_view replica,
+                                         bool leaving) {
+  stateOf(replica).Leaving = leaving;
+}
+
+std::uint32_t
+AdaptiveReplicaSelector::inFlight(std::string_view replica) const {
+  const ReplicaState *it = find(replica);
+  return it ? it->InFlight : 0;
+}
+
+void AdaptiveReplicaSelector::setTopology(const state::Topology &topology) {
+  StringMap<ReplicaState> kept;
+  for (const auto &[name, service] : topology.Services)
+    for (const state::Replica &replica : service.Replicas)
+      if (auto it = Replicas.find(replica.Id); it != Replicas.end())
+        kept.try_emplace(replica.Id, std::move(it->second));
+  Replicas = std::move(kept);
+  Outliers.setTopology(topology);
+}
+
+std::optional<std::size_t>
+RoundRobinReplicaSelector::choose(const ReplicaCandidates &candidates,
+                                  TimePoint) {
+  const std::size_t n = std::min(candidates.Replicas.size(), MaxCandidates);
+  if (n == 0)
+    return std::nullopt;
+  std::size_t &turn = Turns[candidates.Replicas.front()];
+  for (std::size_t k = 0; k < n; ++k) {
+    const std::size_t i = (turn + k) % n;
+    if ((candidates.Excluded >> i) & 1)
+      continue;
+    turn = i + 1;
+    return i;
+  }
+  return std::nullopt;
+}
+
+} // namespace galenaflow::coordination
--- /dev/null
+++ b/src/coordination/replica_selector.h
@@ -0,0 +1,108 @@
+#ifndef GALENAFLOW_COORDINATION_REPLICA_SELECTOR_H
+#define GALENAFLOW_COORDINATION_REPLICA_SELECTOR_H
+
+#include "coordination/outlier_detector.h"
+
+#include <random>
+
+namespace galenaflow::coordination {
+
+enum class ReplicaHealth { Unknown, Starting, Serving, Draining };
+
+struct ServedSnapshot {
+  state::SnapshotId Snapshot = 0;
+  state::LayoutId Layout = 0;
+};
+
+/// What a replica's load endpoint said. It may lag.
+struct LoadReport {
+  std::uint32_t InFlight = 0;
+  std::uint32_t Queued = 0;
+  std::uint32_t Slots = 1;
+  std::vector<ServedSnapshot> Snapshots;
+};
+
+struct ReplicaSelectorOptions {
+  std::size_t FullScanUpTo = 4; ///< more candidates: power of two choices
+  Duration RampTime = std::chrono::seconds(10); ///< after a cold start
+  double RampPenalty = 4; ///< cost factor at the start of the ramp
+  /// An estimate without new samples loses half its distance from the best
+  /// candidate in this time, so that a recovered replica is tried again.
+  Duration ForgetHalfLife = std::chrono::seconds(5);
+  /// The load report's queue counts only without own samples for this long.
+  Duration OwnSampleLife = std::chrono::seconds(2);
+};
+
+/// Chooses by latency EWMA times (in-flight + 1), from this process's own
+/// measurements, among replicas that are in health and not ejected.
+class AdaptiveReplicaSelector final : public ReplicaSelector {
+public:
+  AdaptiveReplicaSelector(OutlierDetector &outliers, std::mt19937_64 random,
+                          ReplicaSelectorOptions options = {});
+
+  std::optional<std::size_t> choose(const ReplicaCandidates &candidates,
+                                    TimePoint now) override;
+  void onSent(std::string_view replica, TimePoint now) override;
+  void onEnded(std::string_view replica, AttemptOutcome outcome,
+               Duration elapsed, TimePoint now) override;
+
+  void onHealth(std::string_view replica, ReplicaHealth health, TimePoint now);
+  void onLoadReport(std::string_view replica, LoadReport report, TimePoint now);
+
+  /// Any sign of draining stops new work at once: health, header, refusal, or
+  /// the VM list. Cleared when a later health poll says Serving and the VM list
+  /// does not say leaving.
+  void onDraining(std::string_view replica);
+  void setLeaving(std::string_view replica, bool leaving);
+
+  /// True when new work may be sent to it.
+  bool usable(std::string_view replica, TimePoint now) const;
+  std::uint32_t inFlight(std::string_view replica) const;
+
+  /// Drops the state of replicas that no service lists.
+  void setTopology(const state::Topology &topology);
+
+private:
+  struct ReplicaState {
+    double EwmaMicros = 0;
+    bool HasSample = false;
+    TimePoint SampleAt;
+    std::uint32_t InFlight = 0;
+    ReplicaHealth Health = ReplicaHealth::Unknown;
+    bool Draining = false;
+    bool Leaving = false;
+    TimePoint RampUntil = TimePoint::min();
+    LoadReport Report;
+  };
+
+  ReplicaState &stateOf(std::string_view replica);
+  const ReplicaState *find(std::string_view replica) const;
+  std::optional<std::size_t> pick(const ReplicaCandidates &candidates,
+                                  bool needSnapshot, TimePoint now);
+  double cost(const ReplicaState &it, double best, TimePoint now) const;
+  double estimate(const ReplicaState &it, double best, TimePoint now) const;
+  bool servesSnapshot(std::string_view replica, state::SnapshotId id) const;
+
+  OutlierDetector &Outliers;
+  std::mt19937_64 Random;
+  ReplicaSelectorOptions Options;
+  StringMap<ReplicaState> Replicas;
+  std::vector<std::size_t> Usable; ///< scratch space of pick
+};
+
+/// Baseline for measurements: every candidate in turn, whatever its state.
+class RoundRobinReplicaSelector final : public ReplicaSelector {
+public:
+  std::optional<std::size_t> choose(const ReplicaCandidates &candidates,
+                                    TimePoint now) override;
+  void onSent(std::string_view, TimePoint) override {}
+  void onEnded(std::string_view, AttemptOutcome, Duration, TimePoint) override {
+  }
+
+private:
+  StringMap<std::size_t> Turns; ///< by first candidate
+};
+
+} // namespace galenaflow::coordination
+
+#endif
