--- /dev/null
+++ b/src/protocol/fleet_messages.h
@@ -0,0 +1,153 @@
+#ifndef GALENAFLOW_PROTOCOL_FLEET_MESSAGES_H
+#define GALENAFLOW_PROTOCOL_FLEET_MESSAGES_H
+
+#include "state/error.h"
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Messages between the daemons of a fleet, and their FlatBuffers form
+/// (fleet.fbs).
+namespace galenaflow::protocol {
+
+/// A VM replaced under the same id and address has another instance.
+struct MemberId {
+  std::string Vm;
+  std::string Instance;
+
+  auto operator<=>(const MemberId &) const = default;
+};
+
+enum class MemberState : std::uint8_t { Alive, Suspect, Dead, Left };
+
+struct MemberUpdate {
+  MemberId Id;
+  std::string Address;
+  std::string DataCentre;
+  MemberState State = MemberState::Alive;
+  std::uint64_t Incarnation = 0;
+
+  bool operator==(const MemberUpdate &) const = default;
+};
+
+/// Parts common to the three SWIM messages.
+struct SwimPayload {
+  std::uint64_t Sequence = 0;
+  MemberId Subject; ///< the member whose liveness is in question
+  std::vector<MemberUpdate> Updates;
+  std::string Digest; ///< opaque to membership
+
+  bool operator==(const SwimPayload &) const = default;
+};
+
+struct Ping : SwimPayload {
+  bool operator==(const Ping &) const = default;
+};
+/// Asks the receiver to ping the subject.
+struct PingRequest : SwimPayload {
+  bool operator==(const PingRequest &) const = default;
+};
+struct PingAck : SwimPayload {
+  bool operator==(const PingAck &) const = default;
+};
+
+enum class ConfigKey : std::uint8_t { Customers, Plans, Services, Vms };
+inline constexpr std::size_t ConfigKeyCount = 4;
+std::string_view configKeyName(ConfigKey key);
+
+/// Indexed by ConfigKey; zero means that no version is known.
+using ConfigVersionVector = std::array<std::uint64_t, ConfigKeyCount>;
+
+struct ConfigValue {
+  ConfigKey Key = ConfigKey::Customers;
+  std::uint64_t Version = 0;
+  std::string Value;
+
+  bool operator==(const ConfigValue &) const = default;
+};
+
+/// Asks for every value newer than these versions.
+struct ConfigPull {
+  ConfigVersionVector Versions{};
+
+  bool operator==(const ConfigPull &) const = default;
+};
+
+/// States the versions that the sender holds; follows the values of a pull.
+struct ConfigDigest {
+  ConfigVersionVector Versions{};
+
+  bool operator==(const ConfigDigest &) const = default;
+};
+
+struct ShareRequest {
+  std::string Resource;
+  std::uint64_t Sequence = 0; ///< rises with each request of one borrower
+  std::uint64_t Wanted = 0;   ///< units the borrower could use
+  /// From now on the borrower uses at most this much of earlier grants.
+  std::uint64_t Keep = 0;
+
+  bool operator==(const ShareRequest &) const = default;
+};
+
+/// Answers the request of the same sequence number.
+struct ShareGrant {
+  std::string Resource;
+  std::uint64_t Sequence = 0;
+  std::uint64_t Amount = 0;
+
+  bool operator==(const ShareGrant &) const = default;
+};
+
+struct ShareExchange {
+  /// VM lists that the sender's use respects.
+  std::vector<std::uint64_t> ListVersions;
+  /// For lists of at least this version, every VM that an older list held and
+  /// they do not has been gone for the hold time, as far as the sender knows.
+  std::uint64_t ClearedFrom = 0;
+  std::uint64_t NewestList = 0; ///< highest version that the sender has seen
+  std::vector<ShareRequest> Requests;
+  std::vector<ShareGrant> Grants;
+
+  bool operator==(const ShareExchange &) const = default;
+};
+
+using FleetBody = std::variant<Ping, PingRequest, PingAck, ConfigValue,
+                               ConfigPull, ConfigDigest, ShareExchange>;
+
+struct FleetMessage {
+  MemberId From;
+  MemberId To; ///< a receiver with another identity drops the message
+  FleetBody Body;
+
+  bool operator==(const FleetMessage &) const = default;
+};
+
+/// Limits that the decoder enforces and that senders stay within.
+inline constexpr std::size_t MaxIdBytes = 128;
+inline constexpr std::size_t MaxUpdates = 16;
+inline constexpr std::size_t MaxDigestBytes = 256;
+inline constexpr std::size_t MaxConfigValueBytes = 1U << 20U;
+inline constexpr std::size_t MaxListVersions = 64;
+inline constexpr std::size_t MaxShareItems = 1024;
+inline constexpr std::size_t MaxFleetMessageBytes =
+    MaxConfigValueBytes + (64U << 10U);
+
+/// Type numbers on the wire, 1 to 99: the frame of the peer link carries them.
+std::uint16_t fleetMessageType(const FleetBody &body);
+
+std::vector<std::uint8_t> encodeFleetMessage(const FleetMessage &message);
+
+/// Error: InvalidArgument, for an unknown type, broken bytes or exceeded
+/// limits.
+state::Result<FleetMessage>
+decodeFleetMessage(std::uint16_t type, std::span<const std::uint8_t> bytes);
+
+} // namespace galenaflow::protocol
+
+#endif
