Add the published lists and the admission task

Cause: the daemon needs the documents in force and one door for all requests.

Change: PublishedLists applies only valid newer documents; AdmissionTask joins plan limits, fair queues per service and adaptive concurrency.

Conclusion: ready for the caller service.

--- /dev/null
+++ b/src/daemon/admission_task.cc
@@ -0,0 +1,203 @@
+#include "daemon/admission_task.h"
+
+// A request passes two gates. The plan limiter takes a rate and a concurrency
+// token; the queue of the service then admits it at once, lets it wait, or
+// refuses it. A request that the queue refuses gives its tokens back, because
+// it used nothing.
+
+namespace galenaflow::daemon {
+
+using coordination::PlanLimiter;
+
+namespace {
+
+/// Weight of the newest sample in the mean time of a service's requests.
+constexpr double TypicalTimeGain = 0.05;
+
+AdmissionVerdict verdictOf(PlanLimiter::Verdict verdict) {
+  switch (verdict) {
+  case PlanLimiter::Verdict::Admitted:
+    return AdmissionVerdict::Admitted;
+  case PlanLimiter::Verdict::OverRate:
+    return AdmissionVerdict::OverRate;
+  case PlanLimiter::Verdict::OverConcurrency:
+    return AdmissionVerdict::OverConcurrency;
+  case PlanLimiter::Verdict::UnknownPlan:
+    return AdmissionVerdict::UnknownPlan;
+  }
+  return AdmissionVerdict::UnknownPlan;
+}
+
+AdmissionVerdict verdictOf(coordination::RefusalReason reason) {
+  return reason == coordination::RefusalReason::QueueFull
+             ? AdmissionVerdict::QueueFull
+             : AdmissionVerdict::WouldMissDeadline;
+}
+
+} // namespace
+
+std::string_view admissionVerdictName(AdmissionVerdict verdict) {
+  switch (verdict) {
+  case AdmissionVerdict::Admitted:
+    return "admitted";
+  case AdmissionVerdict::UnknownPlan:
+    return "unknown_plan";
+  case AdmissionVerdict::OverRate:
+    return "over_rate";
+  case AdmissionVerdict::OverConcurrency:
+    return "over_concurrency";
+  case AdmissionVerdict::WouldMissDeadline:
+    return "would_miss_deadline";
+  case AdmissionVerdict::QueueFull:
+    return "queue_full";
+  }
+  return "queue_full";
+}
+
+AdmissionTask::ServiceState::ServiceState(std::size_t maxQueued, double slots,
+                                          double connections)
+    : Queue({.Capacity = slots, .MaxQueued = maxQueued}),
+      Concurrency({.Min = slots, .Max = connections, .Initial = slots}) {}
+
+AdmissionTask::AdmissionTask(transport::EventLoop &loop,
+                             AdmissionTaskOptions options)
+    : Loop(loop), Options(options) {}
+
+AdmissionTask::~AdmissionTask() {
+  for (auto &[id, open] : Open)
+    Loop.cancel(open.DeadlineTimer);
+}
+
+void AdmissionTask::setAllowance(std::string_view plan,
+                                 coordination::PlanAllowance allowance,
+                                 double weight) {
+  Limiter.setAllowance(plan, allowance, Loop.now());
+  Weights.insert_or_assign(std::string(plan), weight);
+  for (auto &[name, service] : Services)
+    service->Queue.setWeight(plan, weight);
+}
+
+void AdmissionTask::removePlan(std::string_view plan) {
+  Limiter.remove(plan);
+  Weights.erase(std::string(plan));
+}
+
+void AdmissionTask::setServiceCapacity(std::string_view service, double slots,
+                                       double connections) {
+  ServiceState *existing = findService(service);
+  if (existing != nullptr) {
+    existing->Concurrency.setMax(connections);
+    carryOut(
+        existing->Queue.setCapacity(existing->Concurrency.limit(), Loop.now()));
+    return;
+  }
+  auto created =
+      std::make_unique<ServiceState>(Options.MaxQueued, slots, connections);
+  for (const auto &[plan, weight] : Weights)
+    created->Queue.setWeight(plan, weight);
+  Services.emplace(std::string(service), std::move(created));
+}
+
+void AdmissionTask::request(AdmissionTicketRequest request,
+                            AdmissionCallback callback) {
+  const AdmissionId id = ++LastId;
+  const state::TimePoint now = Loop.now();
+  ServiceState *service = findService(request.Service);
+  const auto verdict = service == nullptr
+                           ? AdmissionVerdict::UnknownPlan
+                           : verdictOf(Limiter.tryAdmit(request.Plan, now));
+  if (verdict != AdmissionVerdict::Admitted) {
+    callback(id, verdict, state::Duration(0));
+    return;
+  }
+  const coordination::AdmissionRequest arrival{
+      id,           request.Plan,       request.Priority,
+      request.Cost, request.DeadlineAt, service->TypicalTime};
+  OpenRequest open;
+  open.Request = std::move(request);
+  open.Callback = std::move(callback);
+  open.ArrivedAt = now;
+  const auto it = Open.emplace(id, std::move(open)).first;
+  // The plan name is a view into the stored request from here on.
+  coordination::AdmissionRequest stored = arrival;
+  stored.Plan = it->second.Request.Plan;
+  it->second.DeadlineTimer =
+      Loop.schedule(it->second.Request.DeadlineAt - now, [this, id] {
+        const auto waiting = Open.find(id);
+        if (waiting == Open.end() || !waiting->second.Callback)
+          return;
+        waiting->second.DeadlineTimer = 0;
+        ServiceState *queueOwner = findService(waiting->second.Request.Service);
+        const auto actions = queueOwner->Queue.onEnded(id, Loop.now());
+        refuse(id, AdmissionVerdict::WouldMissDeadline);
+        carryOut(actions);
+      });
+  carryOut(service->Queue.onArrival(stored, now));
+}
+
+void AdmissionTask::end(AdmissionId id, state::Duration took,
+                        bool informative) {
+  const auto it = Open.find(id);
+  if (it == Open.end())
+    return;
+  const OpenRequest open = std::move(it->second);
+  Open.erase(it);
+  Loop.cancel(open.DeadlineTimer);
+  Limiter.onEnded(open.Request.Plan);
+  ServiceState *service = findService(open.Request.Service);
+  if (informative) {
+    const auto old = static_cast<double>(service->TypicalTime.count());
+    const auto sample = static_cast<double>(took.count());
+    service->TypicalTime = state::Duration(static_cast<std::int64_t>(
+        old == 0 ? sample : old + (sample - old) * TypicalTimeGain));
+    service->Concurrency.onSample(took, open.InFlightAtStart);
+  }
+  const state::TimePoint now = Loop.now();
+  carryOut(service->Queue.setCapacity(service->Concurrency.limit(), now));
+  carryOut(service->Queue.onEnded(id, now));
+}
+
+bool AdmissionTask::isSaturated(std::string_view service) const {
+  const auto it = Services.find(service);
+  return it != Services.end() && it->second->Queue.saturated();
+}
+
+void AdmissionTask::carryOut(const coordination::AdmissionActions &actions) {
+  for (const auto &action : actions) {
+    if (const auto *admitted = std::get_if<coordination::Admit>(&action))
+      admit(*admitted);
+    else if (const auto *refused = std::get_if<coordination::Refuse>(&action))
+      refuse(refused->Id, verdictOf(refused->Reason));
+  }
+}
+
+void AdmissionTask::admit(const coordination::Admit &admit) {
+  OpenRequest &open = Open.at(admit.Id);
+  Loop.cancel(open.DeadlineTimer);
+  open.DeadlineTimer = 0;
+  open.InFlightAtStart =
+      findService(open.Request.Service)->Queue.costInService();
+  const AdmissionCallback callback = std::move(open.Callback);
+  open.Callback = nullptr;
+  callback(admit.Id, AdmissionVerdict::Admitted, admit.Waited);
+}
+
+void AdmissionTask::refuse(AdmissionId id, AdmissionVerdict verdict) {
+  const auto it = Open.find(id);
+  if (it == Open.end())
+    return;
+  const OpenRequest open = std::move(it->second);
+  Open.erase(it);
+  Loop.cancel(open.DeadlineTimer);
+  Limiter.onEnded(open.Request.Plan);
+  Limiter.refund(open.Request.Plan);
+  open.Callback(id, verdict, Loop.now() - open.ArrivedAt);
+}
+
+AdmissionTask::ServiceState *
+AdmissionTask::findService(std::string_view service) {
+  const auto it = Services.find(service);
+  return it == Services.end() ? nullptr : it->second.get();
+}
+
+} // namespace galenaflow::daemon
--- /dev/null
+++ b/src/daemon/admission_task.h
@@ -0,0 +1,112 @@
+#ifndef GALENAFLOW_DAEMON_ADMISSION_TASK_H
+#define GALENAFLOW_DAEMON_ADMISSION_TASK_H
+
+#include "coordination/adaptive_concurrency.h"
+#include "coordination/admission_queue.h"
+#include "coordination/plan_limiter.h"
+#include "state/plan_catalog.h"
+#include "transport/event_loop.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace galenaflow::daemon {
+
+/// A request at the door.
+struct AdmissionTicketRequest {
+  std::string Plan;
+  std::string Service;
+  state::Priority Priority = state::Priority::Normal;
+  double Cost = 1; ///< sub-requests
+  state::TimePoint DeadlineAt;
+};
+
+enum class AdmissionVerdict {
+  Admitted,
+  UnknownPlan,
+  OverRate,          ///< the plan's rate is used up
+  OverConcurrency,   ///< the plan's open requests are used up
+  WouldMissDeadline, ///< the wait would outlast the deadline
+  QueueFull,         ///< no room, and the plan is furthest above its share
+};
+std::string_view admissionVerdictName(AdmissionVerdict verdict);
+
+/// Identifies a request from its arrival to its end.
+using AdmissionId = std::uint64_t;
+using AdmissionCallback =
+    std::function<void(AdmissionId, AdmissionVerdict, state::Duration waited)>;
+
+struct AdmissionTaskOptions {
+  std::size_t MaxQueued = 1000; ///< requests waiting, per service
+};
+
+/// Admits requests by plan limits and by the capacity of each service. Each
+/// service has a queue of its own, so that a slow service delays only its own
+/// callers.
+class AdmissionTask {
+public:
+  AdmissionTask(transport::EventLoop &loop, AdmissionTaskOptions options);
+  ~AdmissionTask();
+
+  /// What this process may use of a plan's limits now.
+  void setAllowance(std::string_view plan,
+                    coordination::PlanAllowance allowance, double weight);
+  void removePlan(std::string_view plan);
+
+  /// Bounds of a service's sub-requests in flight: `slots` is what the replicas
+  /// serve at once for this process, `connections` what may be outstanding.
+  void setServiceCapacity(std::string_view service, double slots,
+                          double connections);
+
+  /// Asks for admission. The callback runs once, possibly before this returns.
+  /// After Admitted the owner must call end().
+  void request(AdmissionTicketRequest request, AdmissionCallback callback);
+
+  /// An admitted request has ended after `took` since its admission.
+  /// `informative` is false when the time says nothing about the service, for
+  /// example after a cancelled request.
+  void end(AdmissionId id, state::Duration took, bool informative);
+
+  /// Whether requests to `service` are waiting.
+  bool isSaturated(std::string_view service) const;
+
+  std::size_t open() const { return Open.size(); }
+
+private:
+  struct ServiceState {
+    ServiceState(std::size_t maxQueued, double slots, double connections);
+    coordination::AdmissionQueue Queue;
+    coordination::AdaptiveConcurrency Concurrency;
+    state::Duration TypicalTime{0};
+  };
+
+  struct OpenRequest {
+    AdmissionTicketRequest Request;
+    AdmissionCallback Callback; ///< empty once admitted
+    state::TimePoint ArrivedAt;
+    transport::TimerId DeadlineTimer = 0;
+    double InFlightAtStart = 0;
+  };
+
+  void carryOut(const coordination::AdmissionActions &actions);
+  void admit(const coordination::Admit &admit);
+  void refuse(AdmissionId id, AdmissionVerdict verdict);
+  ServiceState *findService(std::string_view service);
+
+  transport::EventLoop &Loop;
+  AdmissionTaskOptions Options;
+  coordination::PlanLimiter Limiter;
+  std::map<std::string, double, std::less<>> Weights;
+  std::map<std::string, std::unique_ptr<ServiceState>, std::less<>> Services;
+  std::unordered_map<AdmissionId, OpenRequest> Open;
+  AdmissionId LastId = 0;
+};
+
+} // namespace galenaflow::daemon
+
+#endif
--- /dev/null
+++ b/src/daemon/published_lists.cc
@@ -0,0 +1,102 @@
+#include "daemon/published_lists.h"
+
+#include "protocol/plan_documents.h"
+#include "protocol/topology_document.h"
+
+// The two lists of the operator change one at a time, so that for a moment a
+// customer can be on a plan that is not listed yet. Such a customer is refused
+// until the other list arrives; the document itself is valid.
+
+namespace galenaflow::daemon {
+
+PublishedLists::PublishedLists()
+    : Catalog(std::make_shared<state::PlanCatalog>()),
+      Topology(std::make_shared<state::Topology>()),
+      Vms(std::make_shared<protocol::VmList>()) {}
+
+state::Findings PublishedLists::apply(std::string_view key,
+                                      std::uint64_t version,
+                                      std::string_view text) {
+  if (version <= versionOf(key))
+    return {};
+  if (key == protocol::CustomersKey)
+    return applyCustomers(version, text);
+  if (key == protocol::PlansKey)
+    return applyPlans(version, text);
+  if (key == protocol::ServicesKey)
+    return applyServices(version, text);
+  return applyVms(text);
+}
+
+bool PublishedLists::isComplete() const {
+  return Catalog->CustomersVersion != 0 && Catalog->PlansVersion != 0 &&
+         Topology->Version != 0;
+}
+
+void PublishedLists::onChange(std::function<void(std::string_view)> callback) {
+  Callbacks.push_back(std::move(callback));
+}
+
+state::Findings PublishedLists::applyCustomers(std::uint64_t version,
+                                               std::string_view text) {
+  auto customers = protocol::parseCustomers(text);
+  if (!customers)
+    return customers.error();
+  auto catalog = std::make_shared<state::PlanCatalog>(*Catalog);
+  catalog->CustomersVersion = version;
+  catalog->CustomersByKeyHash = std::move(*customers);
+  Catalog = std::move(catalog);
+  announce(protocol::CustomersKey);
+  return {};
+}
+
+state::Findings PublishedLists::applyPlans(std::uint64_t version,
+                                           std::string_view text) {
+  auto plans = protocol::parsePlans(text);
+  if (!plans)
+    return plans.error();
+  auto catalog = std::make_shared<state::PlanCatalog>(*Catalog);
+  catalog->PlansVersion = version;
+  catalog->Plans = std::move(*plans);
+  Catalog = std::move(catalog);
+  announce(protocol::PlansKey);
+  return {};
+}
+
+state::Findings PublishedLists::applyServices(std::uint64_t version,
+                                              std::string_view text) {
+  auto topology = protocol::parseTopology(text, version);
+  if (!topology)
+    return topology.error();
+  Topology = std::make_shared<state::Topology>(std::move(*topology));
+  announce(protocol::ServicesKey);
+  return {};
+}
+
+state::Findings PublishedLists::applyVms(std::string_view text) {
+  auto vms = protocol::parseVmList(text);
+  if (!vms)
+    return vms.error();
+  if (vms->Version <= Vms->Version)
+    return {};
+  Vms = std::make_shared<protocol::VmList>(std::move(*vms));
+  announce("vms");
+  return {};
+}
+
+std::uint64_t PublishedLists::versionOf(std::string_view key) const {
+  if (key == protocol::CustomersKey)
+    return Catalog->CustomersVersion;
+  if (key == protocol::PlansKey)
+    return Catalog->PlansVersion;
+  if (key == protocol::ServicesKey)
+    return Topology->Version;
+  return Vms->Version;
+}
+
+void PublishedLists::announce(std::string_view key) {
+  for (const auto &callback : Callbacks)
+    callback(key);
+}
+
+} // namespace galenaflow::daemon
--- /dev/null
+++ b/src/daemon/published_lists.h
@@ -0,0 +1,59 @@
+#ifndef GALENAFLOW_DAEMON_PUBLISHED_LISTS_H
+#define GALENAFLOW_DAEMON_PUBLISHED_LISTS_H
+
+#include "protocol/platform_api.h"
+#include "state/error.h"
+#include "state/plan_catalog.h"
+#include "state/topology.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace galenaflow::daemon {
+
+using VmListPtr = std::shared_ptr<const protocol::VmList>;
+
+/// The documents of the platform that are in force in this process, parsed.
+/// Each document is replaced as a whole and only by a valid newer version.
+class PublishedLists {
+public:
+  PublishedLists();
+
+  /// Puts a version of `key` ("customers", "plans", "services" or "vms") in
+  /// force. Findings leave the older version in force. A version that is not
+  /// newer is ignored and has no findings.
+  state::Findings apply(std::string_view key, std::uint64_t version,
+                        std::string_view text);
+
+  const state::PlanCatalogPtr &catalog() const { return Catalog; }
+  const state::TopologyPtr &topology() const { return Topology; }
+  const VmListPtr &vms() const { return Vms; }
+
+  /// Whether every document that admission needs is in force.
+  bool isComplete() const;
+
+  /// Called after any change, with the key that changed.
+  void onChange(std::function<void(std::string_view)> callback);
+
+private:
+  state::Findings applyCustomers(std::uint64_t version, std::string_view text);
+  state::Findings applyPlans(std::uint64_t version, std::string_view text);
+  state::Findings applyServices(std::uint64_t version, std::string_view text);
+  state::Findings applyVms(std::string_view text);
+  std::uint64_t versionOf(std::string_view key) const;
+  void announce(std::string_view key);
+
+  state::PlanCatalogPtr Catalog;
+  state::TopologyPtr Topology;
+  VmListPtr Vms;
+  std::vector<std::function<void(std::string_view)>> Callbacks;
+};
+
+} // namespace galenaflow::daemon
+
+#endif
