--- /dev/null
+++ b/src/coordination/adaptive_concurrency.cc
@@ -0,0 +1,56 @@
+#include "coordination/adaptive_concurrency.h"
+
+#include <algorithm>
+#include <cmath>
+
+// After Netflix's Gradient2 limit: gradient = tolerance * baseline / recent,
+// cut to [0.5, 1]; new limit = limit * gradient + sqrt(limit), smoothed. The
+// baseline falls at once to a lower mean and rises slowly, so that a long
+// overload is not taken for the normal latency.
+
+namespace galenaflow::coordination {
+
+namespace {
+
+constexpr double Smoothing = 0.2;
+constexpr double BaselineRise = 0.02;
+
+} // namespace
+
+AdaptiveConcurrency::AdaptiveConcurrency(ConcurrencyOptions options)
+    : Options(options), Limit(std::clamp(options.Initial, options.Min,
+                                         std::max(options.Min, options.Max))) {}
+
+void AdaptiveConcurrency::setMax(double max) {
+  Options.Max = std::max(max, Options.Min);
+  Limit = std::clamp(Limit, Options.Min, Options.Max);
+}
+
+void AdaptiveConcurrency::onSample(Duration latency, double inFlight) {
+  Sum += static_cast<double>(latency.count());
+  MostInFlight = std::max(MostInFlight, inFlight);
+  if (++Samples < Options.Window)
+    return;
+  adjust();
+  Samples = 0;
+  Sum = 0;
+  MostInFlight = 0;
+}
+
+void AdaptiveConcurrency::adjust() {
+  const double recent = std::max(Sum / static_cast<double>(Samples), 1.0);
+  if (Baseline == 0 || recent < Baseline)
+    Baseline = recent;
+  else
+    Baseline += BaselineRise * (recent - Baseline);
+  const double gradient =
+      std::clamp(Options.Tolerance * Baseline / recent, 0.5, 1.0);
+  // Without use of the limit, low latency says nothing about a higher one.
+  if (gradient == 1 && MostInFlight < Limit / 2)
+    return;
+  const double target = Limit * gradient + std::sqrt(Limit);
+  Limit += Smoothing * (target - Limit);
+  Limit = std::clamp(Limit, Options.Min, std::max(Options.Min, Options.Max));
+}
+
+} // namespace galenaflow::coordination
--- /dev/null
+++ b/src/coordination/admission_queue.cc
@@ -0,0 +1,262 @@
+#include "coordination/admission_queue.h"
+
+#include <algorithm>
+#include <cmath>
+
+// Start-time fair queuing (Goyal, Vin, Cheng 1996): a request gets the start
+// tag max(virtual time, finish tag of the plan's last request) and the finish
+// tag start + cost / weight; the lowest start tag is served first, and virtual
+// time is the start tag in service. Each priority class has tags of its own.
+// While normal requests wait, urgent ones are capped in two ways: by their cost
+// in service, and by their cost dispatched since normal requests began to wait.
+// The second bound keeps a large normal request from waiting forever behind
+// urgent ones that take each free part of the capacity.
+//
+// The wait is estimated by Little's law: the work ahead of a request drains at
+// capacity / mean service time. A plan gets at least its weighted share of
+// that rate, so the work ahead is bounded by the plan's own queue over its
+// share; the smaller of both estimates counts.
+//
+// A full queue evicts the newest request of the plan with the highest queued
+// and running cost per weight. A plan within its share is below the average of
+// this quotient, so it is never the one that loses while another is above.
+
+namespace galenaflow::coordination {
+
+namespace {
+
+constexpr std::size_t Urgent = 0;
+constexpr std::size_t Normal = 1;
+constexpr double ServiceTimeWeight = 0.1;
+
+std::size_t classOf(state::Priority priority) {
+  return priority == state::Priority::Urgent ? Urgent : Normal;
+}
+
+} // namespace
+
+void AdmissionQueue::setWeight(std::string_view plan, double weight) {
+  Plans[std::string(plan)].Weight = std::max(weight, 1e-3);
+}
+
+AdmissionActions AdmissionQueue::onArrival(const AdmissionRequest &request,
+                                           TimePoint now) {
+  AdmissionActions actions;
+  if (wouldMissDeadline(request, now)) {
+    actions.emplace_back(Refuse{request.Id, RefusalReason::WouldMissDeadline});
+    return actions;
+  }
+  const std::size_t cls = classOf(request.Priority);
+  PlanState &plan = Plans[std::string(request.Plan)];
+  const double start = std::max(VirtualTime[cls], plan.FinishTag[cls]);
+  plan.FinishTag[cls] = start + request.Cost / plan.Weight;
+  plan.Queues[cls].push_back({request.Id, request.Cost, start, now,
+                              request.DeadlineAt, request.ServiceTime});
+  plan.CostQueued[cls] += request.Cost;
+  ++ClassQueued[cls];
+  ++Queued;
+  dispatch(actions, now);
+  makeRoom(actions);
+  return actions;
+}
+
+double AdmissionQueue::costAhead(const PlanState &plan, std::size_t cls) const {
+  double all = 0;
+  double weights = plan.Weight;
+  for (const auto &[id, it] : Plans) {
+    const double cost =
+        it.CostQueued[Urgent] + (cls == Normal ? it.CostQueued[Normal] : 0);
+    all += cost;
+    if (cost > 0 && &it != &plan)
+      weights += it.Weight;
+  }
+  return std::min(all, plan.CostQueued[cls] * weights / plan.Weight);
+}
+
+bool AdmissionQueue::wouldMissDeadline(const AdmissionRequest &request,
+                                       TimePoint now) {
+  const std::size_t cls = classOf(request.Priority);
+  double waitMicros = 0;
+  if (Queued > 0 || !fits(request.Cost)) {
+    const PlanState &plan = Plans[std::string(request.Plan)];
+    const double rounds =
+        (costAhead(plan, cls) + request.Cost) / std::max(Options.Capacity, 1.0);
+    waitMicros = rounds * MeanServiceMicros;
+  }
+  const auto wait = Duration(static_cast<std::int64_t>(waitMicros));
+  return now + wait + request.ServiceTime > request.DeadlineAt;
+}
+
+bool AdmissionQueue::fits(double cost) const {
+  const double used = costInService();
+  // A request larger than the capacity runs alone.
+  return used == 0 || used + cost <= Options.Capacity;
+}
+
+bool AdmissionQueue::normalHasTurn(double urgentCost) const {
+  if (!anyWaiting(Normal))
+    return false;
+  const double cap = Options.Capacity * Options.UrgentShare;
+  const double earned =
+      Dispatched[Normal] * Options.UrgentShare / (1 - Options.UrgentShare);
+  const bool aboveCap =
+      InService[Urgent] > 0 && InService[Urgent] + urgentCost > cap;
+  return aboveCap ||
+         Dispatched[Urgent] + urgentCost > std::max(cap, urgentCost) + earned;
+}
+
+AdmissionQueue::PlanState *AdmissionQueue::nextPlan(std::size_t cls) {
+  PlanState *best = nullptr;
+  for (auto &[id, it] : Plans) {
+    if (it.Queues[cls].empty())
+      continue;
+    if (!best ||
+        it.Queues[cls].front().StartTag < best->Queues[cls].front().StartTag)
+      best = &it;
+  }
+  return best;
+}
+
+AdmissionQueue::Waiting AdmissionQueue::takeFront(PlanState &plan,
+                                                  std::size_t cls) {
+  const Waiting it = plan.Queues[cls].front();
+  plan.Queues[cls].pop_front();
+  plan.CostQueued[cls] -= it.Cost;
+  --ClassQueued[cls];
+  --Queued;
+  return it;
+}
+
+void AdmissionQueue::dropLate(std::size_t cls, AdmissionActions &actions,
+                              TimePoint now) {
+  while (PlanState *plan = nextPlan(cls)) {
+    const Waiting &front = plan->Queues[cls].front();
+    if (now + front.ServiceTime <= front.DeadlineAt)
+      return;
+    const Waiting it = takeFront(*plan, cls);
+    actions.emplace_back(Refuse{it.Id, RefusalReason::WouldMissDeadline});
+  }
+}
+
+void AdmissionQueue::admitFront(std::size_t cls, AdmissionActions &actions,
+                                TimePoint now) {
+  PlanState &plan = *nextPlan(cls);
+  const Waiting it = takeFront(plan, cls);
+  VirtualTime[cls] = std::max(VirtualTime[cls], it.StartTag);
+  InService[cls] += it.Cost;
+  Dispatched[cls] += it.Cost;
+  plan.CostInService += it.Cost;
+  Open[it.Id] = {&plan, cls, it.Cost, now};
+  actions.emplace_back(Admit{it.Id, now - it.ArrivedAt});
+}
+
+// Returns whether a normal request may go now.
+bool AdmissionQueue::dispatchUrgent(AdmissionActions &actions, TimePoint now) {
+  for (;;) {
+    dropLate(Urgent, actions, now);
+    PlanState *plan = nextPlan(Urgent);
+    if (!plan)
+      return true;
+    const double cost = plan->Queues[Urgent].front().Cost;
+    if (normalHasTurn(cost))
+      return true;
+    // Small normal requests must not take each bit of capacity that becomes
+    // free while an urgent one waits for enough of it.
+    if (!fits(cost))
+      return false;
+    admitFront(Urgent, actions, now);
+  }
+}
+
+void AdmissionQueue::dispatch(AdmissionActions &actions, TimePoint now) {
+  for (;;) {
+    dropLate(Normal, actions, now);
+    if (!anyWaiting(Normal))
+      Dispatched = {};
+    if (!dispatchUrgent(actions, now))
+      return;
+    PlanState *plan = nextPlan(Normal);
+    if (!plan || !fits(plan->Queues[Normal].front().Cost))
+      return;
+    admitFront(Normal, actions, now);
+  }
+}
+
+AdmissionQueue::PlanState *AdmissionQueue::furthestAboveShare() {
+  PlanState *worst = nullptr;
+  double highest = -1;
+  for (auto &[id, it] : Plans) {
+    if (it.Queues[Urgent].empty() && it.Queues[Normal].empty())
+      continue;
+    const double use =
+        (it.CostQueued[Urgent] + it.CostQueued[Normal] + it.CostInService) /
+        it.Weight;
+    if (use > highest) {
+      highest = use;
+      worst = &it;
+    }
+  }
+  return worst;
+}
+
+void AdmissionQueue::makeRoom(AdmissionActions &actions) {
+  while (Queued > Options.MaxQueued) {
+    PlanState &plan = *furthestAboveShare();
+    const std::size_t cls = plan.Queues[Normal].empty() ? Urgent : Normal;
+    const Waiting it = plan.Queues[cls].back();
+    plan.Queues[cls].pop_back();
+    plan.FinishTag[cls] = it.StartTag;
+    plan.CostQueued[cls] -= it.Cost;
+    --ClassQueued[cls];
+    --Queued;
+    actions.emplace_back(Refuse{it.Id, RefusalReason::QueueFull});
+  }
+}
+
+bool AdmissionQueue::removeQueued(std::uint64_t id) {
+  for (auto &[name, plan] : Plans) {
+    for (std::size_t cls = 0; cls < 2; ++cls) {
+      auto &queue = plan.Queues[cls];
+      const auto it = std::ranges::find(queue, id, &Waiting::Id);
+      if (it == queue.end())
+        continue;
+      plan.CostQueued[cls] -= it->Cost;
+      queue.erase(it);
+      --ClassQueued[cls];
+      --Queued;
+      return true;
+    }
+  }
+  return false;
+}
+
+void AdmissionQueue::observeEnd(const Running &running, TimePoint now) {
+  const auto micros = static_cast<double>((now - running.AdmittedAt).count());
+  const double weight = MeanServiceMicros == 0 ? 1 : ServiceTimeWeight;
+  MeanServiceMicros += weight * (micros - MeanServiceMicros);
+}
+
+AdmissionActions AdmissionQueue::onEnded(std::uint64_t id, TimePoint now) {
+  AdmissionActions actions;
+  if (const auto it = Open.find(id); it != Open.end()) {
+    observeEnd(it->second, now);
+    it->second.Plan->CostInService -= it->second.Cost;
+    InService[it->second.Class] -= it->second.Cost;
+    Open.erase(it);
+    if (Open.empty())
+      InService = {}; // drops rounding errors of fractional costs
+  } else if (!removeQueued(id)) {
+    return actions;
+  }
+  dispatch(actions, now);
+  return actions;
+}
+
+AdmissionActions AdmissionQueue::setCapacity(double capacity, TimePoint now) {
+  AdmissionActions actions;
+  Options.Capacity = capacity;
+  dispatch(actions, now);
+  return actions;
+}
+
+} // namespace galenaflow::coordination
--- /dev/null
+++ b/src/coordination/slot_scheduler.cc
@@ -0,0 +1,105 @@
+#include "coordination/slot_scheduler.h"
+
+// Every sub-request passes through the queue of its replica, so that one place
+// decides what starts. Deadlines of all waiting sub-requests stand in one
+// ordered set, so that a timer finds the late ones without a scan.
+
+namespace galenaflow::coordination {
+
+void SlotScheduler::removeWaiting(ReplicaState &replica, const Key &key) {
+  replica.Queue.erase(key);
+  Deadlines.erase({key.DeadlineAt, key.Id});
+}
+
+void SlotScheduler::drop(const Key &key, DropSubRequest::Cause why,
+                         SlotActions &actions) {
+  const auto it = Entries.find(key.Id);
+  removeWaiting(*it->second.Replica, key);
+  Entries.erase(it);
+  actions.emplace_back(DropSubRequest{key.Id, why});
+}
+
+void SlotScheduler::startWaiting(ReplicaState &replica, SlotActions &actions,
+                                 TimePoint now) {
+  while (!replica.Queue.empty() && replica.Outstanding < replica.Limit) {
+    const Key key = *replica.Queue.begin();
+    if (key.DeadlineAt <= now) {
+      drop(key, DropSubRequest::Cause::DeadlinePassed, actions);
+      continue;
+    }
+    removeWaiting(replica, key);
+    Entries[key.Id].Started = true;
+    ++replica.Outstanding;
+    actions.emplace_back(StartSubRequest{key.Id});
+  }
+}
+
+SlotActions SlotScheduler::setLimit(std::string_view replica,
+                                    std::uint32_t limit, TimePoint now) {
+  SlotActions actions;
+  ReplicaState &it = Replicas[std::string(replica)];
+  it.Limit = limit;
+  startWaiting(it, actions, now);
+  return actions;
+}
+
+SlotActions SlotScheduler::onRequest(const SlotRequest &request,
+                                     TimePoint now) {
+  SlotActions actions;
+  auto found = Replicas.find(request.Replica);
+  if (found == Replicas.end())
+    found = Replicas.try_emplace(std::string(request.Replica)).first;
+  ReplicaState &replica = found->second;
+  const Key key{request.Priority, request.DeadlineAt, request.Id};
+  Entries[request.Id] = {&replica, key, false};
+  replica.Queue.insert(key);
+  Deadlines.insert({key.DeadlineAt, key.Id});
+  startWaiting(replica, actions, now);
+  if (replica.Queue.size() > MaxQueued)
+    drop(*std::prev(replica.Queue.end()), DropSubRequest::Cause::QueueFull,
+         actions);
+  return actions;
+}
+
+SlotActions SlotScheduler::onEnded(std::uint64_t id, TimePoint now) {
+  SlotActions actions;
+  const auto it = Entries.find(id);
+  if (it == Entries.end())
+    return actions;
+  const Entry entry = it->second;
+  Entries.erase(it);
+  if (!entry.Started) {
+    removeWaiting(*entry.Replica, entry.Place);
+    return actions;
+  }
+  --entry.Replica->Outstanding;
+  startWaiting(*entry.Replica, actions, now);
+  return actions;
+}
+
+SlotActions SlotScheduler::onTimer(TimePoint now) {
+  SlotActions actions;
+  while (!Deadlines.empty() && Deadlines.begin()->first <= now) {
+    const Key key = Entries.at(Deadlines.begin()->second).Place;
+    drop(key, DropSubRequest::Cause::DeadlinePassed, actions);
+  }
+  return actions;
+}
+
+std::optional<TimePoint> SlotScheduler::nextTimer() const {
+  if (Deadlines.empty())
+    return std::nullopt;
+  return Deadlines.begin()->first;
+}
+
+std::uint32_t SlotScheduler::outstanding(std::string_view replica) const {
+  const auto it = Replicas.find(replica);
+  return it == Replicas.end() ? 0 : it->second.Outstanding;
+}
+
+std::size_t SlotScheduler::queued(std::string_view replica) const {
+  const auto it = Replicas.find(replica);
+  return it == Replicas.end() ? 0 : it->second.Queue.size();
+}
+
+} // namespace galenaflow::coordination
--- /dev/null
+++ b/src/coordination/slot_scheduler.h
@@ -0,0 +1,99 @@
+#ifndef GALENAFLOW_COORDINATION_SLOT_SCHEDULER_H
+#define GALENAFLOW_COORDINATION_SLOT_SCHEDULER_H
+
+#include "coordination/string_map.h"
+#include "state/clock.h"
+#include "state/plan_catalog.h"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace galenaflow::coordination {
+
+using state::Duration;
+using state::TimePoint;
+
+struct SlotRequest {
+  std::uint64_t Id = 0; ///< unique among the owner's open sub-requests
+  std::string_view Replica;
+  state::Priority Priority = state::Priority::Normal;
+  TimePoint DeadlineAt;
+};
+
+/// Send the sub-request now.
+struct StartSubRequest {
+  std::uint64_t Id = 0;
+};
+
+/// The sub-request was never sent.
+struct DropSubRequest {
+  enum class Cause { DeadlinePassed, QueueFull };
+  std::uint64_t Id = 0;
+  Cause Why = Cause::DeadlinePassed;
+};
+
+using SlotAction = std::variant<StartSubRequest, DropSubRequest>;
+using SlotActions = std::vector<SlotAction>;
+
+/// Bounds the outstanding sub-requests to each replica by this daemon's share
+/// of connections. Further ones wait: urgent first, then by deadline.
+class SlotScheduler {
+public:
+  explicit SlotScheduler(std::size_t maxQueued = 64) : MaxQueued(maxQueued) {}
+
+  /// Outstanding sub-requests above a lower limit end in their own time.
+  SlotActions setLimit(std::string_view replica, std::uint32_t limit,
+                       TimePoint now);
+
+  /// With a full queue, the last in order is dropped.
+  SlotActions onRequest(const SlotRequest &request, TimePoint now);
+
+  /// A started sub-request has ended (also when cancelled, once its connection
+  /// is free), or a waiting one is withdrawn.
+  SlotActions onEnded(std::uint64_t id, TimePoint now);
+
+  /// Drops waiting sub-requests whose deadline has passed.
+  SlotActions onTimer(TimePoint now);
+
+  /// When `onTimer` has something to drop.
+  std::optional<TimePoint> nextTimer() const;
+
+  std::uint32_t outstanding(std::string_view replica) const;
+  std::size_t queued(std::string_view replica) const;
+
+private:
+  struct Key {
+    state::Priority Priority = state::Priority::Normal;
+    TimePoint DeadlineAt;
+    std::uint64_t Id = 0;
+    auto operator<=>(const Key &) const = default;
+  };
+
+  struct ReplicaState {
+    std::uint32_t Limit = 0;
+    std::uint32_t Outstanding = 0;
+    std::set<Key> Queue;
+  };
+
+  struct Entry {
+    ReplicaState *Replica = nullptr;
+    Key Place;
+    bool Started = false;
+  };
+
+  void startWaiting(ReplicaState &replica, SlotActions &actions, TimePoint now);
+  void drop(const Key &key, DropSubRequest::Cause why, SlotActions &actions);
+  void removeWaiting(ReplicaState &replica, const Key &key);
+
+  std::size_t MaxQueued;
+  StringMap<ReplicaState> Replicas;
+  std::unordered_map<std::uint64_t, Entry> Entries;
+  std::set<std::pair<TimePoint, std::uint64_t>> Deadlines; ///< of waiting ones
+};
+
+} // namespace galenaflow::coordination
+
+#endif
