--- /dev/null
+++ b/src/state/hash.cc
@@ -0,0 +1,35 @@
+// Rendezvous weights hash the member with the hash of the key as seed. The two
+// inputs are never concatenated, so ("ab","c") and ("a","bc") differ.
+#include "state/hash.h"
+
+#include <array>
+#include <openssl/sha.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace galenaflow::state {
+
+std::string sha256Hex(std::string_view data) {
+  constexpr std::string_view hexDigits = "0123456789abcdef";
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+  SHA256(reinterpret_cast<const unsigned char *>(data.data()), data.size(),
+         digest.data());
+  std::string text;
+  text.reserve(2 * digest.size());
+  for (const unsigned char byte : digest) {
+    text += hexDigits[byte >> 4];
+    text += hexDigits[byte & 15];
+  }
+  return text;
+}
+
+std::uint64_t hash64(std::string_view data, std::uint64_t seed) {
+  return XXH3_64bits_withSeed(data.data(), data.size(), seed);
+}
+
+std::uint64_t rendezvousWeight(std::string_view key, std::string_view member) {
+  return hash64(member, hash64(key));
+}
+
+} // namespace galenaflow::state
--- /dev/null
+++ b/src/state/log.cc
@@ -0,0 +1,139 @@
+// Lines are built here and given to spdlog as plain text, so that the quoting
+// rules stand in one place. The logger is created on first use and never
+// destroyed: events that are logged during exit find it alive.
+#include "state/log.h"
+
+#include <array>
+#include <charconv>
+#include <memory>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace galenaflow::state::log {
+
+namespace {
+
+constexpr std::string_view PlainCharacters =
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/+-[]";
+
+constexpr std::array<std::string_view, 5> LevelNames{"debug", "info", "warning",
+                                                     "error", "off"};
+
+spdlog::level::level_enum toSpdlog(Level level) {
+  switch (level) {
+  case Level::Debug:
+    return spdlog::level::debug;
+  case Level::Info:
+    return spdlog::level::info;
+  case Level::Warning:
+    return spdlog::level::warn;
+  case Level::Error:
+    return spdlog::level::err;
+  case Level::Off:
+    break;
+  }
+  return spdlog::level::off;
+}
+
+spdlog::logger &logger() {
+  static spdlog::logger &instance = []() -> spdlog::logger & {
+    auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    auto *created = new spdlog::logger("galenaflow", std::move(sink));
+    created->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %v",
+                         spdlog::pattern_time_type::utc);
+    created->set_level(spdlog::level::info);
+    created->flush_on(spdlog::level::info);
+    return *created;
+  }();
+  return instance;
+}
+
+void appendEscaped(std::string &line, char c) {
+  constexpr std::string_view hexDigits = "0123456789abcdef";
+  const auto byte = static_cast<unsigned char>(c);
+  if (c == '"' || c == '\\') {
+    line += '\\';
+    line += c;
+  } else if (c == '\n') {
+    line += "\\n";
+  } else if (byte < 0x20 || byte == 0x7f) {
+    line += "\\x";
+    line += hexDigits[byte >> 4];
+    line += hexDigits[byte & 15];
+  } else {
+    line += c;
+  }
+}
+
+void appendValue(std::string &line, std::string_view value) {
+  const bool isPlain =
+      !value.empty() &&
+      value.find_first_not_of(PlainCharacters) == std::string_view::npos;
+  if (isPlain) {
+    line += value;
+    return;
+  }
+  line += '"';
+  for (const char c : value)
+    appendEscaped(line, c);
+  line += '"';
+}
+
+void write(Level level, std::string_view event, Fields fields) {
+  spdlog::logger &sink = logger();
+  const auto severity = toSpdlog(level);
+  if (!sink.should_log(severity))
+    return;
+  const std::string line = formatLine(level, event, fields);
+  sink.log(severity, spdlog::string_view_t(line.data(), line.size()));
+}
+
+} // namespace
+
+std::string Field::floatText(double value) {
+  std::array<char, 32> buf{};
+  const auto [end, ec] =
+      std::to_chars(buf.data(), buf.data() + buf.size(), value);
+  return ec == std::errc() ? std::string(buf.data(), end) : "nan";
+}
+
+std::optional<Level> parseLevel(std::string_view text) {
+  for (std::size_t i = 0; i != LevelNames.size(); ++i)
+    if (LevelNames[i] == text)
+      return static_cast<Level>(i);
+  return std::nullopt;
+}
+
+void setLevel(Level level) { logger().set_level(toSpdlog(level)); }
+
+std::string formatLine(Level level, std::string_view event, Fields fields) {
+  std::string line = "level=";
+  line += LevelNames[static_cast<std::size_t>(level)];
+  line += " event=";
+  appendValue(line, event);
+  for (const Field &field : fields) {
+    line += ' ';
+    line += field.Key;
+    line += '=';
+    appendValue(line, field.Value);
+  }
+  return line;
+}
+
+void debug(std::string_view event, Fields fields) {
+  write(Level::Debug, event, fields);
+}
+
+void info(std::string_view event, Fields fields) {
+  write(Level::Info, event, fields);
+}
+
+void warning(std::string_view event, Fields fields) {
+  write(Level::Warning, event, fields);
+}
+
+void error(std::string_view event, Fields fields) {
+  write(Level::Error, event, fields);
+}
+
+} // namespace galenaflow::state::log
