--- a/src/state/request_records.cc
+++ b/src/state/request_records.cc
@@ -11,7 +11,7 @@
 namespace {
 
 /// Two index entries with their nodes and key strings.
-constexpr std::size_t IndexBytes = 2 * 96;
+constexpr std::size_t IndexBytes = 192;
 
 } // namespace
 
