--- a/src/coordination/admission_queue.cc
+++ b/src/coordination/admission_queue.cc
@@ -47,6 +47,8 @@
     return actions;
   }
   const std::size_t cls = classOf(request.Priority);
+  if (!anyWaiting(Normal))
+    Dispatched = {};
   PlanState &plan = Plans[std::string(request.Plan)];
   const double start = std::max(VirtualTime[cls], plan.FinishTag[cls]);
   plan.FinishTag[cls] = start + request.Cost / plan.Weight;
--- /dev/null
+++ b/src/coordination/query_collaborators.cc
@@ -0,0 +1,18 @@
+#include "coordination/query_collaborators.h"
+
+namespace galenaflow::coordination {
+
+AttemptOutcome attemptOutcomeOf(FailureReason reason) {
+  switch (reason) {
+  case FailureReason::Refused:
+  case FailureReason::Shed:
+  case FailureReason::SnapshotGone:
+    return AttemptOutcome::NotRun;
+  case FailureReason::Cancelled:
+    return AttemptOutcome::Cancelled;
+  default:
+    return AttemptOutcome::Failed;
+  }
+}
+
+} // namespace galenaflow::coordination
--- a/src/coordination/query_collaborators.h
+++ b/src/coordination/query_collaborators.h
@@ -42,6 +42,9 @@
   Cancelled, ///< given up; the elapsed time is a lower bound of its latency
 };
 
+/// The outcome of a sub-request that failed for this reason.
+AttemptOutcome attemptOutcomeOf(FailureReason reason);
+
 class ReplicaSelector {
 public:
   virtual ~ReplicaSelector() = default;
--- a/src/coordination/query_execution.cc
+++ b/src/coordination/query_execution.cc
@@ -40,19 +40,6 @@
 /// The selector considers this many replicas of a shard.
 constexpr std::size_t MaxReplicas = 64;
 
-AttemptOutcome outcomeOf(FailureReason reason) {
-  switch (reason) {
-  case FailureReason::Refused:
-  case FailureReason::Shed:
-  case FailureReason::SnapshotGone:
-    return AttemptOutcome::NotRun;
-  case FailureReason::Cancelled:
-    return AttemptOutcome::Cancelled;
-  default:
-    return AttemptOutcome::Failed;
-  }
-}
-
 std::uint64_t bitOf(std::size_t i) { return std::uint64_t{1} << i; }
 
 } // namespace
@@ -221,7 +208,7 @@
   const std::size_t i = attempt.ShardIndex;
   ShardState &it = Shards[i];
   AnyMayHaveRun = AnyMayHaveRun || mayHaveRun;
-  endAttempt(attempt, outcomeOf(reason), now);
+  endAttempt(attempt, attemptOutcomeOf(reason), now);
   it.Reason = reason;
   if (reason == FailureReason::SnapshotGone)
     it.Gone |= bitOf(attempt.ReplicaIndex);
--- /dev/null
+++ b/src/coordination/write_execution.cc
@@ -0,0 +1,112 @@
+#include "coordination/write_execution.h"
+
+// There is no hedge and no timer but the deadline. Each replica is asked at
+// most once. Retries spend the same budget as those of reads; without a token
+// the write ends as not run, which the caller may submit again.
+
+namespace galenaflow::coordination {
+
+using state::ErrorCode;
+
+WriteExecution::WriteExecution(WriteOptions options, Collaborators shared)
+    : Options(std::move(options)), Shared(shared) {}
+
+WriteActions WriteExecution::start(TimePoint now) {
+  DeadlineAt = now + Options.Deadline;
+  if (!send(AttemptKind::Primary, now)) {
+    fail(ErrorCode::Unavailable, RanState::NotRun, "no replica can be asked");
+    return std::move(Actions);
+  }
+  Shared.Hedging.onPrimariesSent(1);
+  Shared.Retries.onPrimariesSent(1);
+  Actions.push_back(SetTimer{DeadlineAt});
+  return std::move(Actions);
+}
+
+bool WriteExecution::isOpen(SubRequestNumber number) const {
+  return !Finished && Open && number + 1 == Sent;
+}
+
+bool WriteExecution::send(AttemptKind kind, TimePoint now) {
+  const auto pick = Shared.Replicas.choose({*Options.Replicas, Tried}, now);
+  if (!pick)
+    return false;
+  Replica = *pick;
+  Tried |= std::uint64_t{1} << *pick;
+  SentAt = now;
+  Open = true;
+  const std::string_view id = (*Options.Replicas)[*pick];
+  Counts.Primaries += kind == AttemptKind::Primary ? 1 : 0;
+  Counts.Retries += kind == AttemptKind::Retry ? 1 : 0;
+  Shared.Replicas.onSent(id, now);
+  Actions.push_back(SendSubRequest{Sent++, 0, id, 0, DeadlineAt - now, kind});
+  return true;
+}
+
+void WriteExecution::endAttempt(AttemptOutcome outcome, TimePoint now) {
+  Open = false;
+  Shared.Replicas.onEnded((*Options.Replicas)[Replica], outcome, now - SentAt,
+                          now);
+}
+
+WriteActions WriteExecution::onResponse(WriteResponse response, TimePoint now) {
+  if (!isOpen(response.Number)) {
+    ++Counts.Discarded;
+    return {};
+  }
+  Shared.Hedging.onLatency(now - SentAt);
+  endAttempt(AttemptOutcome::Answered, now);
+  WriteOutcome outcome;
+  outcome.Ran = RanState::Ran;
+  outcome.Response = std::move(response);
+  finish(std::move(outcome));
+  return std::move(Actions);
+}
+
+WriteActions WriteExecution::onFailure(const SubFailure &failure,
+                                       TimePoint now) {
+  if (!isOpen(failure.Number))
+    return {};
+  endAttempt(attemptOutcomeOf(failure.Reason), now);
+  const std::string reason(failureReasonName(failure.Reason));
+  if (failure.MayHaveRun) {
+    fail(ErrorCode::OutcomeUnknown, RanState::Unknown,
+         "the write was sent, then failed: " + reason);
+    return std::move(Actions);
+  }
+  const bool another =
+      now < DeadlineAt &&
+      Shared.Replicas.choose({*Options.Replicas, Tried}, now) &&
+      Shared.Retries.tryTake();
+  if (!another || !send(AttemptKind::Retry, now))
+    fail(now < DeadlineAt ? ErrorCode::Unavailable
+                          : ErrorCode::DeadlineExceeded,
+         RanState::NotRun, "no replica ran the write; last: " + reason);
+  return std::move(Actions);
+}
+
+WriteActions WriteExecution::onTimer(TimePoint now) {
+  if (Finished || now < DeadlineAt)
+    return {};
+  endAttempt(AttemptOutcome::Failed, now);
+  Actions.push_back(CancelSubRequest{Sent - 1});
+  fail(ErrorCode::OutcomeUnknown, RanState::Unknown,
+       "no response before the deadline");
+  return std::move(Actions);
+}
+
+void WriteExecution::fail(ErrorCode code, RanState ran, std::string text) {
+  WriteOutcome outcome;
+  outcome.Error = state::Error{code, std::move(text)};
+  outcome.Ran = ran;
+  finish(std::move(outcome));
+}
+
+void WriteExecution::finish(WriteOutcome outcome) {
+  outcome.Counts = Counts;
+  Finished = true;
+  Actions.push_back(
+      FinishWrite{std::make_unique<WriteOutcome>(std::move(outcome))});
+}
+
+} // namespace galenaflow::coordination
