--- a/src/coordination/query_execution.h
+++ b/src/coordination/query_execution.h
@@ -18,10 +18,7 @@
   Duration Deadline{0};     ///< from the start
 };
 
-struct MissingShard {
-  state::ShardNumber Shard = 0;
-  FailureReason Reason = FailureReason::Timeout;
-};
+using MissingShard = protocol::MissingShard;
 
 struct Coverage {
   std::uint32_t Asked = 0;
--- a/src/coordination/read_execution.cc
+++ b/src/coordination/read_execution.cc
@@ -100,7 +100,8 @@
   }
   const bool late = now >= DeadlineAt || reason == FailureReason::Timeout;
   fail(late ? ErrorCode::DeadlineExceeded : ErrorCode::Unavailable,
-       "no replica answered; last: " + std::string(failureReasonName(reason)),
+       "no replica answered; last: " +
+           std::string(protocol::missingReasonName(reason)),
        now);
 }
 
--- a/src/coordination/sub_request.h
+++ b/src/coordination/sub_request.h
@@ -1,7 +1,9 @@
 #ifndef GALENAFLOW_COORDINATION_SUB_REQUEST_H
 #define GALENAFLOW_COORDINATION_SUB_REQUEST_H
 
+#include "protocol/caller_api.h"
 #include "state/clock.h"
+#include "state/ran.h"
 #include "state/topology.h"
 
 #include <cstdint>
@@ -17,25 +19,9 @@
 
 /// Why a sub-request ended without a usable response, or why a shard is
 /// missing from an answer.
-enum class FailureReason {
-  Timeout,          ///< no response within the time allowed
-  Refused,          ///< the replica refused it (draining, cold)
-  Shed,             ///< the replica shed it under load
-  ConnectionFailed, ///< no connection, or it broke
-  SnapshotGone,     ///< the replica no longer serves the snapshot
-  InvalidResponse,  ///< malformed, truncated, or for another shard or snapshot
-  NoReplica,        ///< no replica of the shard can be asked
-  Cancelled,        ///< cancelled before a response
-};
-
-/// The name in answers, for example "snapshot_gone".
-std::string_view failureReasonName(FailureReason reason);
-
-/// What is known about a request having run on a backend server.
-enum class RanState { NotRun, Ran, Unknown };
+using FailureReason = protocol::MissingReason;
 
-/// "not_run", "ran" or "unknown".
-std::string_view ranStateName(RanState ran);
+using RanState = state::Ran;
 
 /// Number of a sub-request, unique within its execution and never reused.
 using SubRequestNumber = std::uint32_t;
--- a/src/coordination/write_execution.cc
+++ b/src/coordination/write_execution.cc
@@ -68,7 +68,7 @@
   if (!isOpen(failure.Number))
     return {};
   endAttempt(attemptOutcomeOf(failure.Reason), now);
-  const std::string reason(failureReasonName(failure.Reason));
+  const std::string reason(protocol::missingReasonName(failure.Reason));
   if (failure.MayHaveRun) {
     fail(ErrorCode::OutcomeUnknown, RanState::Unknown,
          "the write was sent, then failed: " + reason);
--- /dev/null
+++ b/src/daemon/backend_task.cc
@@ -0,0 +1,462 @@
+#include "daemon/backend_task.h"
+
+#include "protocol/backend_api.h"
+#include "state/log.h"
+
+#include <array>
+#include <set>
+
+// A call passes the slot scheduler, which keeps the outstanding calls of a
+// replica within this process's share of its connections, and then takes a
+// connection of the replica's pool. The scheduler counts a cancelled call until
+// its connection is free again, so the two bounds stay equal.
+//
+// Polls of health and load use the same connections, so that they stay inside
+// the share as well.
+
+namespace galenaflow::daemon {
+
+using coordination::ReplicaHealth;
+using state::ErrorCode;
+
+namespace {
+
+/// Interval at which latencies of replicas are compared.
+constexpr state::Duration OutlierInterval = std::chrono::seconds(1);
+
+/// A poll that waits longer than this is given up until the next one.
+constexpr state::Duration PollTimeout = std::chrono::seconds(1);
+
+/// A cancel that cannot be sent within this time saves no work any more.
+constexpr state::Duration CancelTimeout = std::chrono::milliseconds(200);
+
+ReplicaHealth healthOf(protocol::HealthState health) {
+  switch (health) {
+  case protocol::HealthState::Starting:
+    return ReplicaHealth::Starting;
+  case protocol::HealthState::Serving:
+    return ReplicaHealth::Serving;
+  case protocol::HealthState::Draining:
+    return ReplicaHealth::Draining;
+  }
+  return ReplicaHealth::Unknown;
+}
+
+} // namespace
+
+struct BackendTask::ReplicaState {
+  ReplicaState(transport::EventLoop &loop, const state::Service &service,
+               const state::Replica &listed,
+               const transport::SocketAddress &address)
+      : ServiceName(service.Name), Listed(listed), Pool(loop, address) {}
+
+  std::string ServiceName;
+  state::Replica Listed;
+  transport::BackendPool Pool;
+  /// Started by the scheduler while the pool probes its connections.
+  std::deque<CallId> Blocked;
+  transport::TimerId PollTimer = 0;
+  bool Leaving = false;
+};
+
+struct BackendTask::ServiceState {
+  ServiceState(const BackendTaskOptions &options)
+      : Hedging{makePolicy(options), makePolicy(options), makePolicy(options),
+                makePolicy(options)},
+        Retries(options.RetryBudget) {}
+
+  static std::unique_ptr<coordination::AdaptiveHedgePolicy>
+  makePolicy(const BackendTaskOptions &options) {
+    coordination::HedgeOptions hedge;
+    hedge.Budget = options.HedgeBudget;
+    return std::make_unique<coordination::AdaptiveHedgePolicy>(hedge);
+  }
+
+  std::array<std::unique_ptr<coordination::AdaptiveHedgePolicy>,
+             state::OperationCount>
+      Hedging;
+  coordination::RatioRetryBudget Retries;
+  std::uint32_t ConnectionShare = 1;
+};
+
+BackendTask::BackendTask(transport::EventLoop &loop, BackendTaskOptions options,
+                         state::MetricRegistry &metrics)
+    : Loop(loop), Options(options), Metrics(metrics),
+      Selector(Outliers, std::mt19937_64(options.Seed)),
+      Random(options.Seed + 1) {
+  const std::function<void()> compare = [this] {
+    Outliers.compareLatencies(Loop.now());
+    for (const auto &[id, replica] : Replicas)
+      refreshUsable(id);
+  };
+  struct Repeat {
+    static void arm(BackendTask &task, const std::function<void()> &run) {
+      task.OutlierTimer = task.Loop.schedule(OutlierInterval, [&task, run] {
+        run();
+        arm(task, run);
+      });
+    }
+  };
+  Repeat::arm(*this, compare);
+}
+
+BackendTask::~BackendTask() {
+  Loop.cancel(QueueTimer);
+  Loop.cancel(OutlierTimer);
+  for (const auto &[id, replica] : Replicas)
+    Loop.cancel(replica->PollTimer);
+}
+
+void BackendTask::setTopology(const state::TopologyPtr &topology) {
+  Topology = topology;
+  Outliers.setTopology(*topology);
+  Selector.setTopology(*topology);
+  Snapshots.setTopology(topology);
+  std::set<std::string, std::less<>> listed;
+  for (const auto &[name, service] : topology->Services) {
+    if (!Services.contains(name))
+      Services.emplace(name, std::make_unique<ServiceState>(Options));
+    for (const state::Replica &replica : service.Replicas) {
+      listed.insert(replica.Id);
+      addReplica(service, replica);
+    }
+  }
+  std::vector<std::string> removed;
+  for (const auto &[id, replica] : Replicas)
+    if (!listed.contains(id))
+      removed.push_back(id);
+  for (const std::string &id : removed)
+    removeReplica(id);
+}
+
+void BackendTask::addReplica(const state::Service &service,
+                             const state::Replica &replica) {
+  const auto it = Replicas.find(replica.Id);
+  if (it != Replicas.end()) {
+    if (it->second->Listed.Address == replica.Address)
+      return;
+    removeReplica(replica.Id);
+  }
+  const auto address = transport::parseSocketAddress(replica.Address);
+  if (!address) {
+    state::log::error("replica_address_invalid",
+                      {{"replica", replica.Id}, {"address", replica.Address}});
+    return;
+  }
+  auto created =
+      std::make_unique<ReplicaState>(Loop, service, replica, *address);
+  ReplicaState &added = *created;
+  added.Pool.onFree([this, &added] {
+    while (!added.Blocked.empty() && added.Pool.hasFree()) {
+      const CallId id = added.Blocked.front();
+      added.Blocked.pop_front();
+      sendNow(id, added);
+    }
+  });
+  Replicas.emplace(replica.Id, std::move(created));
+  applyShare(added);
+  // Polls of many replicas are spread over the interval.
+  std::uniform_int_distribution<std::int64_t> spread(
+      0, Options.PollInterval.count() / 10);
+  schedulePoll(replica.Id, state::Duration(spread(Random)));
+}
+
+void BackendTask::removeReplica(std::string_view id) {
+  const auto it = Replicas.find(id);
+  Loop.cancel(it->second->PollTimer);
+  std::vector<CallId> open;
+  for (const auto &[callId, call] : Calls)
+    if (call.Call.Replica == id)
+      open.push_back(callId);
+  for (const CallId callId : open) {
+    const bool sent = Calls.at(callId).Exchange != 0;
+    finish(callId,
+           tl::unexpected(transport::HttpFailure{
+               {ErrorCode::Unavailable, "the replica was removed"}, sent}));
+  }
+  carryOut(Scheduler.setLimit(id, 0, Loop.now()));
+  // Destroyed by a posted message, because this can run inside a callback of
+  // one of its connections.
+  Loop.post([doomed = std::shared_ptr<ReplicaState>(std::move(it->second))] {});
+  Replicas.erase(it);
+}
+
+void BackendTask::setConnectionShare(std::string_view service,
+                                     std::uint32_t share) {
+  const auto it = Services.find(service);
+  if (it == Services.end() || it->second->ConnectionShare == share)
+    return;
+  it->second->ConnectionShare = share;
+  for (const auto &[id, replica] : Replicas)
+    if (replica->ServiceName == service)
+      applyShare(*replica);
+}
+
+void BackendTask::applyShare(ReplicaState &replica) {
+  const std::uint32_t share = Services.at(replica.ServiceName)->ConnectionShare;
+  replica.Pool.setLimit(share);
+  replica.Pool.warm(Options.WarmConnections);
+  carryOut(Scheduler.setLimit(replica.Listed.Id, share, Loop.now()));
+}
+
+void BackendTask::setLeaving(std::string_view address, bool leaving) {
+  for (const auto &[id, replica] : Replicas) {
+    if (replica->Listed.Address != address || replica->Leaving == leaving)
+      continue;
+    replica->Leaving = leaving;
+    Selector.setLeaving(id, leaving);
+    refreshUsable(id);
+  }
+}
+
+CallId BackendTask::call(BackendCall call, transport::HttpCallback callback) {
+  const CallId id = ++LastCall;
+  const auto it =
+      Calls.emplace(id, OpenCall{std::move(call), std::move(callback), 0})
+          .first;
+  if (!Replicas.contains(it->second.Call.Replica)) {
+    Loop.post([this, id] {
+      fail(id, ErrorCode::Unavailable, "the replica is not listed");
+    });
+    return id;
+  }
+  const BackendCall &stored = it->second.Call;
+  carryOut(Scheduler.onRequest(
+      {id, stored.Replica, stored.Priority, stored.DeadlineAt}, Loop.now()));
+  armQueueTimer();
+  return id;
+}
+
+void BackendTask::cancel(CallId id) {
+  const auto it = Calls.find(id);
+  if (it == Calls.end())
+    return;
+  OpenCall &open = it->second;
+  if (open.Exchange != 0) {
+    open.Callback = nullptr;
+    const auto replica = Replicas.find(open.Call.Replica);
+    if (replica != Replicas.end())
+      replica->second->Pool.abandon(open.Exchange);
+    sendCancel(open.Call);
+    return;
+  }
+  const auto replica = Replicas.find(open.Call.Replica);
+  if (replica != Replicas.end())
+    std::erase(replica->second->Blocked, id);
+  Calls.erase(it);
+  carryOut(Scheduler.onEnded(id, Loop.now()));
+  armQueueTimer();
+}
+
+void BackendTask::sendCancel(const BackendCall &cancelled) {
+  const auto replica = Replicas.find(cancelled.Replica);
+  if (cancelled.SubRequestId.empty() || replica == Replicas.end() ||
+      !replica->second->Pool.hasFree())
+    return;
+  BackendCall call;
+  call.Replica = cancelled.Replica;
+  call.Request.Method = "DELETE";
+  call.Request.Path = protocol::cancelPath(cancelled.SubRequestId);
+  call.Priority = state::Priority::Urgent;
+  call.DeadlineAt = Loop.now() + CancelTimeout;
+  this->call(std::move(call), [](const transport::HttpResult &) {});
+}
+
+coordination::Collaborators
+BackendTask::collaborators(std::string_view service,
+                           state::Operation operation) {
+  ServiceState &known = *Services.find(service)->second;
+  coordination::ReplicaSelector &selector =
+      Options.RoundRobin
+          ? static_cast<coordination::ReplicaSelector &>(RoundRobin)
+          : Selector;
+  return {Snapshots, selector,
+          *known.Hedging[static_cast<std::size_t>(operation)], known.Retries};
+}
+
+void BackendTask::setSaturated(std::string_view service, bool saturated) {
+  const auto it = Services.find(service);
+  if (it == Services.end())
+    return;
+  for (const auto &policy : it->second->Hedging)
+    policy->setSaturated(saturated || Options.RoundRobin);
+}
+
+std::vector<ReplicaStatus> BackendTask::status() const {
+  std::vector<ReplicaStatus> rows;
+  const state::TimePoint now = Loop.now();
+  for (const auto &[id, replica] : Replicas) {
+    ReplicaStatus row;
+    row.Service = replica->ServiceName;
+    row.Replica = id;
+    row.Address = replica->Listed.Address;
+    row.DataCentre = replica->Listed.DataCentre;
+    row.Usable = Selector.usable(id, now);
+    row.Ejected = Outliers.isEjected(id);
+    row.InFlight = Scheduler.outstanding(id);
+    row.Queued = Scheduler.queued(id);
+    row.Connections = replica->Pool.size();
+    row.ConnectionShare = Services.at(replica->ServiceName)->ConnectionShare;
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+void BackendTask::carryOut(const coordination::SlotActions &actions) {
+  for (const auto &action : actions) {
+    if (const auto *started =
+            std::get_if<coordination::StartSubRequest>(&action)) {
+      start(started->Id);
+      continue;
+    }
+    const auto &dropped = std::get<coordination::DropSubRequest>(action);
+    const bool late =
+        dropped.Why == coordination::DropSubRequest::Cause::DeadlinePassed;
+    // Posted, because a callback must not run inside call().
+    Loop.post([this, id = dropped.Id, late] {
+      fail(id, late ? ErrorCode::DeadlineExceeded : ErrorCode::Overloaded,
+           late ? "no connection was free in time" : "too many calls wait");
+    });
+  }
+}
+
+void BackendTask::start(CallId id) {
+  const auto it = Calls.find(id);
+  if (it == Calls.end())
+    return;
+  const auto replica = Replicas.find(it->second.Call.Replica);
+  if (replica != Replicas.end())
+    sendNow(id, *replica->second);
+}
+
+void BackendTask::sendNow(CallId id, ReplicaState &replica) {
+  const auto it = Calls.find(id);
+  if (it == Calls.end())
+    return;
+  OpenCall &open = it->second;
+  const state::Duration left = open.Call.DeadlineAt - Loop.now();
+  if (left <= state::Duration(0)) {
+    Loop.post([this, id] {
+      fail(id, ErrorCode::DeadlineExceeded, "no connection was free in time");
+      carryOut(Scheduler.onEnded(id, Loop.now()));
+    });
+    return;
+  }
+  open.Exchange = replica.Pool.send(
+      open.Call.Request, left, [this, id](transport::HttpResult result) {
+        finish(id, std::move(result));
+        carryOut(Scheduler.onEnded(id, Loop.now()));
+        armQueueTimer();
+      });
+  if (open.Exchange == 0)
+    replica.Blocked.push_back(id);
+}
+
+void BackendTask::finish(CallId id, transport::HttpResult result) {
+  const auto it = Calls.find(id);
+  if (it == Calls.end())
+    return;
+  const OpenCall open = std::move(it->second);
+  Calls.erase(it);
+  noteDraining(open, result);
+  if (open.Callback)
+    open.Callback(std::move(result));
+}
+
+void BackendTask::fail(CallId id, state::ErrorCode code,
+                       std::string_view text) {
+  finish(id, tl::unexpected(
+                 transport::HttpFailure{{code, std::string(text)}, false}));
+}
+
+void BackendTask::noteDraining(const OpenCall &open,
+                               const transport::HttpResult &result) {
+  if (!result || !Replicas.contains(open.Call.Replica))
+    return;
+  const bool marked =
+      result->Headers.find(protocol::DrainingHeader).value_or("") == "1";
+  const auto notRun = protocol::parseNotRun(
+      result->Headers.find(protocol::NotRunHeader).value_or(""));
+  if (!marked && notRun != protocol::NotRunReason::Draining)
+    return;
+  Selector.onDraining(open.Call.Replica);
+  refreshUsable(open.Call.Replica);
+}
+
+void BackendTask::armQueueTimer() {
+  const auto next = Scheduler.nextTimer();
+  if (next == QueueTimerAt)
+    return;
+  Loop.cancel(QueueTimer);
+  QueueTimer = 0;
+  QueueTimerAt = next;
+  if (!next)
+    return;
+  QueueTimer = Loop.schedule(*next - Loop.now(), [this] {
+    QueueTimer = 0;
+    QueueTimerAt.reset();
+    carryOut(Scheduler.onTimer(Loop.now()));
+    armQueueTimer();
+  });
+}
+
+void BackendTask::schedulePoll(const std::string &replica,
+                               state::Duration delay) {
+  const auto it = Replicas.find(replica);
+  if (it == Replicas.end())
+    return;
+  it->second->PollTimer =
+      Loop.schedule(delay, [this, replica] { poll(replica); });
+}
+
+void BackendTask::poll(const std::string &replica) {
+  BackendCall call;
+  call.Replica = replica;
+  call.Request.Method = "GET";
+  call.Request.Path = protocol::HealthPath;
+  call.Priority = state::Priority::Urgent;
+  call.DeadlineAt = Loop.now() + PollTimeout;
+  this->call(call, [this, replica](const transport::HttpResult &result) {
+    onHealth(replica, result);
+  });
+  call.Request.Path = protocol::LoadPath;
+  this->call(std::move(call),
+             [this, replica](const transport::HttpResult &result) {
+               onLoad(replica, result);
+             });
+  schedulePoll(replica, Options.PollInterval);
+}
+
+void BackendTask::onHealth(const std::string &replica,
+                           const transport::HttpResult &result) {
+  if (!result || result->Status != 200 || !Replicas.contains(replica))
+    return;
+  const auto health = protocol::decodeHealth(result->Body);
+  if (!health)
+    return;
+  Selector.onHealth(replica, healthOf(*health), Loop.now());
+  refreshUsable(replica);
+}
+
+void BackendTask::onLoad(const std::string &replica,
+                         const transport::HttpResult &result) {
+  if (!result || result->Status != 200 || !Replicas.contains(replica))
+    return;
+  const auto load = protocol::decodeLoad(result->Body);
+  if (!load)
+    return;
+  coordination::LoadReport report;
+  report.InFlight = load->InFlight;
+  report.Queued = load->Queued;
+  report.Slots = load->Slots;
+  for (const protocol::ServedSnapshot &served : load->Snapshots)
+    report.Snapshots.push_back({served.Id, served.Layout});
+  Snapshots.onLoadReport(replica, report.Snapshots);
+  Selector.onLoadReport(replica, std::move(report), Loop.now());
+}
+
+void BackendTask::refreshUsable(std::string_view replica) {
+  Snapshots.setUsable(replica, Selector.usable(replica, Loop.now()));
+}
+
+} // namespace galenaflow::daemon
--- /dev/null
+++ b/src/daemon/backend_task.h
@@ -0,0 +1,155 @@
+#ifndef GALENAFLOW_DAEMON_BACKEND_TASK_H
+#define GALENAFLOW_DAEMON_BACKEND_TASK_H
+
+#include "coordination/hedge_policy.h"
+#include "coordination/outlier_detector.h"
+#include "coordination/replica_selector.h"
+#include "coordination/retry_budget.h"
+#include "coordination/slot_scheduler.h"
+#include "coordination/snapshot_selector.h"
+#include "state/metrics.h"
+#include "state/plan_catalog.h"
+#include "state/topology.h"
+#include "transport/backend_pool.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace galenaflow::daemon {
+
+struct BackendTaskOptions {
+  /// Interval of health and load polls to one replica.
+  state::Duration PollInterval = std::chrono::milliseconds(500);
+
+  /// Connections opened to a replica before they are needed.
+  std::size_t WarmConnections = 2;
+
+  coordination::TokenBudgetOptions HedgeBudget;
+  coordination::TokenBudgetOptions RetryBudget;
+
+  /// Baseline for measurements: choose replicas in turn and never hedge.
+  bool RoundRobin = false;
+
+  std::uint64_t Seed = 1;
+};
+
+/// One request to one replica.
+struct BackendCall {
+  std::string Replica;
+  transport::HttpRequest Request;
+  state::Priority Priority = state::Priority::Normal;
+  state::TimePoint DeadlineAt;
+
+  /// Sent to the backend server when the call is cancelled; may be empty.
+  std::string SubRequestId;
+};
+
+/// Identifies an open call. Zero names none.
+using CallId = std::uint64_t;
+
+/// What the operator sees of one replica.
+struct ReplicaStatus {
+  std::string Service;
+  std::string Replica;
+  std::string Address;
+  std::string DataCentre;
+  bool Usable = false;
+  bool Ejected = false;
+  std::uint32_t InFlight = 0;
+  std::size_t Queued = 0;
+  std::size_t Connections = 0;
+  std::uint32_t ConnectionShare = 0;
+};
+
+/// Owns the connections to all replicas, what is known of their state, and the
+/// decisions that queries share.
+class BackendTask {
+public:
+  BackendTask(transport::EventLoop &loop, BackendTaskOptions options,
+              state::MetricRegistry &metrics);
+  ~BackendTask();
+
+  void setTopology(const state::TopologyPtr &topology);
+
+  /// This process's part of a replica's connection limit. Applies to all
+  /// replicas of the service.
+  void setConnectionShare(std::string_view service, std::uint32_t share);
+
+  /// The VM list says that the replica at `address` is leaving, or not.
+  void setLeaving(std::string_view address, bool leaving);
+
+  /// Queues a call. The callback runs once, after this has returned. Failures
+  /// with MaybeSent false prove that the request was not sent.
+  CallId call(BackendCall call, transport::HttpCallback callback);
+
+  /// Ends a call whose answer is no longer needed; its callback will not run.
+  void cancel(CallId id);
+
+  /// The decisions for one operation of a service.
+  coordination::Collaborators collaborators(std::string_view service,
+                                            state::Operation operation);
+
+  /// While admission waits, nothing is hedged.
+  void setSaturated(std::string_view service, bool saturated);
+
+  std::vector<ReplicaStatus> status() const;
+
+private:
+  struct ReplicaState;
+  struct ServiceState;
+
+  struct OpenCall {
+    BackendCall Call;
+    transport::HttpCallback Callback;
+    transport::ExchangeId Exchange = 0;
+  };
+
+  void addReplica(const state::Service &service, const state::Replica &replica);
+  void removeReplica(std::string_view id);
+  void applyShare(ReplicaState &replica);
+  void carryOut(const coordination::SlotActions &actions);
+  void start(CallId id);
+  void sendNow(CallId id, ReplicaState &replica);
+  void finish(CallId id, transport::HttpResult result);
+  void fail(CallId id, state::ErrorCode code, std::string_view text);
+  void noteDraining(const OpenCall &open, const transport::HttpResult &result);
+  void armQueueTimer();
+  void sendCancel(const BackendCall &call);
+
+  void schedulePoll(const std::string &replica, state::Duration delay);
+  void poll(const std::string &replica);
+  void onHealth(const std::string &replica,
+                const transport::HttpResult &result);
+  void onLoad(const std::string &replica, const transport::HttpResult &result);
+  void refreshUsable(std::string_view replica);
+
+  transport::EventLoop &Loop;
+  BackendTaskOptions Options;
+  state::MetricRegistry &Metrics;
+  state::TopologyPtr Topology;
+  coordination::OutlierDetector Outliers;
+  coordination::AdaptiveReplicaSelector Selector;
+  coordination::RoundRobinReplicaSelector RoundRobin;
+  coordination::LoadReportSnapshotSelector Snapshots;
+  coordination::SlotScheduler Scheduler;
+  std::map<std::string, std::unique_ptr<ReplicaState>, std::less<>> Replicas;
+  std::map<std::string, std::unique_ptr<ServiceState>, std::less<>> Services;
+  std::unordered_map<CallId, OpenCall> Calls;
+  CallId LastCall = 0;
+  transport::TimerId QueueTimer = 0;
+  std::optional<state::TimePoint> QueueTimerAt;
+  transport::TimerId OutlierTimer = 0;
+  std::mt19937_64 Random;
+};
+
+} // namespace galenaflow::daemon
+
+#endif
--- /dev/null
+++ b/src/daemon/query_task.cc
@@ -0,0 +1,157 @@
+#include "daemon/query_task.h"
+
+#include "protocol/backend_api.h"
+
+namespace galenaflow::daemon {
+
+using coordination::CancelSubRequest;
+using coordination::SendSubRequest;
+using coordination::SetTimer;
+
+namespace {
+
+/// Keeps a decoded response alive, including the ids that the hits point to.
+coordination::SubResponse toSubResponse(const SendSubRequest &action,
+                                        protocol::ShardResponse decoded) {
+  auto owner =
+      std::make_shared<const protocol::ShardResponse>(std::move(decoded));
+  coordination::SubResponse response;
+  response.Number = action.Number;
+  response.Shard = action.Shard;
+  response.Snapshot = action.Snapshot;
+  response.Hits.reserve(owner->Hits.size());
+  for (const protocol::BackendHit &hit : owner->Hits)
+    response.Hits.push_back({hit.Id, hit.Score, hit.Raw});
+  response.Body = std::move(owner);
+  return response;
+}
+
+} // namespace
+
+QueryTask::QueryTask(transport::EventLoop &loop, BackendTask &backends,
+                     SubRequestContext context, state::Operation operation,
+                     std::string query,
+                     const coordination::QueryOptions &options,
+                     Callback callback)
+    : SubRequestTask(loop, backends, std::move(context)), Operation(operation),
+      Query(std::move(query)), Limit(options.Limit),
+      Execution(options, backends.collaborators(options.Service, operation)),
+      Done(std::move(callback)) {}
+
+void QueryTask::start() { carryOut(Execution.start(Loop.now())); }
+
+void QueryTask::cancelQuery() {
+  carryOut(Execution.onCallerCancel(Loop.now()));
+}
+
+void QueryTask::carryOut(coordination::QueryActions actions) {
+  for (auto &action : actions) {
+    if (const auto *toSend = std::get_if<SendSubRequest>(&action)) {
+      sendToShard(*toSend);
+    } else if (const auto *cancelled = std::get_if<CancelSubRequest>(&action)) {
+      cancel(cancelled->Number);
+    } else if (const auto *timer = std::get_if<SetTimer>(&action)) {
+      setTimer(timer->At);
+    } else if (auto *finished =
+                   std::get_if<coordination::FinishQuery>(&action)) {
+      stopTimer();
+      const Callback done = std::move(Done);
+      done(std::move(finished->Outcome));
+    }
+  }
+}
+
+void QueryTask::sendToShard(const SendSubRequest &action) {
+  transport::HttpRequest request;
+  request.Method = "POST";
+  request.Path = protocol::SearchPath;
+  request.Headers.add("content-type", "application/json");
+  request.Body = protocol::encodeShardQuery(
+      {Operation, action.Shard, action.Snapshot, Query, Limit});
+  send(action, std::move(request));
+}
+
+void QueryTask::onResult(const SendSubRequest &action,
+                         transport::HttpResult result) {
+  const state::TimePoint now = Loop.now();
+  if (!result || result->Status != 200) {
+    carryOut(Execution.onFailure(failureOf(action.Number, result), now));
+    return;
+  }
+  auto decoded = protocol::decodeShardResponse(
+      std::move(result->Body), subRequestId(action.Number),
+      {Operation, action.Shard, action.Snapshot, Query, Limit});
+  if (!decoded) {
+    carryOut(Execution.onFailure(
+        {action.Number, coordination::FailureReason::InvalidResponse, true},
+        now));
+    return;
+  }
+  carryOut(
+      Execution.onResponse(toSubResponse(action, std::move(*decoded)), now));
+}
+
+void QueryTask::onTimer() { carryOut(Execution.onTimer(Loop.now())); }
+
+ReadTask::ReadTask(transport::EventLoop &loop, BackendTask &backends,
+                   SubRequestContext context, std::string recordId,
+                   std::string_view service, coordination::ReadOptions options,
+                   Callback callback)
+    : SubRequestTask(loop, backends, std::move(context)),
+      RecordId(std::move(recordId)),
+      Execution(std::move(options),
+                backends.collaborators(service, state::Operation::Read)),
+      Done(std::move(callback)) {}
+
+void ReadTask::start() { carryOut(Execution.start(Loop.now())); }
+
+void ReadTask::cancelRead() { carryOut(Execution.onCallerCancel(Loop.now())); }
+
+void ReadTask::carryOut(coordination::ReadActions actions) {
+  for (auto &action : actions) {
+    if (const auto *toSend = std::get_if<SendSubRequest>(&action)) {
+      send(*toSend, {"GET", protocol::recordPath(RecordId), {}, ""});
+    } else if (const auto *cancelled = std::get_if<CancelSubRequest>(&action)) {
+      cancel(cancelled->Number);
+    } else if (const auto *timer = std::get_if<SetTimer>(&action)) {
+      setTimer(timer->At);
+    } else if (auto *finished =
+                   std::get_if<coordination::FinishRead>(&action)) {
+      stopTimer();
+      const Callback done = std::move(Done);
+      done(std::move(finished->Outcome));
+    }
+  }
+}
+
+void ReadTask::onResult(const SendSubRequest &action,
+                        transport::HttpResult result) {
+  const state::TimePoint now = Loop.now();
+  coordination::ReadResponse response;
+  response.Number = action.Number;
+  if (result && result->Status == 404) {
+    response.Found = false;
+    carryOut(Execution.onResponse(std::move(response), now));
+    return;
+  }
+  if (!result || result->Status != 200) {
+    carryOut(Execution.onFailure(failureOf(action.Number, result), now));
+    return;
+  }
+  auto decoded = protocol::decodeRecordResponse(std::move(result->Body),
+                                                subRequestId(action.Number));
+  if (!decoded) {
+    carryOut(Execution.onFailure(
+        {action.Number, coordination::FailureReason::InvalidResponse, true},
+        now));
+    return;
+  }
+  response.Snapshot = decoded->Snapshot;
+  response.Json = decoded->Record;
+  response.Body = decoded->Body;
+  carryOut(Execution.onResponse(std::move(response), now));
+}
+
+void ReadTask::onTimer() { carryOut(Execution.onTimer(Loop.now())); }
+
+} // namespace galenaflow::daemon
--- /dev/null
+++ b/src/daemon/sub_request_task.h
@@ -0,0 +1,65 @@
+#ifndef GALENAFLOW_DAEMON_SUB_REQUEST_TASK_H
+#define GALENAFLOW_DAEMON_SUB_REQUEST_TASK_H
+
+#include "coordination/sub_request.h"
+#include "daemon/backend_task.h"
+#include "protocol/trace_context.h"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace galenaflow::daemon {
+
+/// What the sub-requests of one caller's request have in common.
+struct SubRequestContext {
+  /// Prefix of the sub-request ids; unique over all daemons and restarts.
+  std::string IdPrefix;
+  state::Priority Priority = state::Priority::Normal;
+  protocol::TraceContext Trace;
+};
+
+/// What an unsuccessful exchange means for the sub-request.
+coordination::SubFailure failureOf(coordination::SubRequestNumber number,
+                                   const transport::HttpResult &result);
+
+/// Carries out the actions of one execution: sends sub-requests, cancels them
+/// and keeps the timer. The task keeps itself alive until all of them ended.
+class SubRequestTask : public std::enable_shared_from_this<SubRequestTask> {
+public:
+  SubRequestTask(transport::EventLoop &loop, BackendTask &backends,
+                 SubRequestContext context);
+  virtual ~SubRequestTask();
+
+  /// The trace and the sub-request ids of this task.
+  const SubRequestContext &context() const { return Context; }
+
+protected:
+  /// Sends `request` with the headers that every work request carries.
+  void send(const coordination::SendSubRequest &action,
+            transport::HttpRequest request);
+  void cancel(coordination::SubRequestNumber number);
+  void setTimer(state::TimePoint at);
+
+  /// Cancels the timer; open sub-requests go on until they end.
+  void stopTimer();
+
+  std::string subRequestId(coordination::SubRequestNumber number) const;
+
+  /// A sub-request that was not cancelled has ended.
+  virtual void onResult(const coordination::SendSubRequest &action,
+                        transport::HttpResult result) = 0;
+  virtual void onTimer() = 0;
+
+  transport::EventLoop &Loop;
+
+private:
+  BackendTask &Backends;
+  SubRequestContext Context;
+  std::unordered_map<coordination::SubRequestNumber, CallId> Calls;
+  transport::TimerId Timer = 0;
+};
+
+} // namespace galenaflow::daemon
+
+#endif
--- a/src/transport/backend_pool.cc
+++ b/src/transport/backend_pool.cc
@@ -66,8 +66,7 @@
     member->Callback = nullptr;
     // The connection is freed first, so that the callback can send again.
     finished(*member, timedOut);
-    if (done)
-      done(std::move(result));
+    done(std::move(result));
     announceFree();
   });
   return id;
@@ -81,8 +80,9 @@
   if (it == Members.end())
     return;
   Member &member = **it;
+  if (member.Grace != 0)
+    return;
   ++Counters.Abandoned;
-  member.Callback = nullptr;
   member.Grace = Loop.schedule(Options.AbandonGrace, [this, &member] {
     member.Grace = 0;
     ++Counters.SilentClosed;
--- a/src/transport/backend_pool.h
+++ b/src/transport/backend_pool.h
@@ -58,8 +58,10 @@
   ExchangeId send(const HttpRequest &request, state::Duration timeout,
                   HttpCallback callback);
 
-  /// Drops the callback of an exchange whose answer is no longer needed and
-  /// keeps the connection for reuse, if the answer arrives in time.
+  /// The answer of this exchange is no longer needed. The connection is kept
+  /// for reuse if the answer arrives within the grace time; otherwise the
+  /// exchange fails with Cancelled and the connection is closed. The callback
+  /// still runs once, when the connection is free.
   void abandon(ExchangeId id);
 
   /// Called whenever a connection has become free.
