Add the settings of the daemon and their page

Cause: an operator needs every fault of the settings at once, before start. Change: settings.def lists each setting once; flags, environment variables, validation and docs/settings.md follow from it. Conclusion: flags beat the environment; findings name their source.

--- /dev/null
+++ b/src/daemon/options.cc
@@ -0,0 +1,344 @@
+// settings.def lists every setting once. This file expands it into a table of
+// rows that know how to read, show and check one member of Options; the flags,
+// the environment variables and docs/settings.md follow from the same entries.
+// All values travel as text until loadOptions(), so that a wrong value is a
+// finding beside all others and not an exit at the first one.
+#include "daemon/options.h"
+
+#include "protocol/parsed.h"
+#include "state/log.h"
+
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <span>
+#include <variant>
+
+namespace galenaflow::daemon {
+
+using state::Findings;
+
+namespace {
+
+using Member =
+    std::variant<std::string Options::*, std::uint32_t Options::*,
+                 double Options::*, std::vector<std::string> Options::*>;
+
+enum class Check {
+  Text,
+  Number,
+  Name,
+  ListenAddress,
+  OptionalAddress,
+  AddressList,
+  OptionalFile,
+  KeyFile,
+  OptionalKeyFile,
+  LogLevel,
+};
+
+struct Setting {
+  const char *Section = nullptr; ///< a heading when set, otherwise a setting
+  const char *Flag = "";
+  Member Target = &Options::Listen;
+  Check Kind = Check::Text;
+  double Min = 0;
+  double Max = 0;
+  const char *Help = "";
+};
+
+const Setting Settings[] = {
+#define SECTION(title) {.Section = title},
+#define SETTING(flag, member, check, min, max, help)                           \
+  {.Flag = #flag,                                                              \
+   .Target = &Options::member,                                                 \
+   .Kind = Check::check,                                                       \
+   .Min = min,                                                                 \
+   .Max = max,                                                                 \
+   .Help = help},
+#include "daemon/settings.def"
+#undef SECTION
+#undef SETTING
+};
+
+constexpr std::size_t MinKeyBytes = 16;
+constexpr double MaxExtraLoadPercent = 10;
+
+std::string flagName(const Setting &setting) {
+  return std::string("--") + setting.Flag;
+}
+
+std::string variableName(const Setting &setting) {
+  std::string name = "GALENAFLOW_";
+  for (const char *c = setting.Flag; *c != 0; ++c)
+    name += *c >= 'a' && *c <= 'z' ? static_cast<char>(*c - ('a' - 'A')) : *c;
+  return name;
+}
+
+template <typename T> std::optional<T> parseNumber(std::string_view text) {
+  T value{};
+  const char *end = text.data() + text.size();
+  const auto [stop, ec] = std::from_chars(text.data(), end, value);
+  if (ec != std::errc() || stop != end)
+    return std::nullopt;
+  return value;
+}
+
+std::vector<std::string> splitList(std::string_view text) {
+  std::vector<std::string> items;
+  while (!text.empty()) {
+    const std::size_t n = std::min(text.find(','), text.size());
+    items.emplace_back(text.substr(0, n));
+    text.remove_prefix(std::min(n + 1, text.size()));
+  }
+  return items;
+}
+
+bool assign(std::string &member, const std::string &text) {
+  member = text;
+  return true;
+}
+
+bool assign(std::vector<std::string> &member, const std::string &text) {
+  member = splitList(text);
+  return true;
+}
+
+template <typename T> bool assign(T &member, const std::string &text) {
+  const std::optional<T> value = parseNumber<T>(text);
+  if (value)
+    member = *value;
+  return value.has_value();
+}
+
+std::string show(const std::string &value) { return value; }
+
+std::string show(const std::vector<std::string> &) { return ""; }
+
+std::string show(std::uint32_t value) { return std::to_string(value); }
+
+std::string show(double value) {
+  char buf[32];
+  const auto [end, ec] = std::to_chars(std::begin(buf), std::end(buf), value);
+  return ec == std::errc() ? std::string(buf, end) : "";
+}
+
+/// Reads `text` into the member of `setting`.
+void readSetting(const Setting &setting, const std::string &text,
+                 const std::string &place, Options &options,
+                 Findings &findings) {
+  const bool isRead =
+      std::visit([&](auto member) { return assign(options.*member, text); },
+                 setting.Target);
+  if (!isRead)
+    findings.add(place, "\"" + text + "\" is not a number of the right kind");
+}
+
+bool isListenAddress(std::string_view text) {
+  // Port 0 asks the system for a free port, which isIpPort() rejects.
+  if (!text.ends_with(":0"))
+    return protocol::isIpPort(text);
+  return protocol::isIpPort(std::string(text.substr(0, text.size() - 1)) + "1");
+}
+
+bool isWildcard(std::string_view address) {
+  return address.starts_with("0.0.0.0:") || address.starts_with("[::]:");
+}
+
+std::optional<std::string> readFile(const std::string &path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file)
+    return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+void checkFile(const std::string &path, const std::string &place,
+               Findings &findings) {
+  if (!path.empty() && !readFile(path))
+    findings.add(place, "cannot read \"" + path + "\"");
+}
+
+void checkKeyFile(const std::string &path, const std::string &place,
+                  Findings &findings) {
+  const std::optional<std::string> key = readFile(path);
+  if (!key)
+    findings.add(place, "cannot read \"" + path + "\"");
+  else if (key->size() < MinKeyBytes)
+    findings.add(place, "the key must have at least 16 bytes");
+}
+
+void checkText(const Setting &setting, const std::string &value,
+               Findings &findings) {
+  const std::string place = flagName(setting);
+  switch (setting.Kind) {
+  case Check::Name:
+    if (!protocol::isName(value))
+      findings.add(place, "must be 1 to 64 characters of A-Z a-z 0-9 . _ -");
+    break;
+  case Check::ListenAddress:
+    if (!isListenAddress(value))
+      findings.add(place, "must be IP:PORT");
+    break;
+  case Check::OptionalAddress:
+    if (!value.empty() && !protocol::isIpPort(value))
+      findings.add(place, "must be IP:PORT");
+    break;
+  case Check::OptionalFile:
+    checkFile(value, place, findings);
+    break;
+  case Check::KeyFile:
+    checkKeyFile(value, place, findings);
+    break;
+  case Check::OptionalKeyFile:
+    if (!value.empty())
+      checkKeyFile(value, place, findings);
+    break;
+  case Check::LogLevel:
+    if (!state::log::parseLevel(value))
+      findings.add(place, "must be debug, info, warning, error or off");
+    break;
+  default:
+    break;
+  }
+}
+
+void checkValue(const Setting &setting, const std::string &value,
+                Findings &findings) {
+  checkText(setting, value, findings);
+}
+
+void checkValue(const Setting &setting, const std::vector<std::string> &value,
+                Findings &findings) {
+  for (const std::string &address : value)
+    if (!protocol::isIpPort(address))
+      findings.add(flagName(setting), "\"" + address + "\" is not IP:PORT");
+}
+
+template <typename T>
+void checkValue(const Setting &setting, T value, Findings &findings) {
+  const auto number = static_cast<double>(value);
+  if (!(number >= setting.Min && number <= setting.Max))
+    findings.add(flagName(setting), "must be from " + show(setting.Min) +
+                                        " to " + show(setting.Max));
+}
+
+void checkSources(const Options &options, Findings &findings) {
+  if (options.Platform.empty() && options.SeedPeers.empty())
+    findings.add("--platform", "one of platform and seed_peers is required");
+  if (options.TlsCertificate.empty() != options.TlsKey.empty())
+    findings.add("--tls_key", "tls_certificate and tls_key belong together");
+  if (isWildcard(options.peerAddress()))
+    findings.add("--advertise_peer",
+                 "is needed because peer_listen names no single address");
+}
+
+void checkDistinct(const Options &options, Findings &findings) {
+  const auto check = [&](const std::string &a, const std::string &b,
+                         const char *place) {
+    if (a == b && !a.ends_with(":0"))
+      findings.add(place, "\"" + a + "\" is used twice");
+  };
+  check(options.Listen, options.OperatorListen, "--operator_listen");
+  check(options.Listen, options.PeerListen, "--peer_listen");
+  check(options.OperatorListen, options.PeerListen, "--peer_listen");
+}
+
+void checkRelations(const Options &options, Findings &findings) {
+  if (options.HedgePercent + options.RetryPercent > MaxExtraLoadPercent)
+    findings.add("--retry_percent",
+                 "hedge_percent and retry_percent together exceed 10");
+  if (options.LeaseMarginMs >= options.LeaseMs)
+    findings.add("--lease_margin_ms", "must be less than lease_ms");
+  if (options.LinkSilenceMs < 2 * std::uint64_t{options.HeartbeatMs})
+    findings.add("--link_silence_ms", "must be at least twice heartbeat_ms");
+  if (options.SuspicionMs < 2 * std::uint64_t{options.ProbePeriodMs})
+    findings.add("--suspicion_ms", "must be at least twice probe_period_ms");
+}
+
+std::string defaultText(const Setting &setting) {
+  const Options defaults;
+  const std::string text = std::visit(
+      [&](auto member) { return show(defaults.*member); }, setting.Target);
+  return text.empty() ? "(empty)" : "`" + text + "`";
+}
+
+std::string rangeText(const Setting &setting) {
+  if (setting.Kind != Check::Number)
+    return "";
+  return " From " + show(setting.Min) + " to " + show(setting.Max) + ".";
+}
+
+constexpr const char *PageHead =
+    "# Settings of galenaflowd\n\n"
+    "This page is generated from `src/daemon/settings.def` by "
+    "`galenaflowd --print_settings_page`.\n\n"
+    "Each setting is a flag (`--listen=0.0.0.0:8080`) and an environment "
+    "variable\n(`GALENAFLOW_LISTEN`). The flag takes precedence. All settings "
+    "are validated together before\nanything starts, and every fault is "
+    "reported; the process then exits with 2.\n`galenaflowd --check_settings` "
+    "validates and exits: 0 when all settings are valid, otherwise 2.\n"
+    "`--flagfile=FILE` reads flags from a file.\n";
+
+} // namespace
+
+const std::string &Options::peerAddress() const {
+  return AdvertisePeer.empty() ? PeerListen : AdvertisePeer;
+}
+
+const std::string &Options::operatorAddress() const {
+  return AdvertiseOperator.empty() ? OperatorListen : AdvertiseOperator;
+}
+
+Options loadOptions(const SettingLookup &flags,
+                    const SettingLookup &environment, Findings &findings) {
+  Options options;
+  for (const Setting &setting : Settings) {
+    if (setting.Section)
+      continue;
+    const std::string variable = variableName(setting);
+    if (const auto text = flags(setting.Flag))
+      readSetting(setting, *text, flagName(setting), options, findings);
+    else if (const auto value = environment(variable))
+      readSetting(setting, *value, variable, options, findings);
+  }
+  return options;
+}
+
+void validateOptions(const Options &options, Findings &findings) {
+  for (const Setting &setting : Settings)
+    if (!setting.Section)
+      std::visit(
+          [&](auto member) { checkValue(setting, options.*member, findings); },
+          setting.Target);
+  checkSources(options, findings);
+  checkDistinct(options, findings);
+  checkRelations(options, findings);
+}
+
+int reportSettings(const Findings &findings) {
+  for (const state::Finding &finding : findings.items())
+    std::printf("%s: %s\n", finding.Place.c_str(), finding.Message.c_str());
+  if (findings.empty())
+    std::puts("settings: ok");
+  return findings.empty() ? 0 : 2;
+}
+
+std::string renderSettingsPage() {
+  std::string page = PageHead;
+  for (const Setting &setting : Settings) {
+    if (setting.Section) {
+      page += "\n## " + std::string(setting.Section) + "\n\n";
+      page += "| flag | variable | default | meaning |\n";
+      page += "| --- | --- | --- | --- |\n";
+      continue;
+    }
+    page += "| `" + flagName(setting) + "` | `" + variableName(setting) +
+            "` | " + defaultText(setting) + " | " + setting.Help +
+            rangeText(setting) + " |\n";
+  }
+  return page;
+}
+
+} // namespace galenaflow::daemon
