--- /dev/null
+++ b/src/coordination/config_distribution.h
@@ -0,0 +1,156 @@
+#ifndef GALENAFLOW_COORDINATION_CONFIG_DISTRIBUTION_H
+#define GALENAFLOW_COORDINATION_CONFIG_DISTRIBUTION_H
+
+#include "coordination/membership.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace galenaflow::coordination {
+
+using protocol::ConfigKey;
+using protocol::ConfigKeyCount;
+using protocol::ConfigVersionVector;
+
+struct ConfigDistributionOptions {
+  std::size_t PushFanOut = 4;
+  /// Larger values are announced by a digest, and peers pull them.
+  std::size_t MaxPushedBytes = 16U << 10U;
+  /// How long the platform holds a watch open.
+  Duration WatchWait = std::chrono::seconds(30);
+  /// The VM list cannot be watched; readers poll it.
+  Duration VmPollPeriod = std::chrono::seconds(1);
+  /// Least time between two watches of a key, should a watch return at once.
+  Duration MinReadSpacing = std::chrono::seconds(1);
+  Duration FirstBackoff = std::chrono::milliseconds(500);
+  Duration MaxBackoff = std::chrono::seconds(30);
+  Duration StartupWindow = std::chrono::seconds(3);
+  /// Start-up reads are spread over this time.
+  Duration StartupJitter = std::chrono::milliseconds(200);
+  Duration PullTimeout = std::chrono::seconds(1);
+  /// A read without outcome for this long beyond its wait counts as failed.
+  Duration ReadGrace = std::chrono::seconds(5);
+};
+
+/// Checks a value; a value with findings is not applied.
+using ConfigValidator =
+    std::function<state::Findings(ConfigKey, const std::string &)>;
+
+/// Action: read `Key` from the platform and report with onRead(). Wait is zero
+/// for a plain read; otherwise the call waits for a version above After.
+struct ReadKey {
+  ConfigKey Key;
+  std::uint64_t After;
+  Duration Wait;
+};
+
+/// Action: a newer valid version is in force.
+struct ApplyValue {
+  ConfigKey Key;
+  std::uint64_t Version;
+  std::shared_ptr<const std::string> Value;
+};
+
+/// Action: an invalid version was not applied.
+struct ReportInvalid {
+  ConfigKey Key;
+  std::uint64_t Version;
+  state::Findings Faults;
+};
+
+using ConfigAction =
+    std::variant<SendMessage, ReadKey, ApplyValue, ReportInvalid>;
+using ConfigActions = std::vector<ConfigAction>;
+
+/// Outcome of a ReadKey.
+struct ReadNotModified {};
+struct ReadFailed {};
+struct ReadValue {
+  std::uint64_t Version;
+  std::string Value;
+};
+using ReadOutcome = std::variant<ReadNotModified, ReadFailed, ReadValue>;
+
+/// Spreads versions of the configuration from the platform to all daemons.
+class ConfigDistribution {
+public:
+  ConfigDistribution(ConfigDistributionOptions options, MemberId self,
+                     ConfigValidator validator, std::mt19937_64 random,
+                     TimePoint now);
+
+  /// Other live daemons. Seed peers have an address and an empty id; messages
+  /// to an empty id are accepted by any receiver.
+  void setPeers(std::vector<ListedVm> peers);
+  /// The number of other daemons in the VM list, for the start-up majority.
+  void setListedPeers(std::size_t n) { ListedPeers = n; }
+  void setReader(bool isReader) { IsReader = isReader; }
+
+  ConfigActions tick(TimePoint now);
+  ConfigActions onRead(ConfigKey key, const ReadOutcome &outcome,
+                       TimePoint now);
+  ConfigActions receive(const ListedVm &from, const protocol::FleetBody &body,
+                        TimePoint now);
+  /// A digest that came with a heartbeat.
+  ConfigActions onDigest(const ListedVm &from, std::string_view digest,
+                         TimePoint now);
+
+  /// For Membership::setDigest().
+  std::string digest() const;
+
+  /// Whether the start-up window has ended with a valid version of every key.
+  bool isReady() const { return IsReady; }
+  ConfigVersionVector versions() const;
+  /// The highest invalid version seen, zero if none; by key.
+  std::uint64_t rejectedVersion(ConfigKey key) const;
+  /// Whether the last answer for any key was older than what is in force.
+  bool isPlatformStale() const;
+  std::uint64_t readsIssued() const { return ReadsIssued; }
+
+private:
+  struct Entry {
+    std::uint64_t Version = 0;  // in force
+    std::uint64_t Rejected = 0; // highest invalid
+    std::shared_ptr<const std::string> Value;
+    bool IsReading = false;
+    bool HasAnswered = false; // the platform, since start
+    bool IsStale = false;
+    unsigned Failures = 0;
+    TimePoint IssuedAt{};
+    TimePoint NextRead{};
+  };
+
+  Entry &entry(ConfigKey key) { return Entries[static_cast<std::size_t>(key)]; }
+  bool offer(ConfigKey key, std::uint64_t version, const std::string &value,
+             ConfigActions &actions);
+  void push(ConfigKey key, ConfigActions &actions);
+  void issueRead(ConfigKey key, TimePoint now, ConfigActions &actions);
+  void fail(Entry &it, TimePoint now);
+  void askPeers(TimePoint now, ConfigActions &actions);
+  void checkReady(TimePoint now);
+  void pullIfBehind(const ListedVm &from, const ConfigVersionVector &theirs,
+                    TimePoint now, ConfigActions &actions);
+  void answerPull(const ListedVm &to, const ConfigVersionVector &theirs,
+                  ConfigActions &actions) const;
+  bool isBehind(const ConfigVersionVector &theirs) const;
+  Duration jittered(Duration limit);
+
+  ConfigDistributionOptions Options;
+  MemberId Self;
+  ConfigValidator Validator;
+  std::mt19937_64 Random;
+  std::array<Entry, ConfigKeyCount> Entries;
+  std::vector<ListedVm> Peers;
+  std::size_t ListedPeers = 0;
+  std::set<MemberId> AnsweredPeers; // empty once ready
+  bool IsReader = false;
+  bool IsReady = false;
+  TimePoint StartedAt;
+  TimePoint NextAsk;
+  std::optional<TimePoint> PullSince;
+  std::uint64_t ReadsIssued = 0;
+};
+
+} // namespace galenaflow::coordination
+
+#endif
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -66,7 +66,7 @@
     it->second.IsListed = true;
     it->second.WasListed = true;
     if (isNew)
-      actions.push_back(MemberChanged{vm.Id, MemberState::Alive});
+      actions.emplace_back(MemberChanged{vm.Id, MemberState::Alive});
   }
   // The list names another instance of a VM, so one that it named earlier is
   // gone. One that it never named may be newer than this lagging list.
@@ -110,7 +110,7 @@
 }
 
 void Membership::resumeAfterPause(Duration paused, MembershipActions &actions) {
-  actions.push_back(LocalPause{paused});
+  actions.emplace_back(LocalPause{paused});
   // The silence of others during the pause says nothing about them.
   Current.reset();
   Relays.clear();
@@ -184,7 +184,7 @@
   for (const MemberUpdate &update : payload->Updates)
     applyUpdate(update, now, actions);
   if (!payload->Digest.empty())
-    actions.push_back(DigestReceived{from, payload->Digest});
+    actions.emplace_back(DigestReceived{from, payload->Digest});
   if (ping && ping->Subject == Self.Id)
     acknowledge(from, ping->Sequence, Self.Id, actions);
   if (request && request->Subject != Self.Id) {
@@ -244,7 +244,7 @@
                   update.State,
                   update.Incarnation,
                   now};
-    actions.push_back(MemberChanged{update.Id, update.State});
+    actions.emplace_back(MemberChanged{update.Id, update.State});
     Members.emplace(update.Id, std::move(member));
     queue(update);
   } else if (overrides(update, it->second)) {
@@ -265,7 +265,7 @@
   if (member.State != state) {
     member.State = state;
     member.Since = now;
-    actions.push_back(MemberChanged{member.Vm.Id, state});
+    actions.emplace_back(MemberChanged{member.Vm.Id, state});
   }
   member.Incarnation = incarnation;
   queue(updateOf(member));
@@ -304,7 +304,7 @@
   message.Subject = subject;
   fill(message);
   const auto it = Members.find(to);
-  actions.push_back(
+  actions.emplace_back(
       SendMessage{to, it == Members.end() ? "" : it->second.Vm.Address,
                   std::move(message)});
 }
