Add the fleet task

Cause: membership and the distribution of the lists need sockets and time.

Change: FleetTask carries their messages over the peer links and reads the platform for them; settings gain vm_instance, which tells a replaced VM from the one before it.

--- a/src/coordination/config_distribution.cc
+++ b/src/coordination/config_distribution.cc
@@ -23,6 +23,8 @@
 constexpr std::array AllKeys{ConfigKey::Customers, ConfigKey::Plans,
                              ConfigKey::Services, ConfigKey::Vms};
 
+} // namespace
+
 std::optional<ConfigVersionVector> parseDigest(std::string_view digest) {
   ConfigVersionVector versions{};
   if (digest.size() < versions.size() * VersionBytes)
@@ -34,8 +36,6 @@
   return versions;
 }
 
-} // namespace
-
 ConfigDistribution::ConfigDistribution(ConfigDistributionOptions options,
                                        MemberId self, ConfigValidator validator,
                                        std::mt19937_64 random, TimePoint now)
--- a/src/coordination/config_distribution.h
+++ b/src/coordination/config_distribution.h
@@ -72,6 +72,9 @@
 };
 using ReadOutcome = std::variant<ReadNotModified, ReadFailed, ReadValue>;
 
+/// Reads a digest as ConfigDistribution::digest() writes it.
+std::optional<ConfigVersionVector> parseDigest(std::string_view digest);
+
 /// Spreads versions of the configuration from the platform to all daemons.
 class ConfigDistribution {
 public:
--- /dev/null
+++ b/src/daemon/fleet_task.h
@@ -0,0 +1,150 @@
+#ifndef GALENAFLOW_DAEMON_FLEET_TASK_H
+#define GALENAFLOW_DAEMON_FLEET_TASK_H
+
+#include "coordination/config_distribution.h"
+#include "coordination/membership.h"
+#include "coordination/reader_election.h"
+#include "daemon/platform_client.h"
+#include "daemon/published_lists.h"
+#include "state/metrics.h"
+#include "transport/peer_link.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace galenaflow::daemon {
+
+struct FleetTaskOptions {
+  coordination::ListedVm Self;
+  std::vector<std::string> SeedPeers; ///< IP:PORT
+  std::optional<transport::SocketAddress> Platform;
+  std::vector<std::string> PeerKeys; ///< one or two
+  coordination::MembershipOptions Membership;
+  coordination::ConfigDistributionOptions Config;
+  state::Duration Heartbeat = std::chrono::milliseconds(500);
+  state::Duration LinkSilence = std::chrono::seconds(2);
+  std::uint64_t Seed = 1;
+};
+
+/// What one daemon knows of another.
+struct PeerStatus {
+  coordination::Member Member;
+  bool IsLinked = false;
+  coordination::ConfigVersionVector Versions{}; ///< last digest heard
+};
+
+/// Owns the links to other daemons and the platform's client. Drives
+/// membership and the distribution of the lists.
+class FleetTask {
+public:
+  /// A message of another part of the daemon, from an authenticated peer.
+  using MessageHandler =
+      std::function<void(const coordination::MemberId &from, std::uint16_t type,
+                         std::string_view payload)>;
+
+  FleetTask(transport::EventLoop &loop, FleetTaskOptions options,
+            PublishedLists &lists, state::MetricRegistry &metrics);
+  ~FleetTask();
+  FleetTask(const FleetTask &) = delete;
+  FleetTask &operator=(const FleetTask &) = delete;
+
+  /// Listens for peers, then starts to read and gossip. Returns the bound
+  /// address. Error: Unavailable.
+  state::Result<transport::SocketAddress>
+  start(const transport::SocketAddress &listenAddress);
+
+  /// Called once, when valid lists are in force after the start-up window.
+  void onReady(std::function<void()> callback) { Ready = std::move(callback); }
+
+  /// Called when this process noticed that it had not run for a while.
+  void onPause(std::function<void()> callback) { Paused = std::move(callback); }
+
+  /// Called on each tick of the task, every 100 ms.
+  void onTick(std::function<void(state::TimePoint)> callback) {
+    Ticked = std::move(callback);
+  }
+
+  /// Called with each exchange about shares.
+  void onShares(std::function<void(const coordination::MemberId &,
+                                   const protocol::ShareExchange &)>
+                    callback) {
+    SharesReceived = std::move(callback);
+  }
+
+  /// Message types from `first` to `last` go to `handler`.
+  void handle(std::uint16_t first, std::uint16_t last, MessageHandler handler);
+
+  /// Sends a message to a linked daemon. False without a link.
+  bool send(const coordination::MemberId &to, std::uint16_t type,
+            std::string_view payload);
+
+  /// Sends a message of the fleet protocol, addressed by id or by address.
+  void send(const coordination::SendMessage &message);
+
+  /// Announces a graceful departure.
+  void leave();
+
+  bool isReady() const { return Config.isReady(); }
+  bool isReader() const { return Election.isReader(); }
+  const coordination::ConfigDistribution &config() const { return Config; }
+  const coordination::Membership &membership() const { return Members; }
+  std::vector<PeerStatus> peers() const;
+
+  /// Entry VMs of the newest list, in its order.
+  std::vector<coordination::ListedVm> listedVms() const;
+  std::uint64_t platformReads() const;
+  const transport::PeerNetwork &network() const { return Network; }
+
+  /// Period of the tick.
+  static constexpr state::Duration TickPeriod = std::chrono::milliseconds(100);
+
+private:
+  struct Route {
+    std::uint16_t First;
+    std::uint16_t Last;
+    MessageHandler Handler;
+  };
+
+  void tick();
+  void onUp(const transport::PeerIdentity &peer);
+  void onMessage(const transport::PeerIdentity &peer, std::uint16_t type,
+                 std::string_view payload);
+  void onFleetMessage(const transport::PeerIdentity &peer, std::uint16_t type,
+                      std::string_view payload);
+  void carryOut(const coordination::MembershipActions &actions);
+  void carryOut(coordination::ConfigActions actions);
+  void readPlatform(const coordination::ReadKey &read);
+  void onListChange(std::string_view key);
+  void updatePeers();
+
+  transport::EventLoop &Loop;
+  FleetTaskOptions Options;
+  PublishedLists &Lists;
+  state::MetricRegistry &Metrics;
+  coordination::Membership Members;
+  coordination::ReaderElection Election;
+  coordination::ConfigDistribution Config;
+  std::unique_ptr<PlatformClient> Platform;
+  transport::PeerNetwork Network;
+  std::map<coordination::MemberId, transport::PeerIdentity> Linked;
+  std::map<coordination::MemberId, coordination::ConfigVersionVector> Digests;
+  std::vector<Route> Routes;
+  transport::TimerId Timer = 0;
+  bool WasReady = false;
+  std::function<void()> Ready;
+  std::function<void()> Paused;
+  std::function<void(state::TimePoint)> Ticked;
+  std::function<void(const coordination::MemberId &,
+                     const protocol::ShareExchange &)>
+      SharesReceived;
+};
+
+} // namespace galenaflow::daemon
+
+#endif
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -25,6 +25,7 @@
 
   // Identity.
   std::string VmId;
+  std::string VmInstance;
   std::string DataCentre;
 
   // Sources of lists.
--- a/src/daemon/published_lists.cc
+++ b/src/daemon/published_lists.cc
@@ -28,6 +28,12 @@
   return applyVms(text);
 }
 
+state::Findings PublishedLists::check(std::string_view key,
+                                      std::string_view text) {
+  PublishedLists scratch;
+  return scratch.apply(key, 1, text);
+}
+
 bool PublishedLists::isComplete() const {
   return Catalog->CustomersVersion != 0 && Catalog->PlansVersion != 0 &&
          Topology->Version != 0;
--- a/src/daemon/published_lists.h
+++ b/src/daemon/published_lists.h
@@ -24,6 +24,9 @@
 public:
   PublishedLists();
 
+  /// Everything that is wrong with a document, without applying it.
+  static state::Findings check(std::string_view key, std::string_view text);
+
   /// Puts a version of `key` ("customers", "plans", "services" or "vms") in
   /// force. Findings leave the older version in force. A version that is not
   /// newer is ignored and has no findings.
--- a/tests/options_test.cc
+++ b/tests/options_test.cc
@@ -37,6 +37,7 @@
 
 Values validFlags(const KeyFile &key) {
   return {{"vm_id", "vm-1"},
+          {"vm_instance", "i-1"},
           {"data_centre", "sul-br-a"},
           {"platform", "127.0.0.1:7000"},
           {"advertise_peer", "127.0.0.1:8082"},
