--- /dev/null
+++ b/src/ctl/check.h
@@ -0,0 +1,34 @@
+#ifndef GALENAFLOW_CTL_CHECK_H
+#define GALENAFLOW_CTL_CHECK_H
+
+#include "protocol/plan_documents.h"
+#include "state/error.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace galenaflow::ctl {
+
+/// What `galenaflowctl check` found in one document.
+struct CheckReport {
+  protocol::ListKind Kind = protocol::ListKind::Unknown;
+  state::Findings Findings;
+  std::size_t Entries = 0; ///< plans, customers or services when valid
+};
+
+/// "customers", "plans", "services" or "unknown".
+std::string_view listKindName(protocol::ListKind kind);
+
+/// Checks a list. With the text of a plans document, customers are checked
+/// against it; its own faults are reported with the place "--plans".
+CheckReport checkList(std::string_view text,
+                      const std::optional<std::string> &plansText);
+
+/// The report for people, one finding a line, or as one JSON object.
+std::string renderReport(const CheckReport &report, std::string_view file,
+                         bool asJson);
+
+} // namespace galenaflow::ctl
+
+#endif
--- /dev/null
+++ b/src/ctl/commands.cc
@@ -0,0 +1,138 @@
+// Commands that ask a daemon differ in their path only; the daemon gathers what
+// it needs from its peers. `check` asks no daemon.
+#include "ctl/commands.h"
+
+#include "ctl/check.h"
+#include "ctl/operator_client.h"
+#include "ctl/render.h"
+#include "protocol/parsed.h"
+
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <optional>
+
+namespace galenaflow::ctl {
+
+const char *const Usage =
+    R"(Operator's command line of galenaflow.
+
+Usage: galenaflowctl [FLAGS] COMMAND
+
+Commands:
+  status       versions, health, capacity and members as the daemon sees them
+  request ID   what happened to a request; ID is a request id or an idempotency
+               key. All listed daemons are asked; the answer names those that
+               could not be asked and how far back each one's records reach
+  plans        plans and customers in force, with their use
+  backends     replicas with health, load, latency and ejections
+  peers        the other daemons with their links and versions
+  check FILE   checks a customers, plans or services list and prints every
+               finding with its JSON pointer; asks no daemon. "-" reads
+               standard input
+
+Flags:
+  --daemon=IP:PORT   operator listener to ask (environment GALENAFLOW_OPERATOR,
+                     default 127.0.0.1:8081)
+  --json             print JSON
+  --plans=FILE       check: plans against which a customers list is checked
+  --timeout_ms=N     longest wait for the daemon (default 5000)
+
+Exit codes:
+  0  success; for check: the list is valid
+  1  the command line is wrong or a file cannot be read
+  2  check: the list has findings
+  3  the daemon cannot be reached or does not answer in time
+  4  request: no daemon that was asked has a record of this id
+  5  the daemon answered with an error
+)";
+
+namespace {
+
+Outcome usageError(const std::string &text) {
+  return {Exit::Usage, "",
+          "galenaflowctl: " + text + "\n(galenaflowctl --help)\n"};
+}
+
+std::string readStandardInput() {
+  std::string text;
+  std::array<char, 4096> buf{};
+  while (const std::size_t n = std::fread(buf.data(), 1, buf.size(), stdin))
+    text.append(buf.data(), n);
+  return text;
+}
+
+std::optional<std::string> readFile(const std::string &path) {
+  if (path == "-")
+    return readStandardInput();
+  std::ifstream file(path, std::ios::binary);
+  if (!file)
+    return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+Outcome runCheck(const Invocation &invocation, const std::string &file) {
+  const std::optional<std::string> text = readFile(file);
+  if (!text)
+    return usageError("cannot read \"" + file + "\"");
+  std::optional<std::string> plans;
+  if (!invocation.PlansFile.empty()) {
+    plans = readFile(invocation.PlansFile);
+    if (!plans)
+      return usageError("cannot read \"" + invocation.PlansFile + "\"");
+  }
+  const CheckReport report = checkList(*text, plans);
+  return {report.Findings.empty() ? Exit::Ok : Exit::Findings,
+          renderReport(report, file, invocation.AsJson), ""};
+}
+
+Outcome failedQuery(const Invocation &invocation, const state::Error &error) {
+  if (error.Code == state::ErrorCode::InvalidArgument)
+    return usageError("--daemon: " + error.Text);
+  return {Exit::Unreachable, "",
+          "galenaflowctl: " + invocation.Daemon + ": " + error.Text + "\n"};
+}
+
+Outcome runQuery(const Invocation &invocation, const std::string &path) {
+  const auto response =
+      getFromDaemon(invocation.Daemon, path, invocation.Timeout);
+  if (!response)
+    return failedQuery(invocation, response.error());
+  const std::string text = invocation.AsJson ? response->Body + "\n"
+                                             : renderForPeople(response->Body);
+  if (response->Status == 200)
+    return {Exit::Ok, text, ""};
+  // A record that is not found still states how far back the records reach.
+  if (response->Status == 404)
+    return {Exit::NotFound, text, ""};
+  return {Exit::DaemonError, "", text};
+}
+
+bool takesArgument(const std::string &command) {
+  return command == "request" || command == "check";
+}
+
+} // namespace
+
+Outcome runCommand(const Invocation &invocation) {
+  if (invocation.Words.empty())
+    return usageError("no command given");
+  const std::string &command = invocation.Words.front();
+  if (invocation.Words.size() != (takesArgument(command) ? 2U : 1U))
+    return usageError("wrong number of words for \"" + command + "\"");
+  if (command == "check")
+    return runCheck(invocation, invocation.Words[1]);
+  if (command == "request") {
+    const std::string &id = invocation.Words[1];
+    if (!protocol::isName(id))
+      return usageError("an id is 1 to 64 characters of A-Z a-z 0-9 . _ -");
+    return runQuery(invocation, "/v1/requests/" + id);
+  }
+  for (const char *known : {"status", "plans", "backends", "peers"})
+    if (command == known)
+      return runQuery(invocation, "/v1/" + command);
+  return usageError("unknown command \"" + command + "\"");
+}
+
+} // namespace galenaflow::ctl
--- /dev/null
+++ b/src/ctl/commands.h
@@ -0,0 +1,45 @@
+#ifndef GALENAFLOW_CTL_COMMANDS_H
+#define GALENAFLOW_CTL_COMMANDS_H
+
+#include "state/clock.h"
+
+#include <string>
+#include <vector>
+
+namespace galenaflow::ctl {
+
+/// Exit codes of galenaflowctl. Abseil exits with 1 on unknown flags, so that
+/// is the code of every fault of the command line.
+enum class Exit {
+  Ok = 0,
+  Usage = 1,
+  Findings = 2,
+  Unreachable = 3,
+  NotFound = 4,
+  DaemonError = 5,
+};
+
+/// A command line after its flags have been read.
+struct Invocation {
+  std::vector<std::string> Words; ///< the command and its arguments
+  std::string Daemon;             ///< IP:PORT of an operator listener
+  std::string PlansFile;          ///< empty when not given
+  bool AsJson = false;
+  state::Duration Timeout = std::chrono::seconds(5);
+};
+
+struct Outcome {
+  Exit Code = Exit::Ok;
+  std::string Output; ///< for standard output
+  std::string Errors; ///< for standard error
+};
+
+/// The help text with all commands, flags and exit codes.
+extern const char *const Usage;
+
+/// Runs one command.
+Outcome runCommand(const Invocation &invocation);
+
+} // namespace galenaflow::ctl
+
+#endif
--- a/src/daemon/options.cc
+++ b/src/daemon/options.cc
@@ -50,14 +50,14 @@
 };
 
 const Setting Settings[] = {
-#define SECTION(title) {.Section = title},
+#define SECTION(title) {.Section = (title)},
 #define SETTING(flag, member, check, min, max, help)                           \
   {.Flag = #flag,                                                              \
    .Target = &Options::member,                                                 \
    .Kind = Check::check,                                                       \
-   .Min = min,                                                                 \
-   .Max = max,                                                                 \
-   .Help = help},
+   .Min = (min),                                                               \
+   .Max = (max),                                                               \
+   .Help = (help)},
 #include "daemon/settings.def"
 #undef SECTION
 #undef SETTING
--- a/src/daemon/options_flags.cc
+++ b/src/daemon/options_flags.cc
@@ -49,13 +49,13 @@
 namespace {
 
 std::optional<std::string> fromFlags(const std::string &name) {
-  static const std::map<std::string, const absl::Flag<FlagText> *> flags{
+  static const std::map<std::string, const absl::Flag<FlagText> *> Flags{
 #define SETTING(flag, member, check, min, max, help) {#flag, &FLAGS_##flag},
 #include "daemon/settings.def"
 #undef SETTING
   };
-  const auto it = flags.find(name);
-  return it == flags.end() ? std::nullopt : absl::GetFlag(*it->second).Value;
+  const auto it = Flags.find(name);
+  return it == Flags.end() ? std::nullopt : absl::GetFlag(*it->second).Value;
 }
 
 std::optional<std::string> fromEnvironment(const std::string &name) {
--- a/tests/backend_api_test.cc
+++ b/tests/backend_api_test.cc
@@ -108,7 +108,7 @@
 
 // Guards against random responses that lose hits or scores.
 TEST_CASE("random responses survive decoding") {
-  CHECK(rc::check([](std::vector<std::string> names) {
+  CHECK(rc::check([](const std::vector<std::string> &names) {
     nlohmann::json hits = nlohmann::json::array();
     double score = 1e6;
     for (const std::string &name : names) {
