--- a/src/coordination/adaptive_concurrency.cc
+++ b/src/coordination/adaptive_concurrency.cc
@@ -12,8 +12,11 @@
 
 namespace {
 
-constexpr double Smoothing = 0.2;
-constexpr double BaselineRise = 0.02;
+/// With 0.2, 5,000 samples did not bring a limit of 4 back to 60.
+constexpr double Smoothing = 0.4;
+/// Doubling the baseline takes some hundred windows. With 0.02, fifty windows
+/// of tenfold latency were already taken for normal.
+constexpr double BaselineRise = 0.002;
 
 } // namespace
 
