--- /dev/null
+++ b/tests/replica_choice_test.cc
@@ -0,0 +1,276 @@
+#include "coordination/hedge_policy.h"
+#include "coordination/read_execution.h"
+#include "coordination/replica_selector.h"
+#include "coordination/snapshot_selector.h"
+#include "coordination/write_execution.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace galenaflow::coordination;
+using namespace galenaflow::state;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+
+TopologyPtr makePool(std::size_t replicas) {
+  auto topology = std::make_shared<Topology>();
+  Service &service = topology->Services["commesse"];
+  service.Name = "commesse";
+  for (std::size_t i = 0; i < replicas; ++i)
+    service.Replicas.push_back({"r" + std::to_string(i), "", ""});
+  return topology;
+}
+
+std::vector<ReplicaId> idsOf(const Topology &topology) {
+  std::vector<ReplicaId> ids;
+  for (const Replica &it : topology.findService("commesse")->Replicas)
+    ids.push_back(it.Id);
+  return ids;
+}
+
+struct Pool {
+  explicit Pool(std::size_t replicas, std::uint64_t seed = 1)
+      : Topology(makePool(replicas)),
+        Ids(std::make_shared<std::vector<ReplicaId>>(idsOf(*Topology))),
+        Selector(Outliers, std::mt19937_64(seed)) {
+    Selector.setTopology(*Topology);
+  }
+
+  void end(std::size_t replica, AttemptOutcome outcome, Duration elapsed,
+           TimePoint now) {
+    Selector.onSent((*Ids)[replica], now);
+    Selector.onEnded((*Ids)[replica], outcome, elapsed, now);
+  }
+
+  TopologyPtr Topology;
+  std::shared_ptr<const std::vector<ReplicaId>> Ids;
+  OutlierDetector Outliers;
+  AdaptiveReplicaSelector Selector;
+};
+
+struct NoSnapshots final : SnapshotSelector {
+  std::optional<SnapshotChoice> select(std::string_view,
+                                       std::span<const SnapshotId>) override {
+    return std::nullopt;
+  }
+};
+
+} // namespace
+
+TEST_CASE("a slow replica gets little work and is tried again later") {
+  Pool pool(4);
+  TimePoint now = Start;
+  std::map<std::size_t, int> chosen;
+  for (int n = 0; n < 4000; ++n) {
+    now += milliseconds(1);
+    const auto i = pool.Selector.choose({*pool.Ids}, now);
+    REQUIRE(i);
+    ++chosen[*i];
+    pool.end(*i, AttemptOutcome::Answered, milliseconds(*i == 2 ? 50 : 5), now);
+  }
+  CHECK(chosen[2] < 40);
+  CHECK(chosen[2] > 0);
+  for (const std::size_t i : {0, 1, 3})
+    CHECK(chosen[i] > 400);
+}
+
+TEST_CASE("any sign of draining stops new work at once") {
+  Pool pool(2);
+  const auto only = [&] {
+    std::set<std::size_t> seen;
+    for (int n = 0; n < 50; ++n)
+      if (const auto i = pool.Selector.choose({*pool.Ids}, Start))
+        seen.insert(*i);
+    return seen;
+  };
+  CHECK(only().size() == 2);
+  pool.Selector.onDraining("r0");
+  CHECK(only() == std::set<std::size_t>{1});
+  pool.Selector.setLeaving("r0", true);
+  pool.Selector.onHealth("r0", ReplicaHealth::Serving, Start);
+  CHECK(only() == std::set<std::size_t>{1}); // health lags the VM list
+  pool.Selector.onHealth("r1", ReplicaHealth::Starting, Start);
+  CHECK(only().empty());
+}
+
+TEST_CASE("at most half of a pool is ejected, and probes re-admit") {
+  for (std::uint64_t seed = 0; seed < 300; ++seed) {
+    INFO("seed " << seed);
+    std::mt19937_64 random(seed);
+    Pool pool(1 + random() % 8, seed);
+    const std::size_t size = pool.Ids->size();
+    TimePoint now = Start;
+    for (int n = 0; n < 500; ++n) {
+      now += milliseconds(random() % 20);
+      const bool ok = random() % 10 == 0;
+      pool.end(random() % size,
+               ok ? AttemptOutcome::Answered : AttemptOutcome::Failed,
+               milliseconds(5), now);
+      const auto ejected =
+          std::ranges::count_if(*pool.Ids, [&](const auto &id) {
+            return pool.Outliers.isEjected(id);
+          });
+      REQUIRE(static_cast<std::size_t>(ejected) <= size / 2);
+      REQUIRE(pool.Selector.choose({*pool.Ids}, now));
+    }
+    now += seconds(61);
+    for (std::size_t i = 0; i < size; ++i) {
+      REQUIRE(pool.Outliers.mayUse((*pool.Ids)[i], now));
+      pool.end(i, AttemptOutcome::Answered, milliseconds(5), now);
+      REQUIRE(!pool.Outliers.isEjected((*pool.Ids)[i]));
+    }
+  }
+}
+
+TEST_CASE("an open probe blocks further work until it ends in any way") {
+  for (const auto outcome :
+       {AttemptOutcome::Cancelled, AttemptOutcome::NotRun}) {
+    Pool pool(4);
+    for (int n = 0; n < 5; ++n)
+      pool.end(0, AttemptOutcome::Failed, milliseconds(1), Start);
+    REQUIRE(pool.Outliers.isEjected("r0"));
+    CHECK(!pool.Outliers.mayUse("r0", Start));
+    const TimePoint later = Start + seconds(2);
+    pool.Selector.onSent("r0", later);
+    CHECK(!pool.Outliers.mayUse("r0", later));
+    pool.Selector.onEnded("r0", outcome, milliseconds(1), later);
+    CHECK(pool.Outliers.mayUse("r0", later));
+  }
+}
+
+TEST_CASE("a replica far slower than its service is ejected") {
+  Pool pool(5);
+  for (int n = 0; n < 30; ++n)
+    for (std::size_t i = 0; i < 5; ++i)
+      pool.end(i, AttemptOutcome::Answered, milliseconds(i == 3 ? 60 : 6),
+               Start);
+  pool.Outliers.compareLatencies(Start);
+  for (std::size_t i = 0; i < 5; ++i)
+    CHECK(pool.Outliers.isEjected((*pool.Ids)[i]) == (i == 3));
+}
+
+TEST_CASE("the quantile is within its bucket of the exact one") {
+  for (std::uint64_t seed = 0; seed < 200; ++seed) {
+    INFO("seed " << seed);
+    std::mt19937_64 random(seed);
+    std::lognormal_distribution<double> latency(8, 1);
+    LatencyQuantile it(0.95, 1000000);
+    std::vector<std::int64_t> all;
+    for (int n = 0; n < 3200; ++n) {
+      all.push_back(static_cast<std::int64_t>(latency(random)));
+      it.add(Duration(all.back()));
+    }
+    std::ranges::sort(all);
+    const auto exact = static_cast<double>(all[all.size() * 95 / 100 - 1]);
+    const auto got = static_cast<double>(it.value()->count());
+    REQUIRE(got >= exact);
+    REQUIRE(got <= exact * 1.125 + 1);
+  }
+}
+
+TEST_CASE("the newest complete snapshot is chosen, else the fullest") {
+  auto topology = std::make_shared<Topology>();
+  Service &service = topology->Services["archivio"];
+  for (const char *id : {"a0", "a1", "b0", "b1"})
+    service.Replicas.push_back({id, "", ""});
+  service.Layouts = {{3, {{0, {"a0", "b0"}}, {1, {"a1", "b1"}}}},
+                     {4, {{0, {"a0"}}, {1, {"a1"}}, {2, {"b1"}}}}};
+  LoadReportSnapshotSelector selector;
+  selector.setTopology(topology);
+  const auto chosen = [&](std::vector<SnapshotId> excluded = {}) {
+    const auto it = selector.select("archivio", excluded);
+    return it ? it->Snapshot : 0;
+  };
+  CHECK(chosen() == 0);
+  selector.onLoadReport("a0", {{41, 3}, {42, 4}});
+  selector.onLoadReport("b1", {{41, 3}});
+  CHECK(chosen() == 41); // 42 lacks shards 1 and 2 of its layout
+  CHECK(chosen({41}) == 42);
+  selector.onLoadReport("a1", {{41, 3}, {42, 4}});
+  selector.onLoadReport("b1", {{42, 4}});
+  CHECK(chosen() == 42);
+  selector.setUsable("b1", false);
+  CHECK(chosen() == 41);
+}
+
+TEST_CASE("a write runs at most once and not_run is true") {
+  for (std::uint64_t seed = 0; seed < 5000; ++seed) {
+    INFO("seed " << seed);
+    std::mt19937_64 random(seed);
+    Pool pool(1 + random() % 5, seed);
+    NoSnapshots snapshots;
+    AdaptiveHedgePolicy hedging;
+    RatioRetryBudget retries;
+    TimePoint now = Start;
+    WriteExecution write({pool.Ids, milliseconds(100)},
+                         {snapshots, pool.Selector, hedging, retries});
+    int mayHaveRun = 0;
+    WriteActions actions = write.start(now);
+    std::unique_ptr<WriteOutcome> outcome;
+    while (!outcome) {
+      std::optional<SendSubRequest> sent;
+      for (WriteAction &it : actions) {
+        if (const auto *send = std::get_if<SendSubRequest>(&it)) {
+          REQUIRE(mayHaveRun == 0); // nothing is sent after a possible run
+          REQUIRE(!sent);
+          sent = *send;
+        } else if (auto *finish = std::get_if<FinishWrite>(&it)) {
+          outcome = std::move(finish->Outcome);
+        }
+      }
+      if (!sent)
+        break;
+      now += milliseconds(random() % 40);
+      const std::uint64_t fate = random() % 5;
+      mayHaveRun += fate < 3 ? 1 : 0;
+      if (fate == 0)
+        actions = write.onResponse({sent->Number, 200, {}, nullptr}, now);
+      else if (fate == 1) // silent
+        actions = write.onTimer(now = Start + milliseconds(100));
+      else
+        actions = write.onFailure(
+            {sent->Number, FailureReason::ConnectionFailed, fate == 2}, now);
+    }
+    REQUIRE(outcome);
+    REQUIRE((outcome->Ran == RanState::NotRun) == (mayHaveRun == 0));
+    REQUIRE((outcome->Ran == RanState::Ran) == !outcome->Error.has_value());
+    REQUIRE(write.onResponse({0, 200, {}, nullptr}, now).empty());
+    REQUIRE(write.onTimer(now + seconds(1)).empty());
+  }
+}
+
+TEST_CASE("a read is hedged once, and the loser is cancelled") {
+  Pool pool(3);
+  NoSnapshots snapshots;
+  AdaptiveHedgePolicy hedging;
+  RatioRetryBudget retries;
+  for (int n = 0; n < 100; ++n)
+    hedging.onLatency(milliseconds(5));
+  ReadExecution read({pool.Ids, Preference::Latency, milliseconds(100)},
+                     {snapshots, pool.Selector, hedging, retries});
+  const auto first = read.start(Start);
+  REQUIRE(first.size() == 2);
+  const auto hedgeAt = std::get<SetTimer>(first[1]).At;
+  CHECK(hedgeAt < Start + milliseconds(7));
+  const auto second = read.onTimer(hedgeAt);
+  REQUIRE(second.size() == 2);
+  CHECK(std::get<SendSubRequest>(second[0]).Replica !=
+        std::get<SendSubRequest>(first[0]).Replica);
+  CHECK(std::get<SetTimer>(second[1]).At == Start + milliseconds(100));
+  const auto last = read.onResponse({1, true, 41, "{}", nullptr}, hedgeAt);
+  REQUIRE(last.size() == 2);
+  CHECK(std::get<CancelSubRequest>(last[0]).Number == 0);
+  CHECK(!std::get<FinishRead>(last[1]).Outcome->Error);
+  CHECK(read.onResponse({0, true, 41, "{}", nullptr}, hedgeAt).empty());
+  CHECK(read.counts().Discarded == 1);
+  CHECK(pool.Selector.inFlight("r0") + pool.Selector.inFlight("r1") +
+            pool.Selector.inFlight("r2") ==
+        0);
+}
