--- a/src/protocol/fleet_generated.h
+++ b/src/protocol/fleet_generated.h
@@ -594,17 +594,13 @@
   typedef ShareExchangeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_LIST_VERSIONS = 4,
-    VT_CLEARED_FROM = 6,
-    VT_NEWEST_LIST = 8,
-    VT_REQUESTS = 10,
-    VT_GRANTS = 12
+    VT_NEWEST_LIST = 6,
+    VT_REQUESTS = 8,
+    VT_GRANTS = 10
   };
   const flatbuffers::Vector<uint64_t> *list_versions() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_LIST_VERSIONS);
   }
-  uint64_t cleared_from() const {
-    return GetField<uint64_t>(VT_CLEARED_FROM, 0);
-  }
   uint64_t newest_list() const {
     return GetField<uint64_t>(VT_NEWEST_LIST, 0);
   }
@@ -618,7 +614,6 @@
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_LIST_VERSIONS) &&
            verifier.VerifyVector(list_versions()) &&
-           VerifyField<uint64_t>(verifier, VT_CLEARED_FROM, 8) &&
            VerifyField<uint64_t>(verifier, VT_NEWEST_LIST, 8) &&
            VerifyOffset(verifier, VT_REQUESTS) &&
            verifier.VerifyVector(requests()) &&
@@ -637,9 +632,6 @@
   void add_list_versions(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> list_versions) {
     fbb_.AddOffset(ShareExchange::VT_LIST_VERSIONS, list_versions);
   }
-  void add_cleared_from(uint64_t cleared_from) {
-    fbb_.AddElement<uint64_t>(ShareExchange::VT_CLEARED_FROM, cleared_from, 0);
-  }
   void add_newest_list(uint64_t newest_list) {
     fbb_.AddElement<uint64_t>(ShareExchange::VT_NEWEST_LIST, newest_list, 0);
   }
@@ -663,13 +655,11 @@
 inline flatbuffers::Offset<ShareExchange> CreateShareExchange(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> list_versions = 0,
-    uint64_t cleared_from = 0,
     uint64_t newest_list = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fleet::ShareRequest>>> requests = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fleet::ShareGrant>>> grants = 0) {
   ShareExchangeBuilder builder_(_fbb);
   builder_.add_newest_list(newest_list);
-  builder_.add_cleared_from(cleared_from);
   builder_.add_grants(grants);
   builder_.add_requests(requests);
   builder_.add_list_versions(list_versions);
@@ -679,7 +669,6 @@
 inline flatbuffers::Offset<ShareExchange> CreateShareExchangeDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<uint64_t> *list_versions = nullptr,
-    uint64_t cleared_from = 0,
     uint64_t newest_list = 0,
     const std::vector<flatbuffers::Offset<galenaflow::protocol::fleet::ShareRequest>> *requests = nullptr,
     const std::vector<flatbuffers::Offset<galenaflow::protocol::fleet::ShareGrant>> *grants = nullptr) {
@@ -689,7 +678,6 @@
   return galenaflow::protocol::fleet::CreateShareExchange(
       _fbb,
       list_versions__,
-      cleared_from,
       newest_list,
       requests__,
       grants__);
--- a/src/protocol/fleet_messages.cc
+++ b/src/protocol/fleet_messages.cc
@@ -111,8 +111,8 @@
     const auto requests = packAll<fleet::ShareRequest>(Builder, share.Requests);
     const auto grants = packAll<fleet::ShareGrant>(Builder, share.Grants);
     Body body;
-    body.Share = fleet::CreateShareExchange(Builder, lists, share.ClearedFrom,
-                                            share.NewestList, requests, grants);
+    body.Share = fleet::CreateShareExchange(Builder, lists, share.NewestList,
+                                            requests, grants);
     return body;
   }
 
@@ -227,7 +227,6 @@
       if (IsValid)
         result.ListVersions.assign(lists->begin(), lists->end());
     }
-    result.ClearedFrom = share->cleared_from();
     result.NewestList = share->newest_list();
     result.Requests = items<ShareRequest>(share->requests(), MaxShareItems);
     result.Grants = items<ShareGrant>(share->grants(), MaxShareItems);
--- a/src/protocol/fleet_messages.h
+++ b/src/protocol/fleet_messages.h
@@ -105,11 +105,9 @@
 };
 
 struct ShareExchange {
-  /// VM lists that the sender's use respects.
+  /// Versions of VM lists whose shares the sender's use respects, and for
+  /// which it knows of no removed VM that may still run outside the list.
   std::vector<std::uint64_t> ListVersions;
-  /// For lists of at least this version, every VM that an older list held and
-  /// they do not has been gone for the hold time, as far as the sender knows.
-  std::uint64_t ClearedFrom = 0;
   std::uint64_t NewestList = 0; ///< highest version that the sender has seen
   std::vector<ShareRequest> Requests;
   std::vector<ShareGrant> Grants;
--- /dev/null
+++ b/tests/support/message_exchange.h
@@ -0,0 +1,65 @@
+#ifndef GALENAFLOW_TESTS_SUPPORT_MESSAGE_EXCHANGE_H
+#define GALENAFLOW_TESTS_SUPPORT_MESSAGE_EXCHANGE_H
+
+#include "protocol/fleet_messages.h"
+#include "state/clock.h"
+
+#include <functional>
+#include <map>
+#include <random>
+
+namespace galenaflow::test {
+
+struct ExchangeFaults {
+  double Loss = 0;
+  double Duplicates = 0;
+  state::Duration MinDelay = std::chrono::milliseconds(1);
+  state::Duration MaxDelay = std::chrono::milliseconds(4); ///< also reorders
+};
+
+/// Carries messages between state machines in memory, in seeded order.
+class MessageExchange {
+public:
+  using Deliver = std::function<void(const protocol::FleetMessage &)>;
+
+  explicit MessageExchange(std::uint64_t seed) : Random(seed) {}
+
+  ExchangeFaults Faults;
+  /// Members on different sides cannot reach each other.
+  std::function<int(const protocol::MemberId &)> SideOf =
+      [](const protocol::MemberId &) { return 0; };
+
+  void send(const protocol::MemberId &from, const protocol::MemberId &to,
+            const protocol::FleetBody &body, state::TimePoint now) {
+    const int copies = 1 + (chance(Faults.Duplicates) ? 1 : 0);
+    for (int i = 0; i != copies; ++i) {
+      if (chance(Faults.Loss))
+        continue;
+      std::uniform_int_distribution<std::int64_t> delay(
+          Faults.MinDelay.count(), Faults.MaxDelay.count());
+      InFlight.emplace(now + state::Duration(delay(Random)),
+                       protocol::FleetMessage{from, to, body});
+    }
+  }
+
+  /// Delivers what is due, including answers that become due meanwhile.
+  void deliver(state::TimePoint now, const Deliver &receiver) {
+    while (!InFlight.empty() && InFlight.begin()->first <= now) {
+      const protocol::FleetMessage message =
+          std::move(InFlight.begin()->second);
+      InFlight.erase(InFlight.begin());
+      if (SideOf(message.From) == SideOf(message.To))
+        receiver(message);
+    }
+  }
+
+  bool chance(double p) { return std::bernoulli_distribution(p)(Random); }
+
+private:
+  std::mt19937_64 Random;
+  std::multimap<state::TimePoint, protocol::FleetMessage> InFlight;
+};
+
+} // namespace galenaflow::test
+
+#endif
