--- a/src/daemon/admission_task.cc
+++ b/src/daemon/admission_task.cc
@@ -1,5 +1,7 @@
 #include "daemon/admission_task.h"
 
+#include <algorithm>
+
 // A request passes two gates. The plan limiter takes a rate and a concurrency
 // token; the queue of the service then admits it at once, lets it wait, or
 // refuses it. A request that the queue refuses gives its tokens back, because
@@ -103,9 +105,9 @@
   const AdmissionId id = ++LastId;
   const state::TimePoint now = Loop.now();
   ServiceState *service = findService(request.Service);
-  const auto verdict = service == nullptr
-                           ? AdmissionVerdict::UnknownPlan
-                           : verdictOf(Limiter.tryAdmit(request.Plan, now));
+  std::uint64_t hold = 0;
+  const auto verdict = service == nullptr ? AdmissionVerdict::UnknownPlan
+                                          : passPlan(request, hold);
   if (verdict != AdmissionVerdict::Admitted) {
     callback(id, verdict, state::Duration(0));
     return;
@@ -117,6 +119,7 @@
   open.Request = std::move(request);
   open.Callback = std::move(callback);
   open.ArrivedAt = now;
+  open.Hold = hold;
   const auto it = Open.emplace(id, std::move(open)).first;
   // The plan name is a view into the stored request from here on.
   coordination::AdmissionRequest stored = arrival;
@@ -135,6 +138,35 @@
   carryOut(service->Queue.onArrival(stored, now));
 }
 
+PlanDemand AdmissionTask::takeDemand(std::string_view plan) {
+  PlanDemand &known = Demand[std::string(plan)];
+  const PlanDemand taken = known;
+  known = {0, Limiter.open(plan)};
+  return taken;
+}
+
+AdmissionVerdict AdmissionTask::passPlan(const AdmissionTicketRequest &request,
+                                         std::uint64_t &hold) {
+  PlanDemand &demand = Demand[request.Plan];
+  ++demand.Arrivals;
+  demand.MostOpen = std::max(demand.MostOpen, Limiter.open(request.Plan) + 1);
+  const auto verdict = verdictOf(Limiter.tryAdmit(request.Plan, Loop.now()));
+  if (verdict != AdmissionVerdict::Admitted || Shares == nullptr)
+    return verdict;
+  hold = Shares->acquire(request.Plan, request.DeadlineAt);
+  if (hold != 0)
+    return verdict;
+  Limiter.onEnded(request.Plan);
+  Limiter.refund(request.Plan);
+  return AdmissionVerdict::OverConcurrency;
+}
+
+void AdmissionTask::leavePlan(const OpenRequest &open) {
+  Limiter.onEnded(open.Request.Plan);
+  if (Shares != nullptr && open.Hold != 0)
+    Shares->release(open.Hold);
+}
+
 void AdmissionTask::end(AdmissionId id, state::Duration took,
                         bool informative) {
   const auto it = Open.find(id);
@@ -143,7 +175,7 @@
   const OpenRequest open = std::move(it->second);
   Open.erase(it);
   Loop.cancel(open.DeadlineTimer);
-  Limiter.onEnded(open.Request.Plan);
+  leavePlan(open);
   ServiceState *service = findService(open.Request.Service);
   if (informative) {
     const auto old = static_cast<double>(service->TypicalTime.count());
@@ -189,7 +221,7 @@
   const OpenRequest open = std::move(it->second);
   Open.erase(it);
   Loop.cancel(open.DeadlineTimer);
-  Limiter.onEnded(open.Request.Plan);
+  leavePlan(open);
   Limiter.refund(open.Request.Plan);
   open.Callback(id, verdict, Loop.now() - open.ArrivedAt);
 }
--- a/src/daemon/admission_task.h
+++ b/src/daemon/admission_task.h
@@ -41,6 +41,24 @@
 using AdmissionCallback =
     std::function<void(AdmissionId, AdmissionVerdict, state::Duration waited)>;
 
+/// Units of a plan's concurrency limit, which all daemons share.
+class ConcurrencyShares {
+public:
+  virtual ~ConcurrencyShares() = default;
+
+  /// Takes one unit of `plan` until release(), at the latest at `until`. Zero
+  /// when none is available.
+  virtual std::uint64_t acquire(std::string_view plan,
+                                state::TimePoint until) = 0;
+  virtual void release(std::uint64_t hold) = 0;
+};
+
+/// What customers of a plan asked of this process since the last look.
+struct PlanDemand {
+  std::uint64_t Arrivals = 0;
+  std::uint32_t MostOpen = 0; ///< requests open at once, refused ones included
+};
+
 struct AdmissionTaskOptions {
   std::size_t MaxQueued = 1000; ///< requests waiting, per service
 };
@@ -51,6 +69,12 @@
 class AdmissionTask {
 public:
   AdmissionTask(transport::EventLoop &loop, AdmissionTaskOptions options);
+
+  /// Without shares, only the allowances bound concurrency.
+  void setShares(ConcurrencyShares *shares) { Shares = shares; }
+
+  /// Returns and resets the demand of a plan.
+  PlanDemand takeDemand(std::string_view plan);
   ~AdmissionTask();
 
   /// What this process may use of a plan's limits now.
@@ -91,8 +115,13 @@
     state::TimePoint ArrivedAt;
     transport::TimerId DeadlineTimer = 0;
     double InFlightAtStart = 0;
+    std::uint64_t Hold = 0; ///< of ConcurrencyShares
   };
 
+  AdmissionVerdict passPlan(const AdmissionTicketRequest &request,
+                            std::uint64_t &hold);
+  void leavePlan(const OpenRequest &open);
+
   void carryOut(const coordination::AdmissionActions &actions);
   void admit(const coordination::Admit &admit);
   void refuse(AdmissionId id, AdmissionVerdict verdict);
@@ -101,6 +130,8 @@
   transport::EventLoop &Loop;
   AdmissionTaskOptions Options;
   coordination::PlanLimiter Limiter;
+  ConcurrencyShares *Shares = nullptr;
+  std::map<std::string, PlanDemand, std::less<>> Demand;
   std::map<std::string, double, std::less<>> Weights;
   std::map<std::string, std::unique_ptr<ServiceState>, std::less<>> Services;
   std::unordered_map<AdmissionId, OpenRequest> Open;
--- a/src/daemon/backend_task.cc
+++ b/src/daemon/backend_task.cc
@@ -3,6 +3,7 @@
 #include "protocol/backend_api.h"
 #include "state/log.h"
 
+#include <algorithm>
 #include <array>
 #include <set>
 
@@ -76,7 +77,7 @@
              state::OperationCount>
       Hedging;
   coordination::RatioRetryBudget Retries;
-  std::uint32_t ConnectionShare = 1;
+  std::uint32_t ConnectionShare = 0; ///< none before the shares are known
 };
 
 BackendTask::BackendTask(transport::EventLoop &loop, BackendTaskOptions options,
@@ -199,6 +200,14 @@
   carryOut(Scheduler.setLimit(replica.Listed.Id, share, Loop.now()));
 }
 
+std::uint32_t BackendTask::mostConnections(std::string_view service) const {
+  std::size_t most = 0;
+  for (const auto &[id, replica] : Replicas)
+    if (replica->ServiceName == service)
+      most = std::max(most, replica->Pool.size());
+  return static_cast<std::uint32_t>(most);
+}
+
 void BackendTask::setLeaving(std::string_view address, bool leaving) {
   for (const auto &[id, replica] : Replicas) {
     if (replica->Listed.Address != address || replica->Leaving == leaving)
--- a/src/daemon/backend_task.h
+++ b/src/daemon/backend_task.h
@@ -83,6 +83,9 @@
   /// replicas of the service.
   void setConnectionShare(std::string_view service, std::uint32_t share);
 
+  /// Most connections to one replica of the service.
+  std::uint32_t mostConnections(std::string_view service) const;
+
   /// The VM list says that the replica at `address` is leaving, or not.
   void setLeaving(std::string_view address, bool leaving);
 
--- a/src/daemon/fleet_task.cc
+++ b/src/daemon/fleet_task.cc
@@ -212,11 +212,10 @@
     } else if (const auto *change =
                    std::get_if<coordination::MemberChanged>(&action)) {
       changed = true;
-      state::log::info(
-          "member_changed",
-          {{"member", change->Id.Vm},
-           {"instance", change->Id.Instance},
-           {"state", coordination::memberStateName(change->State)}});
+      state::log::info("member_changed",
+                       {{"member", change->Id.Vm},
+                        {"instance", change->Id.Instance},
+                        {"state", protocol::memberStateName(change->State)}});
     } else if (const auto *pause =
                    std::get_if<coordination::LocalPause>(&action)) {
       state::log::warning("process_paused",
--- /dev/null
+++ b/src/daemon/share_task.h
@@ -0,0 +1,84 @@
+#ifndef GALENAFLOW_DAEMON_SHARE_TASK_H
+#define GALENAFLOW_DAEMON_SHARE_TASK_H
+
+#include "coordination/share_ledger.h"
+#include "daemon/admission_task.h"
+#include "daemon/backend_task.h"
+#include "daemon/fleet_task.h"
+#include "daemon/published_lists.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace galenaflow::daemon {
+
+/// This daemon's part of one plan's limits.
+struct PlanShareStatus {
+  std::string Plan;
+  double RateLimit = 0;     ///< of the whole fleet, requests per second
+  double RateAllowance = 0; ///< of this daemon now
+  std::uint64_t ConcurrencyLimit = 0;
+  std::uint64_t ConcurrencyAllowance = 0;
+  std::uint64_t ConcurrencyLent = 0;
+};
+
+/// Owns the share ledger. Tells it the lists and the demand, and hands its
+/// allowances to admission and to the connection pools.
+class ShareTask final : public ConcurrencyShares {
+public:
+  ShareTask(transport::EventLoop &loop, FleetTask &fleet, PublishedLists &lists,
+            AdmissionTask &admission, BackendTask &backends,
+            const coordination::MemberId &self,
+            coordination::ShareLedgerOptions options);
+
+  /// Drives the ledger. Call on each tick of the fleet task.
+  void tick(state::TimePoint now);
+
+  /// After a pause: what was borrowed has ended.
+  void onPause();
+
+  /// Gives borrowed units back before the process stops.
+  void stopBorrowing();
+
+  /// Whether every listed daemon respects this daemon's share.
+  bool isEntitled() const { return Ledger.isEntitled(); }
+
+  std::vector<PlanShareStatus> status() const;
+
+  std::uint64_t acquire(std::string_view plan, state::TimePoint until) override;
+  void release(std::uint64_t hold) override;
+
+private:
+  struct PlanState {
+    double Rate = 0; ///< smoothed arrivals per second
+    state::TimePoint LookedAt;
+  };
+
+  void onListChange(std::string_view key);
+  void setLimits();
+  void applyVmList();
+  void updateDemand(const state::Plan &plan, state::TimePoint now);
+  void updateAllowance(const state::Plan &plan, state::TimePoint now);
+  void updateConnections(const state::Service &service, state::TimePoint now);
+  void send(const std::vector<coordination::SendMessage> &messages);
+
+  transport::EventLoop &Loop;
+  FleetTask &Fleet;
+  PublishedLists &Lists;
+  AdmissionTask &Admission;
+  BackendTask &Backends;
+  coordination::ShareLedger Ledger;
+  std::map<std::string, PlanState, std::less<>> Plans;
+  std::map<std::string, std::vector<coordination::ShareHold>, std::less<>>
+      ConnectionHolds; ///< one unit each, by service
+  std::unordered_map<std::uint64_t, coordination::ShareHold> Holds;
+  std::uint64_t LastHold = 0;
+};
+
+} // namespace galenaflow::daemon
+
+#endif
--- a/src/protocol/fleet_messages.cc
+++ b/src/protocol/fleet_messages.cc
@@ -20,13 +20,13 @@
 using state::Result;
 
 enum class Type : std::uint16_t {
-  Ping = 1,
-  PingRequest = 2,
-  PingAck = 3,
-  ConfigValue = 10,
-  ConfigPull = 11,
-  ConfigDigest = 12,
-  ShareExchange = 20,
+  Ping = 21,
+  PingRequest = 22,
+  PingAck = 23,
+  ConfigValue = 31,
+  ConfigPull = 32,
+  ConfigDigest = 33,
+  ShareExchange = 41,
 };
 
 Offset<flatbuffers::Vector<std::uint8_t>> pack(FlatBufferBuilder &builder,
@@ -272,6 +272,20 @@
   return "customers";
 }
 
+std::string_view memberStateName(MemberState state) {
+  switch (state) {
+  case MemberState::Alive:
+    return "alive";
+  case MemberState::Suspect:
+    return "suspect";
+  case MemberState::Dead:
+    return "dead";
+  case MemberState::Left:
+    return "left";
+  }
+  return "dead";
+}
+
 std::uint16_t fleetMessageType(const FleetBody &body) {
   constexpr std::array types{Type::Ping,         Type::PingRequest,
                              Type::PingAck,      Type::ConfigValue,
--- a/src/protocol/fleet_messages.h
+++ b/src/protocol/fleet_messages.h
@@ -25,6 +25,9 @@
 
 enum class MemberState : std::uint8_t { Alive, Suspect, Dead, Left };
 
+/// "alive", "suspect", "dead" or "left".
+std::string_view memberStateName(MemberState state);
+
 struct MemberUpdate {
   MemberId Id;
   std::string Address;
@@ -136,7 +139,8 @@
 inline constexpr std::size_t MaxFleetMessageBytes =
     MaxConfigValueBytes + (64U << 10U);
 
-/// Type numbers on the wire, 1 to 99: the frame of the peer link carries them.
+/// Type numbers on the wire, 16 to 99; the frame of the peer link carries them,
+/// and uses lower ones itself.
 std::uint16_t fleetMessageType(const FleetBody &body);
 
 std::vector<std::uint8_t> encodeFleetMessage(const FleetMessage &message);
