--- /dev/null
+++ b/tests/write_model_test.cc
@@ -0,0 +1,407 @@
+#include "coordination/write_registry.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <memory>
+#include <queue>
+
+// Random schedules of daemons that run the write registry over a network with
+// loss, delay, duplicates and partitions, while daemons are paused, killed,
+// replaced and retired and lists arrive late. The checker reads a journal of
+// what ran. Times are shorter than in production, in the same order.
+
+using namespace galenaflow;
+using namespace galenaflow::coordination;
+using namespace std::chrono_literals;
+using state::Duration;
+
+namespace {
+
+constexpr auto Step = 50ms;
+
+/// Schedules in one run; WRITE_MODEL_SEEDS sets another number for long runs.
+int seedCount() {
+  const char *text = std::getenv("WRITE_MODEL_SEEDS");
+  return text == nullptr ? 300 : std::atoi(text);
+}
+constexpr int WeakSeeds = 1500;
+
+struct World;
+
+struct SkewedClock final : state::Clock {
+  const state::ManualClock &True;
+  std::chrono::milliseconds Skew;
+  SkewedClock(const state::ManualClock &clock, std::chrono::milliseconds skew)
+      : True(clock), Skew(skew) {}
+  state::TimePoint now() const override { return True.now(); }
+  state::WallMillis wallNow() const override { return True.wallNow() + Skew; }
+};
+
+struct Node {
+  WriteMember Id;
+  SkewedClock Clock;
+  WriteRegistry Registry;
+  state::TimePoint PausedUntil;
+  state::TimePoint KillAt = state::TimePoint::max();
+  std::uint64_t ListVersion = 0;
+  bool Retiring = false;
+  Node(WriteMember id, const state::ManualClock &clock,
+       std::chrono::milliseconds skew, std::mt19937_64 &random,
+       const WriteRegistryOptions &options)
+      : Id(std::move(id)), Clock(clock, skew),
+        Registry(Id, Clock, random, options) {}
+};
+
+struct Event {
+  state::TimePoint At;
+  std::uint64_t Order;
+  WriteMember To;
+  std::function<void(Node &)> Do;
+  bool operator<(const Event &other) const {
+    return std::tie(At, Order) > std::tie(other.At, other.Order);
+  }
+};
+
+struct Tally {
+  int Runs = 0;
+  int Completed = 0;
+  int NotRun = 0;
+  std::string Fault;
+};
+
+struct World {
+  std::mt19937_64 Random;
+  WriteRegistryOptions Options;
+  state::ManualClock Clock;
+  std::map<std::string, std::unique_ptr<Node>> Nodes; // by VM id
+  std::vector<WriteMemberList> Lists;
+  std::priority_queue<Event> Events;
+  std::uint64_t Order = 0;
+  int Instances = 0;
+  std::map<std::string, int> Side; // partition
+  std::vector<WriteKey> Keys;
+  std::map<WriteKey, int> Journal;
+  std::map<SubmissionId, WriteKey> Submissions;
+  SubmissionId LastSubmission = 0;
+  bool Faults = true;
+  Tally Result;
+
+  World(std::uint64_t seed, const WriteRegistryOptions &options, bool faults)
+      : Random(seed), Options(options), Faults(faults) {
+    const auto n = 3 + pick(6);
+    for (std::size_t i = 0; i != n; ++i)
+      start("vm-" + std::to_string(i), "");
+    publish();
+  }
+
+  std::size_t pick(std::size_t n) { return Random() % n; }
+  bool chance(double p) {
+    return Faults && std::uniform_real_distribution<>(0, 1)(Random) < p;
+  }
+  Duration upTo(Duration d) {
+    return Duration(static_cast<std::int64_t>(
+        pick(static_cast<std::size_t>(d.count()) + 1)));
+  }
+  Node &anyNode() {
+    const auto n = static_cast<std::ptrdiff_t>(pick(Nodes.size()));
+    return *std::next(Nodes.begin(), n)->second;
+  }
+
+  void start(const std::string &vm, const std::string &instance) {
+    const auto skew = std::chrono::milliseconds(pick(900)) - 450ms;
+    const WriteMember id{
+        vm, instance.empty() ? "i-" + std::to_string(++Instances) : instance};
+    Nodes[vm] = std::make_unique<Node>(id, Clock, skew, Random, Options);
+  }
+
+  void publish() {
+    WriteMemberList list{Lists.size() + 1, {}};
+    for (const auto &it : Nodes)
+      if (it.second->KillAt == state::TimePoint::max())
+        list.Members.push_back(it.second->Id);
+    if (!list.Members.empty())
+      Lists.push_back(list);
+  }
+
+  void fail(const std::string &text) {
+    if (Result.Fault.empty())
+      Result.Fault = text;
+  }
+
+  void later(Duration delay, const WriteMember &to,
+             std::function<void(Node &)> task) {
+    Events.push({Clock.now() + delay, ++Order, to, std::move(task)});
+  }
+
+  void perform(Node &node) {
+    for (WriteAction &action : node.Registry.takeActions()) {
+      if (auto *message = std::get_if<SendWriteMessage>(&action))
+        deliver(node, *message);
+      else if (auto *run = std::get_if<RunWrite>(&action))
+        connect(node, *run);
+      else
+        check(std::get<AnswerWrite>(action));
+    }
+  }
+
+  void deliver(const Node &from, const SendWriteMessage &sent) {
+    if (Side[from.Id.VmId] != Side[sent.To.VmId] || chance(0.03))
+      return;
+    // The codec is a part of the path for a sample of the messages.
+    WriteMessage message = sent.Message;
+    if (pick(32) == 0) {
+      const auto decoded =
+          protocol::decodeWriteMessage(static_cast<std::uint16_t>(message.Type),
+                                       protocol::encodeWriteMessage(message));
+      if (!decoded)
+        return fail("message does not survive the codec");
+      message = *decoded;
+    }
+    const int copies = chance(0.05) ? 2 : 1;
+    for (int i = 0; i != copies; ++i)
+      later(chance(0.05) ? upTo(1500ms) : upTo(20ms), sent.To,
+            [id = from.Id, message](Node &to) {
+              to.Registry.receive(id, message);
+            });
+  }
+
+  void connect(const Node &node, const RunWrite &run) {
+    if (chance(0.1)) // the process stops between the grants and the send
+      Nodes[node.Id.VmId]->PausedUntil = Clock.now() + upTo(20s);
+    later(upTo(100ms), node.Id, [this, run](Node &self) {
+      if (!self.Registry.beginRun(run.Key, run.Attempt))
+        return;
+      const bool isRefused = chance(0.1); // X-Not-Run
+      if (!isRefused)
+        record(run.Key);
+      const RunResult result = isRefused     ? RunResult::NotRun
+                               : chance(0.2) ? RunResult::Unknown
+                                             : RunResult::Ran;
+      later(upTo(200ms), self.Id, [run, result](Node &node) {
+        node.Registry.finishRun(run.Key, run.Attempt, result, 200, "done");
+      });
+    });
+  }
+
+  void record(const WriteKey &key) {
+    ++Result.Runs;
+    if (++Journal[key] > 1)
+      fail("a key ran twice");
+    if (Clock.wallNow() - key.issuedAt() >
+        Options.KeyLifetime + 2 * Options.ClockSkew)
+      fail("a key ran after it expired");
+  }
+
+  void check(const AnswerWrite &answered) {
+    const WriteKey key = Submissions.at(answered.Submission);
+    const bool ran = Journal.contains(key);
+    if (answered.Answer.NotRun && ran)
+      fail("not_run was said of a key that ran");
+    if (answered.Answer.Kind == WriteAnswerKind::Completed && !ran)
+      fail("ran was said of a key that did not run");
+    Result.NotRun += answered.Answer.NotRun ? 1 : 0;
+    Result.Completed +=
+        answered.Answer.Kind == WriteAnswerKind::Completed ? 1 : 0;
+  }
+
+  void submit() {
+    Node &node = anyNode();
+    if (Keys.empty() || pick(3) == 0)
+      Keys.push_back(
+          protocol::makeWriteKey(node.Clock.wallNow(), Random(), Random()));
+    const std::size_t recent = std::min<std::size_t>(Keys.size(), 4);
+    const WriteKey key = Keys[Keys.size() - 1 - pick(recent)];
+    Submissions[++LastSubmission] = key;
+    later(upTo(50ms), node.Id, [id = LastSubmission, key](Node &self) {
+      self.Registry.submit(id, key, "body");
+    });
+  }
+
+  void replace(Node &node) {
+    const std::string vm = node.Id.VmId;
+    const std::string instance = node.Id.Instance;
+    switch (pick(4)) {
+    case 0: // the process restarts on its VM
+      start(vm, instance);
+      return;
+    case 1: // killed and replaced under the same VM id
+      start(vm, "");
+      publish();
+      return;
+    case 2: // leaves the list first and stops within the hold time
+      if (Nodes.size() > 3) {
+        node.KillAt = Clock.now() + upTo(3s);
+        publish();
+      }
+      return;
+    default:
+      node.Retiring = true;
+      node.Registry.retire();
+    }
+  }
+
+  void inject() {
+    if (chance(0.01))
+      for (const auto &it : Nodes)
+        Side[it.first] = static_cast<int>(pick(2));
+    if (chance(0.03))
+      Side.clear();
+    if (chance(0.01))
+      anyNode().PausedUntil = Clock.now() + upTo(5s);
+    if (chance(0.015))
+      replace(anyNode());
+    if (chance(0.006) && Nodes.size() < 8) {
+      start("vm-" + std::to_string(100 + Instances), "");
+      publish();
+    }
+    if (chance(0.001))
+      anyNode().Clock.Skew += std::chrono::milliseconds(pick(6000)) - 3000ms;
+  }
+
+  void stepNode(Node &node) {
+    if (node.PausedUntil > Clock.now())
+      return;
+    // Lists arrive late, and some versions are skipped.
+    if (node.ListVersion < Lists.size() && (pick(8) == 0 || !Faults) &&
+        Side[node.Id.VmId] == 0) {
+      node.ListVersion = Lists.size();
+      node.Registry.updateList(Lists.back());
+    }
+    node.Registry.tick();
+    perform(node);
+  }
+
+  void dispatch() {
+    while (!Events.empty() && Events.top().At <= Clock.now()) {
+      const Event event = Events.top();
+      Events.pop();
+      const auto it = Nodes.find(event.To.VmId);
+      if (it == Nodes.end() || it->second->Id != event.To)
+        continue;
+      Node &node = *it->second;
+      if (node.PausedUntil > Clock.now()) {
+        Events.push({node.PausedUntil, event.Order, event.To, event.Do});
+        continue;
+      }
+      event.Do(node);
+      perform(node);
+    }
+  }
+
+  void endLives() {
+    std::vector<std::string> ended;
+    for (const auto &it : Nodes)
+      if (it.second->KillAt <= Clock.now())
+        ended.push_back(it.first);
+    for (const std::string &vm : ended)
+      Nodes.erase(vm);
+    for (const auto &it : Nodes) {
+      if (!it.second->Retiring || !it.second->Registry.isHandedOver())
+        continue;
+      start(it.first, "");
+      publish();
+      return;
+    }
+  }
+
+  Tally run(Duration span) {
+    for (Duration t{0}; t < span && Result.Fault.empty(); t += Step) {
+      Clock.advance(Step);
+      inject();
+      if (pick(3) == 0)
+        submit();
+      dispatch();
+      endLives();
+      for (const auto &it : Nodes)
+        stepNode(*it.second);
+    }
+    return Result;
+  }
+};
+
+WriteRegistryOptions modelOptions() {
+  WriteRegistryOptions options;
+  options.KeyLifetime = 10s;
+  options.ClockSkew = 1s;
+  options.RemovedHold = 4s;
+  return options;
+}
+
+/// Number of seeds with a fault; `fault` receives the first.
+int countFaults(const WriteRegistryOptions &options, int seeds,
+                std::string &fault, Tally &sum, bool untilFirst = false) {
+  int faults = 0;
+  for (int seed = 1; seed <= seeds; ++seed) {
+    const Tally tally =
+        World(static_cast<std::uint64_t>(seed), options, true).run(40s);
+    sum.Runs += tally.Runs;
+    sum.Completed += tally.Completed;
+    sum.NotRun += tally.NotRun;
+    if (tally.Fault.empty())
+      continue;
+    if (++faults == 1)
+      fault = "seed " + std::to_string(seed) + ": " + tally.Fault;
+    if (untilFirst)
+      break;
+  }
+  return faults;
+}
+
+} // namespace
+
+TEST_CASE("no schedule runs a key twice or gives a false answer") {
+  std::string fault;
+  Tally sum;
+  CHECK(countFaults(modelOptions(), seedCount(), fault, sum) == 0);
+  INFO(fault);
+  CHECK(fault.empty());
+  // Guards against a check that passes because nothing runs.
+  CHECK(sum.Runs > 2000);
+  CHECK(sum.NotRun > 100);
+  WARN("runs " << sum.Runs << ", completed answers " << sum.Completed
+               << ", not_run answers " << sum.NotRun);
+}
+
+TEST_CASE("without faults nearly all keys run") {
+  World world(5, modelOptions(), false);
+  const Tally tally = world.run(60s);
+  CHECK(tally.Fault.empty());
+  // Keys issued within the skew of the start are abstained from.
+  CHECK(tally.Runs * 10 > static_cast<int>(world.Keys.size()) * 8);
+}
+
+TEST_CASE("the check finds weakened rules") {
+  WriteRegistryOptions options = modelOptions();
+  SECTION("majority of the newest list only") {
+    options.Weak.NewestListOnly = true;
+  }
+  SECTION("no abstention after a restart") { options.Weak.NoAbstention = true; }
+  SECTION("no check of the grants' validity") {
+    options.Weak.NoValidityCheck = true;
+  }
+  std::string fault;
+  Tally sum;
+  CHECK(countFaults(options, WeakSeeds, fault, sum, true) > 0);
+  WARN(fault);
+}
+
+TEST_CASE("altered messages are rejected or decoded, never misread") {
+  std::mt19937_64 random(3);
+  WriteMessage message;
+  message.Type = protocol::WriteMessageType::GrantReply;
+  message.Holder = WriteHolder{{"vm", "i"}, 4, "hash"};
+  message.Knowledge.Lists = {{3, {{"vm", "i"}}}};
+  const std::string bytes = protocol::encodeWriteMessage(message);
+  for (int round = 0; round != 5000; ++round) {
+    std::string altered = bytes.substr(0, random() % (bytes.size() + 1));
+    if (!altered.empty())
+      altered[random() % altered.size()] = static_cast<char>(random());
+    protocol::decodeWriteMessage(101, altered);
+  }
+  const auto key = protocol::makeWriteKey(state::WallMillis(1'700'000'000'123),
+                                          random(), random());
+  CHECK(protocol::parseWriteKey(protocol::writeKeyText(key)) == key);
+  CHECK(key.issuedAt().count() == 1'700'000'000'123);
+  CHECK_FALSE(protocol::parseWriteKey("00000000-0000-4000-8000-000000000000"));
+}
