--- /dev/null
+++ b/src/protocol/records_messages.cc
@@ -0,0 +1,79 @@
+#include "protocol/records_messages.h"
+
+#include "protocol/records_fb.h"
+
+// All messages share one table, of which each type sets some fields. Bytes from
+// peers are checked by the FlatBuffers verifier first and against the limits
+// afterwards.
+
+namespace galenaflow::protocol {
+
+using state::ErrorCode;
+using state::makeError;
+
+namespace {
+
+std::string textOf(const flatbuffers::String *text) {
+  return text == nullptr ? std::string() : text->str();
+}
+
+bool unpackRecords(const fb::RecordMessage &in, RecordMessage &out) {
+  if (in.records() == nullptr)
+    return true;
+  if (in.records()->size() > MaxRecordsPerMessage)
+    return false;
+  for (const fb::Record *record : *in.records()) {
+    FinishedRecord &target = out.Records.emplace_back(
+        FinishedRecord{textOf(record->id()), textOf(record->bytes())});
+    if (target.Id.size() > MaxRecordIdBytes ||
+        target.Bytes.size() > MaxRecordBytes)
+      return false;
+  }
+  return true;
+}
+
+} // namespace
+
+bool isRecordMessageType(std::uint16_t type) {
+  return type >= static_cast<std::uint16_t>(RecordMessageType::Batch) &&
+         type <= static_cast<std::uint16_t>(RecordMessageType::Found);
+}
+
+std::string encodeRecordMessage(const RecordMessage &message) {
+  flatbuffers::FlatBufferBuilder b;
+  std::vector<flatbuffers::Offset<fb::Record>> items;
+  for (const FinishedRecord &record : message.Records) {
+    const auto id = b.CreateString(record.Id);
+    items.push_back(fb::CreateRecord(b, id, b.CreateString(record.Bytes)));
+  }
+  const auto records = b.CreateVector(items);
+  const auto id = b.CreateString(message.Id);
+  b.Finish(fb::CreateRecordMessage(b, message.Sequence, records, message.Query,
+                                   id, message.ReachMs));
+  return {reinterpret_cast<const char *>(b.GetBufferPointer()), b.GetSize()};
+}
+
+state::Result<RecordMessage> decodeRecordMessage(std::uint16_t type,
+                                                 std::string_view bytes) {
+  // FlatBuffers reads numbers in place, which needs aligned memory.
+  std::vector<std::uint64_t> aligned(bytes.size() / sizeof(std::uint64_t) + 1);
+  bytes.copy(reinterpret_cast<char *>(aligned.data()), bytes.size());
+  const auto *data = reinterpret_cast<const std::uint8_t *>(aligned.data());
+  flatbuffers::Verifier verifier(data, bytes.size());
+  RecordMessage out;
+  if (!isRecordMessageType(type) ||
+      !verifier.VerifyBuffer<fb::RecordMessage>(nullptr))
+    return makeError(ErrorCode::InvalidArgument, "malformed record message");
+  const auto &in = *flatbuffers::GetRoot<fb::RecordMessage>(data);
+  out.Type = static_cast<RecordMessageType>(type);
+  out.Sequence = in.sequence();
+  out.Query = in.query();
+  out.Id = textOf(in.id());
+  out.ReachMs = in.reach_ms();
+  if (!unpackRecords(in, out) || out.Id.size() > MaxRecordIdBytes)
+    return makeError(ErrorCode::InvalidArgument,
+                     "record message above a limit");
+  return out;
+}
+
+} // namespace galenaflow::protocol
--- /dev/null
+++ b/src/protocol/records_messages.h
@@ -0,0 +1,52 @@
+#ifndef GALENAFLOW_PROTOCOL_RECORDS_MESSAGES_H
+#define GALENAFLOW_PROTOCOL_RECORDS_MESSAGES_H
+
+#include "state/error.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace galenaflow::protocol {
+
+/// The record of one finished request; the bytes are not interpreted here.
+struct FinishedRecord {
+  std::string Id;
+  std::string Bytes;
+
+  bool operator==(const FinishedRecord &) const = default;
+};
+
+enum class RecordMessageType : std::uint16_t {
+  Batch = 200, ///< Records, the first of which has number Sequence
+  Ack = 201,   ///< all records up to Sequence are stored
+  Find = 202,  ///< asks for the records with Id
+  Found = 203, ///< Records, and how far back the answering daemon reaches
+};
+
+/// One message; the type tells which fields have a meaning.
+struct RecordMessage {
+  RecordMessageType Type = RecordMessageType::Batch;
+  std::uint64_t Sequence = 0;
+  std::vector<FinishedRecord> Records;
+  std::uint64_t Query = 0; ///< copied from Find to Found
+  std::string Id;
+  std::uint64_t ReachMs = 0; ///< age of the oldest moment fully covered
+};
+
+constexpr std::size_t MaxRecordBytes = 64U << 10;
+constexpr std::size_t MaxRecordIdBytes = 64;
+constexpr std::size_t MaxRecordsPerMessage = 4096;
+
+bool isRecordMessageType(std::uint16_t type);
+std::string encodeRecordMessage(const RecordMessage &message);
+
+/// Error: InvalidArgument for bytes that fail verification or break a limit.
+state::Result<RecordMessage> decodeRecordMessage(std::uint16_t type,
+                                                 std::string_view bytes);
+
+} // namespace galenaflow::protocol
+
+#endif
