--- /dev/null
+++ b/tests/drain_test.cc
@@ -0,0 +1,55 @@
+#include "coordination/drain.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace galenaflow;
+using namespace galenaflow::coordination;
+using namespace std::chrono_literals;
+
+TEST_CASE("a stop keeps its order, its bounds and ignores further signals") {
+  for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+    std::mt19937_64 random(seed);
+    state::ManualClock clock;
+    Drain drain(clock, {});
+    CHECK(drain.isHealthy());
+    REQUIRE(drain.requestStop().FailHealth);
+    const auto started = clock.now();
+    DrainProgress progress{random() % 5, false, false, false};
+    const bool isStuck = random() % 4 == 0;
+    bool exited = false;
+    int exits = 0;
+    DrainPhase last = drain.phase();
+    for (int i = 0; i != 800; ++i) {
+      clock.advance(100ms);
+      if (random() % 10 == 0) // a second signal
+        CHECK_FALSE(drain.requestStop().FailHealth);
+      const DrainActions actions = drain.tick(progress);
+      CHECK(drain.phase() >= last);
+      last = drain.phase();
+      const auto elapsed = clock.now() - started;
+      if (actions.HandOverLeases || actions.HandOverGrants || actions.Exit)
+        CHECK(elapsed >= 5s);
+      if (actions.Exit) {
+        ++exits;
+        exited = true;
+        const bool isLate = elapsed >= 65s;
+        CHECK((isLate ||
+               (progress.OpenRequests == 0 && progress.RecordsCopied &&
+                progress.GrantsHandedOver && progress.LeasesHandedOver)));
+        CHECK(elapsed <= 65s);
+      }
+      if (actions.HandOverLeases && random() % 3 == 0)
+        progress.LeasesHandedOver = !isStuck;
+      if (actions.HandOverGrants && random() % 3 == 0)
+        progress.GrantsHandedOver = true;
+      if (actions.CopyRecords && random() % 3 == 0)
+        progress.RecordsCopied = true;
+      if (progress.OpenRequests != 0 && random() % 20 == 0)
+        --progress.OpenRequests;
+    }
+    CHECK(exited);
+    CHECK(exits == 1);
+    CHECK(drain.isCutShort() == isStuck);
+  }
+}
