--- a/tests/standin/backend_replica.cc
+++ b/tests/standin/backend_replica.cc
@@ -1,5 +1,6 @@
 #include "standin/backend_replica.h"
 
+#include "standin/knob_reader.h"
 #include "standin/listing_data.h"
 
 #include <algorithm>
@@ -64,49 +65,6 @@
   return parent.size() >= 35 ? parent.substr(3, 32) : std::string();
 }
 
-/// Reads one knob from JSON; the fault text is empty when the type fits.
-struct KnobReader {
-  const json &Changes;
-  std::string Fault;
-  std::size_t Used = 0;
-
-  const json *find(const char *name) {
-    const auto it = Changes.find(name);
-    if (it == Changes.end())
-      return nullptr;
-    ++Used;
-    return &*it;
-  }
-  void read(const char *name, double &value) {
-    const json *item = find(name);
-    if (item != nullptr && item->is_number())
-      value = item->get<double>();
-    else if (item != nullptr)
-      Fault = std::string(name) + " must be a number";
-  }
-  void read(const char *name, std::uint32_t &value) {
-    const json *item = find(name);
-    if (item != nullptr && item->is_number_unsigned())
-      value = item->get<std::uint32_t>();
-    else if (item != nullptr)
-      Fault = std::string(name) + " must be a non-negative integer";
-  }
-  void read(const char *name, bool &value) {
-    const json *item = find(name);
-    if (item != nullptr && item->is_boolean())
-      value = item->get<bool>();
-    else if (item != nullptr)
-      Fault = std::string(name) + " must be true or false";
-  }
-  void read(const char *name, std::string &value) {
-    const json *item = find(name);
-    if (item != nullptr && item->is_string())
-      value = item->get<std::string>();
-    else if (item != nullptr)
-      Fault = std::string(name) + " must be a string";
-  }
-};
-
 void readKnobs(KnobReader &in, ReplicaKnobs &knobs) {
   in.read("slots", knobs.Slots);
   in.read("queue_limit", knobs.QueueLimit);
--- /dev/null
+++ b/tests/standin/standin_platform_main.cc
@@ -0,0 +1,7 @@
+#include "standin/platform_process.h"
+#include "standin/program_main.h"
+
+int main(int argc, char **argv) {
+  using namespace galenaflow::standin;
+  return runProgram<PlatformProcess>(argc, argv);
+}
