--- a/src/coordination/write_registry.cc
+++ b/src/coordination/write_registry.cc
@@ -611,14 +611,16 @@
   checkWallClock();
   const auto it = Entries.find(key);
   if (it == Entries.end() || it->second.Attempt != attempt ||
-      it->second.State != EntryState::Ready)
+      (it->second.State != EntryState::Ready &&
+       it->second.State != EntryState::Running))
     return false;
   Entry &entry = it->second;
   const bool isValid = Time.now() - entry.Asked <= Options.GrantValidity &&
                        Time.now() < entry.Expires && isInLifetime(key);
   if ((!isValid && !Options.Weak.NoValidityCheck) ||
       !coversLists(entry, false)) {
-    giveUp(it);
+    if (entry.State == EntryState::Ready)
+      giveUp(it);
     return false;
   }
   entry.State = EntryState::Running;
--- a/src/coordination/write_registry.h
+++ b/src/coordination/write_registry.h
@@ -104,7 +104,9 @@
               const std::string &bodyHash);
 
   /// Call right before the first byte may leave for a backend server. On false
-  /// nothing may be sent; the submissions are answered by the registry.
+  /// nothing may be sent; the submissions are answered by the registry. Call it
+  /// again before another try that follows proof that the try before did not
+  /// run; on false finishRun() with NotRun must follow.
   bool beginRun(const WriteKey &key, std::uint64_t attempt);
 
   /// The end of a run, or of the try to start one (with NotRun).
--- a/src/daemon/backend_task.h
+++ b/src/daemon/backend_task.h
@@ -50,6 +50,9 @@
 
   /// Sent to the backend server when the call is cancelled; may be empty.
   std::string SubRequestId;
+
+  /// Asked right before the first byte may leave; may be empty.
+  transport::SendGate Gate;
 };
 
 /// Identifies an open call. Zero names none.
--- a/src/daemon/fleet_task.cc
+++ b/src/daemon/fleet_task.cc
@@ -59,14 +59,7 @@
       Network(loop, networkOptions(Options),
               {[this](const transport::PeerIdentity &peer) { onUp(peer); },
                [this](const transport::PeerIdentity &peer,
-                      transport::LinkClose reason) {
-                 Linked.erase(idOf(peer));
-                 state::log::info(
-                     "peer_link_down",
-                     {{"peer", peer.VmId},
-                      {"instance", peer.Instance},
-                      {"reason", transport::linkCloseName(reason)}});
-               },
+                      transport::LinkClose reason) { onDown(peer, reason); },
                [this](const transport::PeerIdentity &peer, std::uint16_t type,
                       std::string_view payload) {
                  onMessage(peer, type, payload);
@@ -169,6 +162,19 @@
   state::log::info("peer_link_up", {{"peer", peer.VmId},
                                     {"instance", peer.Instance},
                                     {"address", peer.Address}});
+  for (const auto &callback : LinkChanged)
+    callback(peer, true);
+}
+
+void FleetTask::onDown(const transport::PeerIdentity &peer,
+                       transport::LinkClose reason) {
+  Linked.erase(idOf(peer));
+  state::log::info("peer_link_down",
+                   {{"peer", peer.VmId},
+                    {"instance", peer.Instance},
+                    {"reason", transport::linkCloseName(reason)}});
+  for (const auto &callback : LinkChanged)
+    callback(peer, false);
 }
 
 void FleetTask::onMessage(const transport::PeerIdentity &peer,
--- a/src/daemon/fleet_task.h
+++ b/src/daemon/fleet_task.h
@@ -70,6 +70,12 @@
     Ticked = std::move(callback);
   }
 
+  /// Called when a link to a daemon comes up or goes down.
+  void onLink(std::function<void(const transport::PeerIdentity &, bool isUp)>
+                  callback) {
+    LinkChanged.push_back(std::move(callback));
+  }
+
   /// Called with each exchange about shares.
   void onShares(std::function<void(const coordination::MemberId &,
                                    const protocol::ShareExchange &)>
@@ -113,6 +119,7 @@
 
   void tick();
   void onUp(const transport::PeerIdentity &peer);
+  void onDown(const transport::PeerIdentity &peer, transport::LinkClose reason);
   void onMessage(const transport::PeerIdentity &peer, std::uint16_t type,
                  std::string_view payload);
   void onFleetMessage(const transport::PeerIdentity &peer, std::uint16_t type,
@@ -137,6 +144,8 @@
   std::vector<Route> Routes;
   transport::TimerId Timer = 0;
   bool WasReady = false;
+  std::vector<std::function<void(const transport::PeerIdentity &, bool)>>
+      LinkChanged;
   std::function<void()> Ready;
   std::function<void()> Paused;
   std::function<void(state::TimePoint)> Ticked;
--- a/src/daemon/operator_service.cc
+++ b/src/daemon/operator_service.cc
@@ -89,8 +89,8 @@
 }
 
 HttpResponse OperatorService::status() const {
-  const auto uptime = std::chrono::duration_cast<std::chrono::seconds>(
-      Loop.now() - Started);
+  const auto uptime =
+      std::chrono::duration_cast<std::chrono::seconds>(Loop.now() - Started);
   const coordination::ConfigDistribution &config = Sources.Fleet.config();
   json body;
   body["daemon"] = Sources.DaemonId;
@@ -121,13 +121,12 @@
                           nullptr, false);
   body["shares"] = json::array();
   for (const PlanShareStatus &row : Sources.Shares.status())
-    body["shares"].push_back(
-        {{"plan", row.Plan},
-         {"rate_limit", row.RateLimit},
-         {"rate_here", row.RateAllowance},
-         {"concurrency_limit", row.ConcurrencyLimit},
-         {"concurrency_here", row.ConcurrencyAllowance},
-         {"concurrency_lent", row.ConcurrencyLent}});
+    body["shares"].push_back({{"plan", row.Plan},
+                              {"rate_limit", row.RateLimit},
+                              {"rate_here", row.RateAllowance},
+                              {"concurrency_limit", row.ConcurrencyLimit},
+                              {"concurrency_here", row.ConcurrencyAllowance},
+                              {"concurrency_lent", row.ConcurrencyLent}});
   return respond(200, body);
 }
 
--- a/src/daemon/record_task.cc
+++ b/src/daemon/record_task.cc
@@ -19,10 +19,9 @@
   for (const state::RequestRecord *record : Ring.find(idOrKey))
     lookup.Records.push_back(*record);
   const bool found = !lookup.Records.empty();
-  Loop.post([callback = std::move(callback), found,
-             body = protocol::renderRecordLookup(lookup)] {
-    callback(found, body);
-  });
+  Loop.post(
+      [callback = std::move(callback), found,
+       body = protocol::renderRecordLookup(lookup)] { callback(found, body); });
 }
 
 } // namespace galenaflow::daemon
--- a/src/daemon/sub_request_task.cc
+++ b/src/daemon/sub_request_task.cc
@@ -59,8 +59,10 @@
 SubRequestTask::~SubRequestTask() { Loop.cancel(Timer); }
 
 void SubRequestTask::send(const coordination::SendSubRequest &action,
-                          transport::HttpRequest request) {
+                          transport::HttpRequest request,
+                          transport::SendGate gate) {
   BackendCall call;
+  call.Gate = std::move(gate);
   call.Replica = action.Replica;
   call.Priority = Context.Priority;
   call.DeadlineAt = Loop.now() + action.Timeout;
--- a/src/daemon/sub_request_task.h
+++ b/src/daemon/sub_request_task.h
@@ -37,7 +37,7 @@
 protected:
   /// Sends `request` with the headers that every work request carries.
   void send(const coordination::SendSubRequest &action,
-            transport::HttpRequest request);
+            transport::HttpRequest request, transport::SendGate gate = nullptr);
   void cancel(coordination::SubRequestNumber number);
   void setTimer(state::TimePoint at);
 
--- a/src/transport/backend_pool.cc
+++ b/src/transport/backend_pool.cc
@@ -51,7 +51,8 @@
 }
 
 ExchangeId BackendPool::send(const HttpRequest &request,
-                             state::Duration timeout, HttpCallback callback) {
+                             state::Duration timeout, HttpCallback callback,
+                             SendGate gate) {
   Member *member = findUsable();
   if (member == nullptr)
     return 0;
@@ -59,16 +60,19 @@
   ++Counters.Exchanges;
   member->Exchange = id;
   member->Callback = std::move(callback);
-  member->Connection.send(request, timeout, [this, member](HttpResult result) {
-    const bool timedOut = !result && result.error().Cause.Code ==
-                                         state::ErrorCode::DeadlineExceeded;
-    const HttpCallback done = std::move(member->Callback);
-    member->Callback = nullptr;
-    // The connection is freed first, so that the callback can send again.
-    finished(*member, timedOut);
-    done(std::move(result));
-    announceFree();
-  });
+  member->Connection.send(
+      request, timeout,
+      [this, member](HttpResult result) {
+        const bool timedOut = !result && result.error().Cause.Code ==
+                                             state::ErrorCode::DeadlineExceeded;
+        const HttpCallback done = std::move(member->Callback);
+        member->Callback = nullptr;
+        // The connection is freed first, so that the callback can send again.
+        finished(*member, timedOut);
+        done(std::move(result));
+        announceFree();
+      },
+      std::move(gate));
   return id;
 }
 
--- a/src/transport/backend_pool.h
+++ b/src/transport/backend_pool.h
@@ -56,7 +56,7 @@
   /// `callback` when none is free. After `timeout` the connection is closed and
   /// the idle connections are probed before their next use.
   ExchangeId send(const HttpRequest &request, state::Duration timeout,
-                  HttpCallback callback);
+                  HttpCallback callback, SendGate gate = nullptr);
 
   /// The answer of this exchange is no longer needed. The connection is kept
   /// for reuse if the answer arrives within the grace time; otherwise the
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -68,6 +68,7 @@
   h2o_iovec_t OutgoingBuf{};
   HttpResponse Response;
   HttpCallback Callback;
+  SendGate Gate;
   state::TimePoint LastUsed;
 
   /// Counts exchanges, so that a posted result cannot reach a later exchange.
@@ -142,6 +143,10 @@
     self->fail(ErrorCode::Unavailable, std::string("connect: ") + err);
     return nullptr;
   }
+  if (self->Gate && !self->Gate()) {
+    self->fail(ErrorCode::Cancelled, "not sent");
+    return nullptr;
+  }
   self->MaybeSent = true;
   self->OutgoingBuf =
       h2o_iovec_init(self->Outgoing.data(), self->Outgoing.size());
@@ -211,7 +216,7 @@
 }
 
 void HttpConnection::send(const HttpRequest &request, state::Duration timeout,
-                          HttpCallback callback) {
+                          HttpCallback callback, SendGate gate) {
   Impl &self = *Self;
   self.Busy = true;
   ++self.Exchange;
@@ -220,6 +225,7 @@
   self.Response = HttpResponse{};
   self.Outgoing = encodeRequest(request, self.Authority);
   self.Callback = std::move(callback);
+  self.Gate = std::move(gate);
   self.Deadline = self.Loop.schedule(timeout, [impl = Self.get()] {
     impl->Deadline = 0;
     if (impl->Client != nullptr)
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -22,6 +22,10 @@
 using HttpResult = tl::expected<HttpResponse, HttpFailure>;
 using HttpCallback = std::function<void(HttpResult)>;
 
+/// Asked right before the first byte of a request may leave. When it returns
+/// false, nothing is sent and the exchange fails with Cancelled.
+using SendGate = std::function<bool()>;
+
 /// At most one HTTP/1.1 connection to one address, with one request in flight.
 /// The connection is kept open between requests. The number of these objects
 /// for an address is therefore a bound on the connections to it.
@@ -37,7 +41,7 @@
   /// fails with DeadlineExceeded and the connection is closed. A response that
   /// ends before its announced length fails with Unavailable.
   void send(const HttpRequest &request, state::Duration timeout,
-            HttpCallback callback);
+            HttpCallback callback, SendGate gate = nullptr);
 
   /// Fails the exchange in flight with Cancelled and closes the connection,
   /// because the response can no longer be told from that of a later request.
