Document the caller API and both lists, with schemas

Cause: callers and the operator need the formats, and examples that work. Change: pages for the HTTP API and the lists, JSON schemas, and a test that parses the examples and compares the schema's bounds with the parser. A second test corrupts single bytes of responses. Findings of lint are fixed. Conclusion: of 20,000 corrupt responses, each is refused or yields whole hits.

--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -87,18 +87,17 @@
           renderReport(report, file, invocation.AsJson), ""};
 }
 
-Outcome failedQuery(const Invocation &invocation, const state::Error &error) {
+Outcome failedQuery(const state::Error &error) {
   if (error.Code == state::ErrorCode::InvalidArgument)
     return usageError("--daemon: " + error.Text);
-  return {Exit::Unreachable, "",
-          "galenaflowctl: " + invocation.Daemon + ": " + error.Text + "\n"};
+  return {Exit::Unreachable, "", "galenaflowctl: " + error.Text + "\n"};
 }
 
 Outcome runQuery(const Invocation &invocation, const std::string &path) {
   const auto response =
       getFromDaemon(invocation.Daemon, path, invocation.Timeout);
   if (!response)
-    return failedQuery(invocation, response.error());
+    return failedQuery(response.error());
   const std::string text = invocation.AsJson ? response->Body + "\n"
                                              : renderForPeople(response->Body);
   if (response->Status == 200)
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -23,7 +23,7 @@
 using namespace galenaflow;
 
 std::string daemonAddress() {
-  const std::string flag = absl::GetFlag(FLAGS_daemon);
+  std::string flag = absl::GetFlag(FLAGS_daemon);
   if (!flag.empty())
     return flag;
   const char *variable = std::getenv("GALENAFLOW_OPERATOR");
--- a/src/ctl/render.cc
+++ b/src/ctl/render.cc
@@ -98,6 +98,7 @@
   const std::vector<std::string> columns = columnsOf(rows);
   std::vector<std::vector<std::string>> lines;
   std::vector<std::string> head;
+  head.reserve(columns.size());
   for (const std::string &column : columns)
     head.push_back(withoutControls(column));
   lines.push_back(std::move(head));
--- a/tests/backend_api_test.cc
+++ b/tests/backend_api_test.cc
@@ -133,6 +133,25 @@
   }));
 }
 
+// Guards against corrupt bytes that reach an answer as broken JSON.
+TEST_CASE("a corrupt response is refused or still yields whole hits") {
+  std::mt19937_64 random(20260106);
+  int decoded = 0;
+  for (int i = 0; i != 20'000; ++i) {
+    std::string body = ResponseText;
+    body[random() % body.size()] = static_cast<char>(random());
+    const auto response = decodeShardResponse(body, "s-1", Query);
+    if (!response)
+      continue;
+    ++decoded;
+    REQUIRE(nlohmann::json::accept(*response->Body));
+    for (const BackendHit &hit : response->Hits)
+      REQUIRE(nlohmann::json::parse(hit.Raw)["score"] == hit.Score);
+  }
+  CHECK(decoded > 0);
+  CHECK(decoded < 20'000);
+}
+
 // Guards against record and write responses of another request.
 TEST_CASE("record and write responses are checked") {
   const auto record = decodeRecordResponse(
--- /dev/null
+++ b/tests/docs_test.cc
@@ -0,0 +1,93 @@
+#include "protocol/plan_documents.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+using namespace galenaflow;
+using nlohmann::json;
+
+namespace {
+
+std::string readPage(const char *name) {
+  const auto tests = std::filesystem::path(__FILE__).parent_path();
+  std::ifstream file(tests.parent_path() / "docs" / name);
+  REQUIRE(file);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+/// The fenced JSON blocks of a page.
+std::vector<std::string> jsonBlocks(const std::string &page) {
+  const std::string fence = "```json\n";
+  std::vector<std::string> blocks;
+  for (std::size_t at = page.find(fence); at != std::string::npos;
+       at = page.find(fence, at)) {
+    at += fence.size();
+    blocks.push_back(page.substr(at, page.find("```", at) - at));
+  }
+  return blocks;
+}
+
+json plansExample() {
+  return json::parse(jsonBlocks(readPage("lists.md")).at(0));
+}
+
+bool isValid(const json &plans) {
+  return protocol::parsePlans(plans.dump()).has_value();
+}
+
+/// Checks every bound and requirement of one object schema on the object at
+/// `place` in the example.
+void checkSchema(const json &schema, const std::string &place) {
+  const json::json_pointer pointer(place);
+  for (const auto &[name, rule] : schema["properties"].items()) {
+    INFO(place << " " << name);
+    for (const auto &[bound, step] : {std::pair("minimum", -1), {"maximum", 1}})
+      if (rule.contains(bound)) {
+        json plans = plansExample();
+        plans[pointer][name] = rule[bound];
+        CHECK(isValid(plans));
+        const bool isInteger = rule["type"] == "integer";
+        plans[pointer][name] =
+            isInteger ? json(rule[bound].get<int>() + step)
+                      : json(rule[bound].get<double>() + step * 1e-4);
+        CHECK_FALSE(isValid(plans));
+      }
+    for (const json &value : rule.value("enum", json::array())) {
+      json plans = plansExample();
+      plans[pointer][name] = value;
+      CHECK(isValid(plans));
+    }
+    json plans = plansExample();
+    plans[pointer].erase(name);
+    const json &required = schema["required"];
+    const bool isRequired =
+        std::find(required.begin(), required.end(), name) != required.end();
+    CHECK(isValid(plans) == !isRequired);
+  }
+}
+
+} // namespace
+
+// Guards against examples that an operator copies and that are refused.
+TEST_CASE("the examples of the lists page are valid") {
+  const auto blocks = jsonBlocks(readPage("lists.md"));
+  REQUIRE(blocks.size() == 2);
+  const auto plans = protocol::parsePlans(blocks[0]);
+  REQUIRE(plans);
+  CHECK(protocol::parseCustomers(blocks[1], &*plans));
+  for (const std::string &block : jsonBlocks(readPage("http-api.md")))
+    CHECK(json::accept(block));
+}
+
+// Guards against schemas whose bounds differ from those of the parser.
+TEST_CASE("the plans schema agrees with the parser") {
+  const json schema = json::parse(readPage("plans.schema.json"));
+  checkSchema(schema["$defs"]["plan"], "/plans/0");
+  checkSchema(schema["$defs"]["limits"], "/plans/0/operations/search");
+  const json customers = json::parse(readPage("customers.schema.json"));
+  CHECK(customers["$defs"]["customer"]["required"].size() == 3);
+}
