Count late cancelled sub-requests as latency samples

Hedge losers were not sampled, so hedging cut off the upper part of the distribution that it is derived from. A query or read without remaining time now ends without sending.

--- a/src/coordination/query_collaborators.cc
+++ b/src/coordination/query_collaborators.cc
@@ -15,4 +15,9 @@
   }
 }
 
+bool isLate(const HedgePolicy &policy, Duration elapsed) {
+  const auto p95 = policy.p95();
+  return p95 && elapsed > *p95;
+}
+
 } // namespace galenaflow::coordination
--- a/src/coordination/query_collaborators.h
+++ b/src/coordination/query_collaborators.h
@@ -75,6 +75,11 @@
   virtual bool tryTake() = 0;
 };
 
+/// True when a cancelled sub-request must count as a latency sample: it took
+/// longer than the p95. Without these samples, hedging would cut off the upper
+/// part of the distribution, and the p95 would fall with every hedge.
+bool isLate(const HedgePolicy &policy, Duration elapsed);
+
 class RetryBudget {
 public:
   virtual ~RetryBudget() = default;
--- a/src/coordination/query_execution.cc
+++ b/src/coordination/query_execution.cc
@@ -50,6 +50,10 @@
 QueryActions QueryExecution::start(TimePoint now) {
   StartedAt = now;
   DeadlineAt = now + Options.Deadline;
+  if (now >= DeadlineAt) {
+    finish(state::Error{ErrorCode::DeadlineExceeded, "no time is left"}, now);
+    return std::move(Actions);
+  }
   auto choice = Shared.Snapshots.select(Options.Service, {});
   if (!choice || !choice->Layout || choice->Layout->Shards.empty()) {
     finish(state::Error{ErrorCode::Unavailable,
@@ -187,6 +191,9 @@
 
 void QueryExecution::cancel(SubRequestNumber number, TimePoint now) {
   AnyMayHaveRun = true;
+  const Duration elapsed = now - Attempts[number].SentAt;
+  if (isLate(Shared.Hedging, elapsed))
+    Shared.Hedging.onLatency(elapsed);
   endAttempt(Attempts[number], AttemptOutcome::Cancelled, now);
   Actions.push_back(CancelSubRequest{number});
 }
@@ -212,8 +219,11 @@
   it.Reason = reason;
   if (reason == FailureReason::SnapshotGone)
     it.Gone |= bitOf(attempt.ReplicaIndex);
-  if (it.OpenAttempts > 0)
-    return; // another attempt for the shard may still answer
+  if (it.OpenAttempts > 0) { // another attempt for the shard may still answer
+    if (prefersCoverage())
+      wakeShardAt(it, now + MinRetryWait);
+    return;
+  }
   if (reason == FailureReason::SnapshotGone && redirect(i, now))
     return;
   resend(i, now);
--- a/src/coordination/read_execution.cc
+++ b/src/coordination/read_execution.cc
@@ -21,7 +21,9 @@
 
 ReadActions ReadExecution::start(TimePoint now) {
   DeadlineAt = now + Options.Deadline;
-  if (send(AttemptKind::Primary, now)) {
+  if (now >= DeadlineAt)
+    fail(ErrorCode::DeadlineExceeded, "no time is left", now);
+  else if (send(AttemptKind::Primary, now)) {
     Shared.Hedging.onPrimariesSent(1);
     Shared.Retries.onPrimariesSent(1);
   } else {
@@ -148,6 +150,9 @@
   for (std::size_t i = 0; i < Attempts.size(); ++i) {
     if (!Attempts[i].Open)
       continue;
+    const Duration elapsed = now - Attempts[i].SentAt;
+    if (isLate(Shared.Hedging, elapsed))
+      Shared.Hedging.onLatency(elapsed);
     endAttempt(Attempts[i], AttemptOutcome::Cancelled, now);
     Actions.push_back(CancelSubRequest{static_cast<SubRequestNumber>(i)});
   }
--- a/tests/replica_choice_test.cc
+++ b/tests/replica_choice_test.cc
@@ -274,3 +274,39 @@
             pool.Selector.inFlight("r2") ==
         0);
 }
+
+TEST_CASE("hedging does not lower its own p95") {
+  std::mt19937_64 random(7);
+  std::lognormal_distribution<double> latency(8, 1);
+  Pool pool(2);
+  NoSnapshots snapshots;
+  AdaptiveHedgePolicy hedging;
+  RatioRetryBudget retries;
+  TimePoint now = Start;
+  std::vector<std::int64_t> all;
+  for (int n = 0; n < 20000; ++n) {
+    ReadExecution read({pool.Ids, Preference::Latency, seconds(10)},
+                       {snapshots, pool.Selector, hedging, retries});
+    const auto draw = [&] {
+      return Duration(static_cast<std::int64_t>(latency(random)));
+    };
+    read.start(now);
+    const Duration primary = draw();
+    all.push_back(primary.count());
+    const auto p95 = hedging.p95();
+    if (!p95 || primary <= *p95 || read.onTimer(now + *p95).size() < 2) {
+      read.onResponse({0, true, 41, {}, nullptr}, now += primary);
+      continue;
+    }
+    const Duration hedge = *p95 + draw();
+    const SubRequestNumber first = primary <= hedge ? 0 : 1;
+    read.onResponse({first, true, 41, {}, nullptr},
+                    now += std::min(primary, hedge));
+  }
+  std::ranges::sort(all);
+  const auto exact = static_cast<double>(all[all.size() * 95 / 100]);
+  const auto got = static_cast<double>(hedging.p95()->count());
+  // A bucket's width and the sampling error of the last 4,000 responses.
+  CHECK(got > exact * 0.85);
+  CHECK(got < exact * 1.3);
+}
