Fix use after free when a full slot queue drops its last entry

drop() took its key by reference into the set and erased the element before it erased the deadline. AddressSanitizer found it in the slot test; the deadline entry could have stayed behind. Keys are passed by value now.

--- a/src/coordination/slot_scheduler.cc
+++ b/src/coordination/slot_scheduler.cc
@@ -2,16 +2,17 @@
 
 // Every sub-request passes through the queue of its replica, so that one place
 // decides what starts. Deadlines of all waiting sub-requests stand in one
-// ordered set, so that a timer finds the late ones without a scan.
+// ordered set, so that a timer finds the late ones without a scan. Keys are
+// passed by value, since the set element they may come from is erased.
 
 namespace galenaflow::coordination {
 
-void SlotScheduler::removeWaiting(ReplicaState &replica, const Key &key) {
+void SlotScheduler::removeWaiting(ReplicaState &replica, Key key) {
   replica.Queue.erase(key);
   Deadlines.erase({key.DeadlineAt, key.Id});
 }
 
-void SlotScheduler::drop(const Key &key, DropSubRequest::Cause why,
+void SlotScheduler::drop(Key key, DropSubRequest::Cause why,
                          SlotActions &actions) {
   const auto it = Entries.find(key.Id);
   removeWaiting(*it->second.Replica, key);
--- a/src/coordination/slot_scheduler.h
+++ b/src/coordination/slot_scheduler.h
@@ -85,8 +85,8 @@
   };
 
   void startWaiting(ReplicaState &replica, SlotActions &actions, TimePoint now);
-  void drop(const Key &key, DropSubRequest::Cause why, SlotActions &actions);
-  void removeWaiting(ReplicaState &replica, const Key &key);
+  void drop(Key key, DropSubRequest::Cause why, SlotActions &actions);
+  void removeWaiting(ReplicaState &replica, Key key);
 
   std::size_t MaxQueued;
   StringMap<ReplicaState> Replicas;
