--- a/src/coordination/replica_selector.cc
+++ b/src/coordination/replica_selector.cc
@@ -39,20 +39,17 @@
   return it == Replicas.end() ? nullptr : &it->second;
 }
 
-bool AdaptiveReplicaSelector::usable(std::string_view replica,
-                                     TimePoint now) const {
-  if (const ReplicaState *it = find(replica))
-    if (it->Draining || it->Leaving || it->Health == ReplicaHealth::Starting)
-      return false;
-  return Outliers.mayUse(replica, now);
+bool AdaptiveReplicaSelector::isUsable(const ReplicaState &it,
+                                       std::string_view replica,
+                                       TimePoint now) const {
+  return !it.Draining && !it.Leaving && it.Health != ReplicaHealth::Starting &&
+         Outliers.mayUse(replica, now);
 }
 
-bool AdaptiveReplicaSelector::servesSnapshot(std::string_view replica,
-                                             state::SnapshotId id) const {
+bool AdaptiveReplicaSelector::usable(std::string_view replica,
+                                     TimePoint now) const {
   const ReplicaState *it = find(replica);
-  return it && std::ranges::any_of(it->Report.Snapshots, [&](const auto &s) {
-           return s.Snapshot == id;
-         });
+  return it ? isUsable(*it, replica, now) : Outliers.mayUse(replica, now);
 }
 
 double AdaptiveReplicaSelector::estimate(const ReplicaState &it, double best,
@@ -82,51 +79,62 @@
   return cost;
 }
 
-std::optional<std::size_t>
-AdaptiveReplicaSelector::choose(const ReplicaCandidates &candidates,
-                                TimePoint now) {
-  if (candidates.Snapshot != 0)
-    if (const auto it = pick(candidates, true, now))
-      return it;
-  return pick(candidates, false, now);
-}
-
-std::optional<std::size_t>
-AdaptiveReplicaSelector::pick(const ReplicaCandidates &candidates,
-                              bool needSnapshot, TimePoint now) {
+// Collects the usable candidates that report the snapshot, or all usable ones
+// if none reports it. Each candidate is looked up once, since hashing its name
+// costs more than everything else here.
+void AdaptiveReplicaSelector::collect(const ReplicaCandidates &candidates,
+                                      TimePoint now) {
   Usable.clear();
-  double best = std::numeric_limits<double>::infinity();
+  bool anyServes = false;
   const std::size_t n = std::min(candidates.Replicas.size(), MaxCandidates);
   for (std::size_t i = 0; i < n; ++i) {
-    const state::ReplicaId &id = candidates.Replicas[i];
-    if ((candidates.Excluded >> i) & 1 || !usable(id, now))
-      continue;
-    if (needSnapshot && !servesSnapshot(id, candidates.Snapshot))
+    if ((candidates.Excluded >> i) & 1)
       continue;
-    Usable.push_back(i);
+    const state::ReplicaId &id = candidates.Replicas[i];
     const ReplicaState &it = stateOf(id);
-    if (it.HasSample)
-      best = std::min(best, it.EwmaMicros);
+    if (!isUsable(it, id, now))
+      continue;
+    const bool serves =
+        std::ranges::any_of(it.Report.Snapshots, [&](const auto &s) {
+          return s.Snapshot == candidates.Snapshot;
+        });
+    if (serves && !anyServes)
+      Usable.clear();
+    anyServes = anyServes || serves;
+    if (serves || !anyServes)
+      Usable.push_back({i, &it});
   }
+}
+
+double AdaptiveReplicaSelector::bestEstimate() const {
+  double best = std::numeric_limits<double>::infinity();
+  for (const Option &it : Usable)
+    if (it.State->HasSample)
+      best = std::min(best, it.State->EwmaMicros);
+  return std::isinf(best) ? DefaultMicros : best;
+}
+
+std::optional<std::size_t>
+AdaptiveReplicaSelector::choose(const ReplicaCandidates &candidates,
+                                TimePoint now) {
+  collect(candidates, now);
   if (Usable.empty())
     return std::nullopt;
-  if (std::isinf(best))
-    best = DefaultMicros;
+  const double best = bestEstimate();
   // A random start breaks ties evenly. Among many candidates only two random
   // ones are compared, so that processes do not all pick the same replica.
-  const std::size_t first = Random() % Usable.size();
-  const std::size_t scanned =
-      Usable.size() <= Options.FullScanUpTo ? Usable.size() : 2;
-  const std::size_t step =
-      scanned == Usable.size() ? 1 : 1 + Random() % (Usable.size() - 1);
-  std::size_t chosen = Usable[first];
+  const std::size_t n = Usable.size();
+  const std::size_t first = Random() % n;
+  const std::size_t scanned = n <= Options.FullScanUpTo ? n : 2;
+  const std::size_t step = scanned == n ? 1 : 1 + Random() % (n - 1);
+  std::size_t chosen = Usable[first].Index;
   double lowest = std::numeric_limits<double>::infinity();
   for (std::size_t k = 0; k < scanned; ++k) {
-    const std::size_t i = Usable[(first + k * step) % Usable.size()];
-    const double it = cost(stateOf(candidates.Replicas[i]), best, now);
+    const Option &option = Usable[(first + k * step) % n];
+    const double it = cost(*option.State, best, now);
     if (it < lowest) {
       lowest = it;
-      chosen = i;
+      chosen = option.Index;
     }
   }
   return chosen;
--- a/src/coordination/replica_selector.h
+++ b/src/coordination/replica_selector.h
@@ -77,17 +77,23 @@
 
   ReplicaState &stateOf(std::string_view replica);
   const ReplicaState *find(std::string_view replica) const;
-  std::optional<std::size_t> pick(const ReplicaCandidates &candidates,
-                                  bool needSnapshot, TimePoint now);
+  struct Option {
+    std::size_t Index = 0;
+    const ReplicaState *State = nullptr;
+  };
+
+  void collect(const ReplicaCandidates &candidates, TimePoint now);
+  double bestEstimate() const;
+  bool isUsable(const ReplicaState &it, std::string_view replica,
+                TimePoint now) const;
   double cost(const ReplicaState &it, double best, TimePoint now) const;
   double estimate(const ReplicaState &it, double best, TimePoint now) const;
-  bool servesSnapshot(std::string_view replica, state::SnapshotId id) const;
 
   OutlierDetector &Outliers;
   std::mt19937_64 Random;
   ReplicaSelectorOptions Options;
   StringMap<ReplicaState> Replicas;
-  std::vector<std::size_t> Usable; ///< scratch space of pick
+  std::vector<Option> Usable; ///< scratch space of choose
 };
 
 /// Baseline for measurements: every candidate in turn, whatever its state.
