--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -253,9 +253,11 @@
 }
 
 void Membership::refute(const MemberUpdate &update) {
-  if (update.State == MemberState::Alive || update.Incarnation < Incarnation)
+  if (update.State == MemberState::Alive)
     return;
-  Incarnation = update.Incarnation + 1;
+  // A claim older than an earlier refutation shows that its sender missed
+  // that one, so it is announced again.
+  Incarnation = std::max(Incarnation, update.Incarnation + 1);
   queueSelf();
 }
 
