--- /dev/null
+++ b/tests/support/deployment.cc
@@ -0,0 +1,294 @@
+#include "support/deployment.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/sha.h>
+#include <thread>
+
+// Backends start first, since the services document holds their addresses.
+// Daemons get addresses that were bound before, because the VM list names them
+// before the daemons run.
+
+namespace galenaflow::support {
+
+using nlohmann::json;
+using state::ErrorCode;
+using state::makeError;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Generous, because it only bounds a test that would otherwise hang.
+constexpr milliseconds StartLimit(30'000);
+constexpr milliseconds ReadyPollInterval(20);
+constexpr auto CallLimit = std::chrono::seconds(30);
+
+std::string sha256Hex(const std::string &text) {
+  unsigned char digest[SHA256_DIGEST_LENGTH];
+  SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(),
+         digest);
+  static constexpr char Digits[] = "0123456789abcdef";
+  std::string hex;
+  for (const unsigned char byte : digest) {
+    hex += Digits[byte >> 4];
+    hex += Digits[byte & 15];
+  }
+  return hex;
+}
+
+/// "archivio-0-a" for a shard, "commesse-0" for a pool.
+std::string replicaId(const ServiceSpec &service, std::uint32_t shard,
+                      std::uint32_t i) {
+  if (service.Shards == 0)
+    return service.Name + "-" + std::to_string(i);
+  return service.Name + "-" + std::to_string(shard) + "-" +
+         static_cast<char>('a' + i);
+}
+
+template <typename F> void forEachReplica(const ServiceSpec &service, F f) {
+  for (std::uint32_t shard = 0; shard != std::max(service.Shards, 1U); ++shard)
+    for (std::uint32_t i = 0; i != service.Replicas; ++i)
+      f(shard, i, replicaId(service, shard, i));
+}
+
+json parseStarted(Process &program) {
+  const auto line = program.waitForLine(
+      [](std::string_view text) { return text.starts_with("{"); }, StartLimit);
+  return line ? json::parse(*line, nullptr, false) : json();
+}
+
+} // namespace
+
+Deployment::Deployment(DeploymentOptions options)
+    : Options(std::move(options)) {}
+
+Deployment::~Deployment() = default;
+
+state::Result<bool> Deployment::startOutside() {
+  Backends = std::make_unique<Process>(
+      "standin-backend", std::vector<std::string>{}, backendConfig().dump());
+  const json backends = parseStarted(*Backends);
+  if (!backends.is_object())
+    return makeError(ErrorCode::Unavailable, Backends->output());
+  BackendControl = backends.at("control").get<std::string>();
+
+  for (std::uint32_t i = 0; i != Options.Daemons; ++i)
+    Daemons.push_back({"vm-" + std::to_string(i + 1),
+                       Options.DataCentres[i % Options.DataCentres.size()],
+                       reserveAddress(), reserveAddress(), reserveAddress(),
+                       nullptr});
+  const json plans = plansDocument();
+  const json config = {
+      {"values",
+       {{"plans", plans},
+        {"customers", customersDocument(plans)},
+        {"services", servicesDocument(backends.at("replicas"))}}},
+      {"vms", vmsDocument({}).at("vms")}};
+  Platform = std::make_unique<Process>(
+      "standin-platform", std::vector<std::string>{}, config.dump());
+  const json platform = parseStarted(*Platform);
+  if (!platform.is_object())
+    return makeError(ErrorCode::Unavailable, Platform->output());
+  PlatformListen = platform.at("listen").get<std::string>();
+  PlatformControl = platform.at("control").get<std::string>();
+  return true;
+}
+
+state::Result<bool> Deployment::startDaemons() {
+  for (std::size_t i = 0; i != Daemons.size(); ++i)
+    if (const auto started = startDaemon(i); !started)
+      return tl::unexpected(started.error());
+  for (std::size_t i = 0; i != Daemons.size(); ++i)
+    if (!waitUntilReady(i, StartLimit))
+      return makeError(ErrorCode::Unavailable,
+                       Daemons[i].VmId + ": " + Daemons[i].Program->output());
+  return true;
+}
+
+state::Result<bool> Deployment::startDaemon(std::size_t i) {
+  Daemon &daemon = Daemons[i];
+  std::vector<std::string> args = {"--listen=" + daemon.Listen,
+                                   "--operator_listen=" + daemon.OperatorListen,
+                                   "--peer_listen=" + daemon.PeerListen,
+                                   "--platform=" + PlatformListen,
+                                   "--vm_id=" + daemon.VmId,
+                                   "--data_centre=" + daemon.DataCentre};
+  args.insert(args.end(), Options.DaemonFlags.begin(),
+              Options.DaemonFlags.end());
+  ++Instances[daemon.VmId];
+  daemon.Program = std::make_unique<Process>("galenaflowd", args);
+  const auto line = daemon.Program->waitForLine(
+      [](std::string_view text) {
+        return logField(text, "event") == "started";
+      },
+      StartLimit);
+  if (!line)
+    return makeError(ErrorCode::Unavailable,
+                     daemon.VmId + ": " + daemon.Program->output());
+  return true;
+}
+
+bool Deployment::waitUntilReady(std::size_t i, milliseconds limit) {
+  const auto end = Loop.now() + limit;
+  while (Loop.now() < end) {
+    if (call(Daemons[i].OperatorListen, {"GET", "/healthz", {}, ""}).Status ==
+        200)
+      return true;
+    if (!Daemons[i].Program->isRunning())
+      return false;
+    std::this_thread::sleep_for(ReadyPollInterval);
+  }
+  return false;
+}
+
+std::string Deployment::callerKey(const std::string &customer) {
+  return "key-of-" + customer;
+}
+
+transport::HttpResponse
+Deployment::call(const std::string &address,
+                 const transport::HttpRequest &request) {
+  transport::HttpResponse response;
+  response.Status = 0;
+  const auto parsed = transport::parseSocketAddress(address);
+  if (!parsed)
+    return response;
+  transport::HttpConnection connection(Loop, *parsed);
+  bool done = false;
+  connection.send(request, CallLimit, [&](transport::HttpResult result) {
+    if (result)
+      response = std::move(*result);
+    done = true;
+  });
+  Loop.runUntil([&] { return done; }, 2 * CallLimit);
+  return response;
+}
+
+json Deployment::callJson(const std::string &address, const std::string &path,
+                          const std::string &body) {
+  const auto response =
+      call(address, {body.empty() ? "GET" : "POST", path, {}, body});
+  return json::parse(response.Body, nullptr, false);
+}
+
+void Deployment::publishVms(const std::vector<std::string> &leaving) {
+  callJson(PlatformControl, "/control/vms", vmsDocument(leaving).dump());
+}
+
+json Deployment::backendConfig() const {
+  json replicas = json::array();
+  for (const ServiceSpec &service : Options.Services)
+    forEachReplica(service, [&](std::uint32_t shard, std::uint32_t,
+                                const std::string &id) {
+      json snapshot = json::object();
+      snapshot["id"] = Options.Snapshot;
+      snapshot["layout"] = Options.Layout;
+      snapshot["shard_count"] = std::max(service.Shards, 1U);
+      snapshot["shards"] = json::array({shard});
+      json item = json::object();
+      item["id"] = id;
+      item["service"] = service.Name;
+      item["slots"] = service.Slots;
+      item["connection_limit"] = service.ConnectionLimit;
+      item["connection_cost_ms"] = service.ConnectionCostMs;
+      item["listings"] = service.Listings;
+      item["snapshots"] = json::array({snapshot});
+      replicas.push_back(std::move(item));
+    });
+  return {{"seed", Options.Seed},
+          {"defaults", json::parse(Options.BackendKnobs)},
+          {"replicas", replicas}};
+}
+
+json Deployment::servicesDocument(const json &addresses) const {
+  json services = json::array();
+  for (const ServiceSpec &service : Options.Services) {
+    json replicas = json::array();
+    std::vector<json> shards(service.Shards);
+    forEachReplica(service, [&](std::uint32_t shard, std::uint32_t i,
+                                const std::string &id) {
+      json item = json::object();
+      item["id"] = id;
+      item["address"] = addresses.at(id);
+      item["data_centre"] =
+          Options.DataCentres[(shard + i) % Options.DataCentres.size()];
+      replicas.push_back(std::move(item));
+      if (service.Shards == 0)
+        return;
+      shards[shard]["shard"] = shard;
+      shards[shard]["replicas"].push_back(id);
+    });
+    json document = json::object();
+    document["name"] = service.Name;
+    document["kind"] = service.Shards == 0 ? "pool" : "sharded";
+    document["slots"] = service.Slots;
+    document["connection_limit"] = service.ConnectionLimit;
+    document["replicas"] = std::move(replicas);
+    document["layouts"] = json::array();
+    if (service.Shards != 0) {
+      json layout = json::object();
+      layout["id"] = Options.Layout;
+      layout["shards"] = shards;
+      document["layouts"].push_back(std::move(layout));
+    }
+    services.push_back(std::move(document));
+  }
+  return {{"services", services}};
+}
+
+json Deployment::plansDocument() const {
+  if (!Options.Plans.empty())
+    return json::parse(Options.Plans);
+  json names = json::array();
+  for (const ServiceSpec &service : Options.Services)
+    names.push_back(service.Name);
+  json plan = json::parse(R"({"id":"standard","weight":1,"max_rate":10000,
+    "burst":10000,"max_concurrency":10000,"operations":{
+    "search":{"priority":"urgent","prefer":"coverage","min_coverage":0,
+              "deadline_ms":5000,"max_limit":1000},
+    "suggest":{"priority":"urgent","prefer":"latency","min_coverage":0,
+               "deadline_ms":5000,"max_limit":20},
+    "read":{"priority":"normal","prefer":"coverage","min_coverage":0,
+            "deadline_ms":5000,"max_limit":1},
+    "write":{"priority":"normal","prefer":"coverage","min_coverage":0,
+             "deadline_ms":5000,"max_limit":1}}})");
+  plan["services"] = std::move(names);
+  json document = json::object();
+  document["plans"] = json::array({plan});
+  return document;
+}
+
+json Deployment::customersDocument(const json &plans) {
+  json customers = json::array();
+  for (const json &plan : plans.at("plans")) {
+    const std::string id = plan.at("id").get<std::string>();
+    const std::string customer = "customer-" + id;
+    json item = json::object();
+    item["id"] = customer;
+    item["plan"] = id;
+    item["keys_sha256"] = json::array({sha256Hex(callerKey(customer))});
+    customers.push_back(std::move(item));
+  }
+  return {{"customers", customers}};
+}
+
+json Deployment::vmsDocument(const std::vector<std::string> &leaving) const {
+  json vms = json::array();
+  for (const Daemon &daemon : Daemons) {
+    const bool isLeaving =
+        std::find(leaving.begin(), leaving.end(), daemon.VmId) != leaving.end();
+    const auto it = Instances.find(daemon.VmId);
+    const std::uint64_t n = it == Instances.end() ? 1 : it->second;
+    json item = json::object();
+    item["id"] = daemon.VmId;
+    item["instance"] = daemon.VmId + "-" + std::to_string(n);
+    item["role"] = "entry";
+    item["address"] = daemon.PeerListen;
+    item["operator_address"] = daemon.OperatorListen;
+    item["data_centre"] = daemon.DataCentre;
+    item["state"] = isLeaving ? "leaving" : "live";
+    vms.push_back(std::move(item));
+  }
+  return {{"vms", vms}};
+}
+
+} // namespace galenaflow::support
