Do not delay requests that timers and messages send

h2o runs the completion callback of a write only in its next turn, and its client starts to read the response in that callback. A request that a timer or a posted message sent on a quiet loop was therefore read only after the loop's full wait. The loop now does not wait in the turn after a task has run.

--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -73,9 +73,11 @@
 
 void EventLoop::runDueTimers() {
   const state::TimePoint current = now();
+  RanTask = false;
   while (!Timers.empty() && Timers.begin()->first.first <= current) {
     auto node = Timers.extract(Timers.begin());
     DueTimes.erase(node.key().second);
+    RanTask = true;
     node.mapped()();
   }
 }
@@ -85,12 +87,16 @@
   // not starved by tasks that post to each other.
   std::deque<std::function<void()>> batch;
   batch.swap(Posted);
+  RanTask |= !batch.empty();
   for (auto &task : batch)
     task();
 }
 
 std::int32_t EventLoop::waitMs() const {
-  if (!Posted.empty())
+  // h2o calls the completion callback of a write only after its next wait, and
+  // reads the response only from there. A write that a task made must not wait
+  // for an unrelated event.
+  if (!Posted.empty() || RanTask)
     return 0;
   if (Timers.empty())
     return MaxWaitMs;
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -61,6 +61,7 @@
   st_h2o_evloop_t *Handle;
   state::SystemClock System;
   bool Stopped = false;
+  bool RanTask = false; ///< a timer or message ran in the last turn
   TimerId LastTimer = 0;
   std::deque<std::function<void()>> Posted;
   std::map<std::pair<state::TimePoint, TimerId>, std::function<void()>> Timers;
