Name the actions of the write registry apart from those of the execution

Cause: two types of one namespace had the name WriteAction.

Change: RegistryAction is the registry's.

Conclusion: one name, one type.

--- a/src/coordination/write_registry.cc
+++ b/src/coordination/write_registry.cc
@@ -94,7 +94,7 @@
       FirstAttempt(random()), NextAttempt(FirstAttempt),
       NextHandover(clock.now()), NextReport(clock.now()) {}
 
-std::vector<WriteAction> WriteRegistry::takeActions() {
+std::vector<RegistryAction> WriteRegistry::takeActions() {
   return std::exchange(Actions, {});
 }
 
--- a/src/coordination/write_registry.h
+++ b/src/coordination/write_registry.h
@@ -81,7 +81,7 @@
   SubmissionId Submission = 0;
   WriteAnswer Answer;
 };
-using WriteAction = std::variant<SendWriteMessage, RunWrite, AnswerWrite>;
+using RegistryAction = std::variant<SendWriteMessage, RunWrite, AnswerWrite>;
 
 enum class RunResult {
   Ran,     ///< a response of the backend server
@@ -125,7 +125,7 @@
   /// Whether a majority of the others in the newest list has acknowledged.
   bool isHandedOver() const;
 
-  std::vector<WriteAction> takeActions();
+  std::vector<RegistryAction> takeActions();
 
   std::size_t grantCount() const { return Grants.size(); }
   std::size_t entryCount() const { return Entries.size(); }
@@ -233,7 +233,7 @@
   std::map<WriteMember, std::set<std::size_t>> HandoverAcks;
   state::TimePoint NextHandover;
   state::TimePoint NextReport;
-  std::vector<WriteAction> Actions;
+  std::vector<RegistryAction> Actions;
 };
 
 } // namespace galenaflow::coordination
--- a/tests/write_exhaustive_test.cc
+++ b/tests/write_exhaustive_test.cc
@@ -70,7 +70,7 @@
     Clock.Elapsed = 5s;
     for (std::size_t i = 0; i != Daemons; ++i) {
       s.Nodes[i].tick();
-      for (const WriteAction &action : s.Nodes[i].takeActions()) {
+      for (const RegistryAction &action : s.Nodes[i].takeActions()) {
         const auto &sent = std::get<SendWriteMessage>(action);
         s.Nodes[indexOf(sent.To)].receive(Ids[i], sent.Message);
       }
@@ -88,7 +88,7 @@
   }
 
   void collect(Situation &s, std::size_t at) {
-    for (WriteAction &action : s.Nodes[at].takeActions()) {
+    for (RegistryAction &action : s.Nodes[at].takeActions()) {
       if (auto *sent = std::get_if<SendWriteMessage>(&action)) {
         if (sent->Message.Type != protocol::WriteMessageType::Knowledge)
           s.Messages.push_back({at, indexOf(sent->To), sent->Message});
--- a/tests/write_model_test.cc
+++ b/tests/write_model_test.cc
@@ -135,7 +135,7 @@
   }
 
   void perform(Node &node) {
-    for (WriteAction &action : node.Registry.takeActions()) {
+    for (RegistryAction &action : node.Registry.takeActions()) {
       if (auto *message = std::get_if<SendWriteMessage>(&action))
         deliver(node, *message);
       else if (auto *run = std::get_if<RunWrite>(&action))
