Add galenaflowd

Cause: the parts need one process.

Change: Daemon wires all tasks on one event loop, becomes ready with valid lists and an agreed share, and stops gracefully. RecordTask copies records to peers and asks all daemons. New setting replica_policy.

--- /dev/null
+++ b/src/daemon/daemon.cc
@@ -0,0 +1,294 @@
+#include "daemon/daemon.h"
+
+#include "coordination/drain.h"
+#include "daemon/admission_task.h"
+#include "daemon/backend_task.h"
+#include "daemon/caller_service.h"
+#include "daemon/fleet_task.h"
+#include "daemon/operator_service.h"
+#include "daemon/published_lists.h"
+#include "daemon/record_task.h"
+#include "daemon/share_task.h"
+#include "daemon/write_task.h"
+#include "state/log.h"
+#include "transport/http_server.h"
+
+#include <fstream>
+#include <iterator>
+#include <random>
+
+// The daemon serves callers once valid lists are in force and the fleet has
+// agreed to its share. Until then its health fails, so that the balancer does
+// not send requests to it, and a request that comes anyway is refused as not
+// run.
+//
+// A graceful stop follows coordination::Drain: health fails first and requests
+// are still served while the balancer notices; then leases and grants are
+// handed over, and the process ends when the last request has been answered.
+
+namespace galenaflow::daemon {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// The longest deadline that a plan can allow.
+constexpr state::Duration LongestDeadline =
+    milliseconds(protocol::MaxDeadlineMs);
+
+std::vector<std::string> readKeys(const Options &options) {
+  std::vector<std::string> keys;
+  for (const std::string &path : {options.PeerKey, options.PeerKeyOther}) {
+    std::ifstream file(path, std::ios::binary);
+    if (!path.empty() && file)
+      keys.emplace_back(std::istreambuf_iterator<char>(file),
+                        std::istreambuf_iterator<char>());
+  }
+  return keys;
+}
+
+coordination::ListedVm selfOf(const Options &options) {
+  return {{options.VmId, options.VmInstance},
+          options.peerAddress(),
+          options.DataCentre,
+          false};
+}
+
+FleetTaskOptions fleetOptions(const Options &options, std::uint64_t seed) {
+  FleetTaskOptions result;
+  result.Self = selfOf(options);
+  result.SeedPeers = options.SeedPeers;
+  const auto platform = transport::parseSocketAddress(options.Platform);
+  if (platform)
+    result.Platform = *platform;
+  result.PeerKeys = readKeys(options);
+  result.Membership.ProbePeriod = milliseconds(options.ProbePeriodMs);
+  result.Membership.SuspicionTime = milliseconds(options.SuspicionMs);
+  result.Config.StartupWindow = milliseconds(options.StartWindowMs);
+  result.Heartbeat = milliseconds(options.HeartbeatMs);
+  result.LinkSilence = milliseconds(options.LinkSilenceMs);
+  result.Seed = seed;
+  return result;
+}
+
+BackendTaskOptions backendOptions(const Options &options, std::uint64_t seed) {
+  constexpr double Percent = 100;
+  BackendTaskOptions result;
+  result.PollInterval = milliseconds(options.PollIntervalMs);
+  result.HedgeBudget.Ratio = options.HedgePercent / Percent;
+  result.RetryBudget.Ratio = options.RetryPercent / Percent;
+  result.RoundRobin = options.ReplicaPolicy == "round_robin";
+  result.Seed = seed;
+  return result;
+}
+
+coordination::ShareLedgerOptions shareOptions(const Options &options) {
+  coordination::ShareLedgerOptions result;
+  result.LeaseTime = milliseconds(options.LeaseMs);
+  result.LenderMargin = milliseconds(options.LeaseMarginMs);
+  result.HoldTime = milliseconds(options.ShareHoldMs);
+  return result;
+}
+
+coordination::WriteRegistryOptions writeOptions(const Options &options) {
+  coordination::WriteRegistryOptions result;
+  result.ClockSkew = milliseconds(options.ClockSkewMs);
+  result.RemovedHold = milliseconds(options.ShareHoldMs);
+  return result;
+}
+
+transport::HttpServerOptions callerServerOptions(const Options &options) {
+  transport::HttpServerOptions result;
+  result.MaxBodyBytes = options.MaxBodyBytes;
+  result.MaxConnections = options.MaxConnections;
+  result.RequestTimeout = milliseconds(options.IdleTimeoutMs);
+  result.CertificateFile = options.TlsCertificate;
+  result.KeyFile = options.TlsKey;
+  return result;
+}
+
+} // namespace
+
+struct Daemon::Impl {
+  Impl(transport::EventLoop &loop, const Options &options, std::uint64_t seed);
+
+  void onTick(state::TimePoint now);
+  void updateReady();
+  void updateLeaving();
+  void carryOut(const coordination::DrainActions &actions);
+  void tickDrain();
+  DaemonPhase phase() const;
+
+  transport::EventLoop &Loop;
+  const Options Settings;
+  const std::string DaemonId;
+  state::MetricRegistry Metrics;
+  PublishedLists Lists;
+  FleetTask Fleet;
+  BackendTask Backends;
+  AdmissionTask Admission;
+  ShareTask Shares;
+  WriteTask Writes;
+  RecordTask Records;
+  CallerService Callers;
+  OperatorService Operator;
+  transport::HttpServer CallerServer;
+  transport::HttpServer OperatorServer;
+  coordination::Drain Draining;
+  bool HasLists = false;
+  bool IsReady = false;
+  bool ListenerClosed = false;
+};
+
+Daemon::Impl::Impl(transport::EventLoop &loop, const Options &options,
+                   std::uint64_t seed)
+    : Loop(loop), Settings(options),
+      DaemonId(options.VmId + "/" + options.VmInstance),
+      Fleet(loop, fleetOptions(options, seed), Lists, Metrics),
+      Backends(loop, backendOptions(options, seed + 1), Metrics),
+      Admission(loop, {options.MaxQueuedQueries}),
+      Shares(loop, Fleet, Lists, Admission, Backends, selfOf(options).Id,
+             shareOptions(options)),
+      Writes(loop, Fleet, Lists, Backends, selfOf(options).Id,
+             writeOptions(options), seed + 2),
+      Records(loop, Fleet, selfOf(options), options.RecordMemoryBytes),
+      Callers(loop, {DaemonId, options.TraceSampleRate, seed + 3}, Lists,
+              Backends, Admission, Writes, Metrics,
+              [this](state::RequestRecord record) {
+                Records.add(std::move(record));
+              }),
+      Operator(loop, {DaemonId, options.DataCentre, [this] { return phase(); },
+                      [this] { return Callers.openRequests(); }, Lists,
+                      Backends, Fleet, Shares, Records, Metrics}),
+      CallerServer(loop, callerServerOptions(options),
+                   [this](transport::HttpRequest request, auto responder) {
+                     Callers.handle(std::move(request), std::move(responder));
+                   }),
+      OperatorServer(
+          loop, {},
+          [this](const transport::HttpRequest &request, const auto &responder) {
+            Operator.handle(request, responder);
+          }),
+      Draining(loop, {milliseconds(options.BalancerLagMs), LongestDeadline,
+                      milliseconds(500)}) {
+  Lists.onChange([this](std::string_view key) {
+    if (key == protocol::ServicesKey)
+      Backends.setTopology(Lists.topology());
+    updateLeaving();
+  });
+  Fleet.onReady([this] { HasLists = true; });
+  Fleet.onPause([this] { Shares.onPause(); });
+  Fleet.onTick([this](state::TimePoint now) { onTick(now); });
+}
+
+void Daemon::Impl::onTick(state::TimePoint now) {
+  Shares.tick(now);
+  Writes.tick();
+  Records.tick();
+  updateReady();
+  tickDrain();
+}
+
+void Daemon::Impl::updateReady() {
+  if (IsReady || !HasLists || !Lists.isComplete() || !Shares.isEntitled())
+    return;
+  IsReady = true;
+  Callers.setReady(true);
+  state::log::info("serving", {{"daemon", DaemonId}});
+}
+
+void Daemon::Impl::updateLeaving() {
+  for (const protocol::Vm &vm : Lists.vms()->Vms)
+    if (vm.Role == protocol::VmRole::Backend)
+      Backends.setLeaving(vm.Address, vm.State == protocol::VmState::Leaving);
+}
+
+void Daemon::Impl::carryOut(const coordination::DrainActions &actions) {
+  if (actions.FailHealth)
+    state::log::info("draining", {{"daemon", DaemonId}});
+  if (actions.HandOverLeases)
+    Shares.stopBorrowing();
+  if (actions.HandOverGrants)
+    Writes.retire();
+  if (actions.CopyRecords)
+    Records.tick();
+  if (actions.Exit) {
+    state::log::info("stopped", {{"daemon", DaemonId},
+                                 {"cut_short", Draining.isCutShort()}});
+    Fleet.leave();
+    // One more turn of the loop sends the last messages.
+    Loop.schedule(milliseconds(100), [this] { Loop.stop(); });
+  }
+}
+
+void Daemon::Impl::tickDrain() {
+  using coordination::DrainPhase;
+  if (Draining.phase() == DrainPhase::Serving ||
+      Draining.phase() == DrainPhase::Done)
+    return;
+  const bool alone = Fleet.membership().liveMembers().size() <= 1;
+  carryOut(Draining.tick({Callers.openRequests(), true,
+                          alone || Writes.isHandedOver(),
+                          alone || Records.isFlushed()}));
+  const bool isLagOver = Draining.phase() != DrainPhase::BalancerLag;
+  if (isLagOver && !ListenerClosed) {
+    ListenerClosed = true;
+    CallerServer.drain();
+  }
+}
+
+DaemonPhase Daemon::Impl::phase() const {
+  if (!Draining.isHealthy())
+    return DaemonPhase::Draining;
+  return IsReady ? DaemonPhase::Serving : DaemonPhase::Starting;
+}
+
+Daemon::Daemon(transport::EventLoop &loop, const Options &options)
+    : Self(std::make_unique<Impl>(loop, options, std::random_device{}())) {}
+
+Daemon::~Daemon() = default;
+
+state::Result<DaemonAddresses> Daemon::start() {
+  const Options &options = Self->Settings;
+  DaemonAddresses result;
+  struct Listener {
+    const std::string &Text;
+    transport::SocketAddress &Bound;
+    std::function<state::Result<transport::SocketAddress>(
+        const transport::SocketAddress &)>
+        Listen;
+  };
+  const std::vector<Listener> listeners = {
+      {options.PeerListen, result.Peers,
+       [this](const auto &address) { return Self->Fleet.start(address); }},
+      {options.OperatorListen, result.Operator,
+       [this](const auto &address) {
+         return Self->OperatorServer.listen(address);
+       }},
+      {options.Listen, result.Callers, [this](const auto &address) {
+         return Self->CallerServer.listen(address);
+       }}};
+  for (const Listener &listener : listeners) {
+    const auto address = transport::parseSocketAddress(listener.Text);
+    if (!address)
+      return tl::unexpected(address.error());
+    const auto bound = listener.Listen(*address);
+    if (!bound)
+      return tl::unexpected(bound.error());
+    listener.Bound = *bound;
+  }
+  return result;
+}
+
+void Daemon::stop() { Self->carryOut(Self->Draining.requestStop()); }
+
+void Daemon::reloadCertificate() {
+  const auto reloaded = Self->CallerServer.reloadCertificate();
+  if (!reloaded)
+    state::log::error("certificate_not_reloaded",
+                      {{"reason", reloaded.error().Text}});
+  else if (*reloaded)
+    state::log::info("certificate_reloaded");
+}
+
+} // namespace galenaflow::daemon
--- a/src/daemon/options.cc
+++ b/src/daemon/options.cc
@@ -37,6 +37,7 @@
   KeyFile,
   OptionalKeyFile,
   LogLevel,
+  ReplicaPolicy,
 };
 
 struct Setting {
@@ -199,6 +200,10 @@
     if (!state::log::parseLevel(value))
       findings.add(place, "must be debug, info, warning, error or off");
     break;
+  case Check::ReplicaPolicy:
+    if (value != "adaptive" && value != "round_robin")
+      findings.add(place, "must be adaptive or round_robin");
+    break;
   default:
     break;
   }
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -58,6 +58,7 @@
   std::uint32_t BalancerLagMs = 5000;
 
   // Queries.
+  std::string ReplicaPolicy = "adaptive";
   double HedgePercent = 5;
   double RetryPercent = 5;
   double HedgeQuantile = 0.95;
--- a/src/daemon/record_task.cc
+++ b/src/daemon/record_task.cc
@@ -2,26 +2,190 @@
 
 #include "protocol/record_json.h"
 
+#include <nlohmann/json.hpp>
+
+// A record is copied under its request id, and under the idempotency key if it
+// has one, so that a caller who knows only one of them is found after the entry
+// daemon is gone. The same record can come back from several daemons; copies
+// are equal texts and count once.
+
 namespace galenaflow::daemon {
 
-RecordTask::RecordTask(transport::EventLoop &loop, std::string daemonId,
-                       std::size_t maxBytes)
-    : Loop(loop), DaemonId(std::move(daemonId)), Ring(maxBytes) {}
+using nlohmann::json;
+using protocol::RecordMessageType;
+
+namespace {
+
+std::string nameOf(const coordination::MemberId &id) {
+  return id.Vm + "/" + id.Instance;
+}
+
+std::uint64_t ageMs(state::TimePoint since, state::TimePoint now) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - since)
+          .count());
+}
+
+} // namespace
+
+RecordTask::RecordTask(transport::EventLoop &loop, FleetTask &fleet,
+                       const coordination::ListedVm &self, std::size_t maxBytes)
+    : Loop(loop), Fleet(fleet), Self(self), Ring(maxBytes),
+      Replication({self.Id.Vm, self.Id.Instance, self.DataCentre}, loop, {}),
+      Started(loop.now()) {
+  Fleet.handle(
+      200, 299,
+      [this](const coordination::MemberId &from, std::uint16_t type,
+             std::string_view payload) { onMessage(from, type, payload); });
+  Fleet.onLink([this](const transport::PeerIdentity &peer, bool isUp) {
+    const coordination::MemberId id{peer.VmId, peer.Instance};
+    if (isUp)
+      Peers.insert_or_assign(
+          id,
+          coordination::RecordPeer{peer.VmId, peer.Instance, peer.DataCentre});
+    else
+      Peers.erase(id);
+    std::vector<coordination::RecordPeer> live;
+    for (const auto &[member, recordPeer] : Peers)
+      live.push_back(recordPeer);
+    Replication.setPeers(std::move(live));
+    sendMessages();
+  });
+}
+
+RecordTask::~RecordTask() {
+  for (auto &[query, lookup] : Lookups)
+    Loop.cancel(lookup.Timeout);
+}
 
 void RecordTask::add(state::RequestRecord record) {
+  const std::string text = protocol::renderRecord(record);
+  Replication.add({record.RequestId, text});
+  if (!record.IdempotencyKey.empty() &&
+      record.IdempotencyKey != record.RequestId)
+    Replication.add({record.IdempotencyKey, text});
   Ring.add(std::move(record));
 }
 
 void RecordTask::find(const std::string &idOrKey, FindCallback callback) {
-  protocol::RecordLookup lookup;
-  lookup.DaemonId = DaemonId;
-  lookup.ReachesBackTo = Ring.reachesBackTo();
+  const std::uint64_t query = ++LastQuery;
+  Lookup &lookup = Lookups[query];
+  lookup.Id = idOrKey;
+  lookup.Callback = std::move(callback);
   for (const state::RequestRecord *record : Ring.find(idOrKey))
-    lookup.Records.push_back(*record);
-  const bool found = !lookup.Records.empty();
-  Loop.post(
-      [callback = std::move(callback), found,
-       body = protocol::renderRecordLookup(lookup)] { callback(found, body); });
+    addRecord(lookup, protocol::renderRecord(*record));
+  for (const protocol::FinishedRecord &record : Replication.find(idOrKey))
+    addRecord(lookup, record.Bytes);
+  const auto reach = Ring.reachesBackTo();
+  const auto own =
+      reach ? static_cast<std::uint64_t>((Loop.wallNow() - *reach).count())
+            : ageMs(Started, Loop.now());
+  lookup.Daemons[Self.Id] = {nameOf(Self.Id), true, own};
+  askPeers(query, lookup);
+  lookup.Timeout = Loop.schedule(LookupTimeout, [this, query] {
+    Lookups.at(query).Timeout = 0;
+    finish(query);
+  });
+  // A lookup without peers ends at once, by a message, so that the callback
+  // never runs inside this call.
+  Loop.post([this, query] {
+    const auto it = Lookups.find(query);
+    if (it != Lookups.end() && it->second.Daemons.size() == 1)
+      finish(query);
+  });
+}
+
+void RecordTask::tick() {
+  Replication.tick();
+  sendMessages();
+}
+
+void RecordTask::askPeers(std::uint64_t query, Lookup &lookup) {
+  protocol::RecordMessage message;
+  message.Type = RecordMessageType::Find;
+  message.Query = query;
+  message.Id = lookup.Id;
+  const std::string bytes = protocol::encodeRecordMessage(message);
+  for (const coordination::ListedVm &vm : Fleet.listedVms())
+    lookup.Daemons.try_emplace(vm.Id, DaemonAnswer{nameOf(vm.Id), false, 0});
+  for (const auto &[id, peer] : Peers)
+    lookup.Daemons.try_emplace(id, DaemonAnswer{nameOf(id), false, 0});
+  for (const auto &[id, answer] : lookup.Daemons)
+    if (!answer.HasAnswered)
+      Fleet.send(id, static_cast<std::uint16_t>(message.Type), bytes);
+}
+
+void RecordTask::onMessage(const coordination::MemberId &from,
+                           std::uint16_t type, std::string_view payload) {
+  const auto message = protocol::decodeRecordMessage(type, payload);
+  const auto peer = Peers.find(from);
+  if (!message || peer == Peers.end())
+    return;
+  if (message->Type == RecordMessageType::Found)
+    onFound(from, *message);
+  else
+    Replication.receive(peer->second, *message);
+  sendMessages();
+}
+
+void RecordTask::onFound(const coordination::MemberId &from,
+                         const protocol::RecordMessage &message) {
+  const auto it = Lookups.find(message.Query);
+  if (it == Lookups.end() || it->second.Id != message.Id)
+    return;
+  Lookup &lookup = it->second;
+  const auto daemon = lookup.Daemons.find(from);
+  if (daemon == lookup.Daemons.end())
+    return;
+  daemon->second.HasAnswered = true;
+  daemon->second.ReachMs = message.ReachMs;
+  for (const protocol::FinishedRecord &record : message.Records)
+    addRecord(lookup, record.Bytes);
+  for (const auto &[id, answer] : lookup.Daemons)
+    if (!answer.HasAnswered)
+      return;
+  finish(message.Query);
+}
+
+void RecordTask::addRecord(Lookup &lookup, const std::string &text) {
+  lookup.Records.emplace(text, text);
+}
+
+void RecordTask::finish(std::uint64_t query) {
+  const auto it = Lookups.find(query);
+  const Lookup lookup = std::move(it->second);
+  Lookups.erase(it);
+  Loop.cancel(lookup.Timeout);
+  json body;
+  body["id"] = lookup.Id;
+  body["records"] = json::array();
+  for (const auto &[key, text] : lookup.Records) {
+    json record = json::parse(text, nullptr, false);
+    if (!record.is_discarded())
+      body["records"].push_back(std::move(record));
+  }
+  body["daemons"] = json::array();
+  bool complete = true;
+  for (const auto &[id, answer] : lookup.Daemons) {
+    json row{{"daemon", answer.Daemon}, {"answered", answer.HasAnswered}};
+    if (answer.HasAnswered)
+      row["reaches_back_to"] = protocol::isoTime(
+          Loop.wallNow() -
+          state::WallMillis(static_cast<std::int64_t>(answer.ReachMs)));
+    body["daemons"].push_back(std::move(row));
+    complete = complete && answer.HasAnswered;
+  }
+  body["all_daemons_answered"] = complete;
+  const std::string text =
+      body.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
+  lookup.Callback(!lookup.Records.empty(), text);
+}
+
+void RecordTask::sendMessages() {
+  for (const auto &outgoing : Replication.takeMessages())
+    Fleet.send({outgoing.To.VmId, outgoing.To.Instance},
+               static_cast<std::uint16_t>(outgoing.Message.Type),
+               protocol::encodeRecordMessage(outgoing.Message));
 }
 
 } // namespace galenaflow::daemon
--- a/src/daemon/record_task.h
+++ b/src/daemon/record_task.h
@@ -1,32 +1,81 @@
 #ifndef GALENAFLOW_DAEMON_RECORD_TASK_H
 #define GALENAFLOW_DAEMON_RECORD_TASK_H
 
+#include "coordination/record_replication.h"
+#include "daemon/fleet_task.h"
 #include "state/request_records.h"
 #include "transport/event_loop.h"
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace galenaflow::daemon {
 
-/// Keeps the records of answered requests and looks them up.
+/// Keeps the records of answered requests, copies them to two peers, and looks
+/// them up over all listed daemons.
 class RecordTask {
 public:
   /// Whether a record was found, and the JSON to answer with.
   using FindCallback = std::function<void(bool found, std::string body)>;
 
-  RecordTask(transport::EventLoop &loop, std::string daemonId,
-             std::size_t maxBytes);
+  RecordTask(transport::EventLoop &loop, FleetTask &fleet,
+             const coordination::ListedVm &self, std::size_t maxBytes);
+  ~RecordTask();
 
   void add(state::RequestRecord record);
 
-  /// Looks for a request id or an idempotency key. The callback runs once.
+  /// Looks for a request id or an idempotency key, here and at every listed
+  /// daemon. The callback runs once, at the latest after LookupTimeout. The
+  /// answer names the daemons that could not be asked and how far back the
+  /// others reach.
   void find(const std::string &idOrKey, FindCallback callback);
 
+  /// Call on each tick of the fleet task.
+  void tick();
+
+  /// Whether all records have been copied to the peers that keep them.
+  bool isFlushed() const { return Replication.isFlushed(); }
+
+  static constexpr state::Duration LookupTimeout =
+      std::chrono::milliseconds(1000);
+
 private:
+  struct DaemonAnswer {
+    std::string Daemon; ///< VM id and instance
+    bool HasAnswered = false;
+    std::uint64_t ReachMs = 0; ///< age of the oldest moment fully covered
+  };
+
+  struct Lookup {
+    std::string Id;
+    FindCallback Callback;
+    std::map<coordination::MemberId, DaemonAnswer> Daemons;
+    std::map<std::string, std::string> Records; ///< JSON by identity
+    transport::TimerId Timeout = 0;
+  };
+
+  void onMessage(const coordination::MemberId &from, std::uint16_t type,
+                 std::string_view payload);
+  void onFound(const coordination::MemberId &from,
+               const protocol::RecordMessage &message);
+  void askPeers(std::uint64_t query, Lookup &lookup);
+  void addRecord(Lookup &lookup, const std::string &json);
+  void finish(std::uint64_t query);
+  void sendMessages();
+
   transport::EventLoop &Loop;
-  std::string DaemonId;
+  FleetTask &Fleet;
+  coordination::ListedVm Self;
   state::RequestRecordRing Ring;
+  coordination::RecordReplication Replication;
+  std::map<coordination::MemberId, coordination::RecordPeer> Peers;
+  std::unordered_map<std::uint64_t, Lookup> Lookups;
+  std::uint64_t LastQuery = 0;
+  state::TimePoint Started;
 };
 
 } // namespace galenaflow::daemon
