Test three daemons end to end

Cause: the parts had not served a request together.

Change: a starting daemon waits up to 3 s for load reports of every sharded service.

--- a/src/daemon/backend_task.cc
+++ b/src/daemon/backend_task.cc
@@ -283,6 +283,17 @@
           *known.Hedging[static_cast<std::size_t>(operation)], known.Retries};
 }
 
+bool BackendTask::hasSnapshots() {
+  if (!Topology)
+    return false;
+  return std::all_of(Topology->Services.begin(), Topology->Services.end(),
+                     [this](const auto &entry) {
+                       return entry.second.Kind !=
+                                  state::ServiceKind::Sharded ||
+                              Snapshots.select(entry.first, {}).has_value();
+                     });
+}
+
 void BackendTask::setSaturated(std::string_view service, bool saturated) {
   const auto it = Services.find(service);
   if (it == Services.end())
--- a/src/daemon/backend_task.h
+++ b/src/daemon/backend_task.h
@@ -103,6 +103,9 @@
   coordination::Collaborators collaborators(std::string_view service,
                                             state::Operation operation);
 
+  /// Whether every sharded service has a snapshot that can be queried.
+  bool hasSnapshots();
+
   /// While admission waits, nothing is hedged.
   void setSaturated(std::string_view service, bool saturated);
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -36,6 +36,9 @@
 constexpr state::Duration LongestDeadline =
     milliseconds(protocol::MaxDeadlineMs);
 
+/// How long a starting daemon waits for load reports of every service.
+constexpr state::Duration SnapshotWait = std::chrono::seconds(3);
+
 std::vector<std::string> readKeys(const Options &options) {
   std::vector<std::string> keys;
   for (const std::string &path : {options.PeerKey, options.PeerKeyOther}) {
@@ -135,6 +138,7 @@
   transport::HttpServer CallerServer;
   transport::HttpServer OperatorServer;
   coordination::Drain Draining;
+  state::TimePoint EntitledAt{}; ///< zero before
   bool HasLists = false;
   bool IsReady = false;
   bool ListenerClosed = false;
@@ -192,6 +196,13 @@
 void Daemon::Impl::updateReady() {
   if (IsReady || !HasLists || !Lists.isComplete() || !Shares.isEntitled())
     return;
+  // The first load reports take a moment. A service whose backend servers are
+  // all down must not keep the others from being served.
+  const state::TimePoint now = Loop.now();
+  if (EntitledAt == state::TimePoint())
+    EntitledAt = now;
+  if (!Backends.hasSnapshots() && now - EntitledAt < SnapshotWait)
+    return;
   IsReady = true;
   Callers.setReady(true);
   state::log::info("serving", {{"daemon", DaemonId}});
--- a/tests/support/checks.cc
+++ b/tests/support/checks.cc
@@ -118,7 +118,7 @@
 std::string CallerClient::issueKey() {
   const json answer = json::parse(
       send({"POST", "/v1/request-ids", {}, ""}).Body, nullptr, false);
-  return answer.is_object() ? answer.value("request_id", "") : "";
+  return answer.is_object() ? answer.value("id", "") : "";
 }
 
 } // namespace galenaflow::support
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -1,8 +1,12 @@
 #include "support/deployment.h"
 
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <openssl/sha.h>
 #include <thread>
+#include <unistd.h>
 
 // Backends start first, since the services document holds their addresses.
 // Daemons get addresses that were bound before, because the VM list names them
@@ -61,9 +65,29 @@
 Deployment::Deployment(DeploymentOptions options)
     : Options(std::move(options)) {}
 
-Deployment::~Deployment() = default;
+Deployment::~Deployment() {
+  if (!PeerKeyFile.empty())
+    std::remove(PeerKeyFile.c_str());
+}
+
+void Deployment::writePeerKey() {
+  std::string path = "/tmp/galenaflow-peer-key-XXXXXX";
+  const int fd = mkstemp(path.data());
+  if (fd < 0)
+    return;
+  close(fd);
+  PeerKeyFile = path;
+  std::ofstream(path) << "a shared key for one deployment of a test";
+}
+
+std::string Deployment::instanceOf(const std::string &vmId) const {
+  const auto it = Instances.find(vmId);
+  const std::uint64_t n = it == Instances.end() ? 1 : it->second;
+  return vmId + "-" + std::to_string(n);
+}
 
 state::Result<bool> Deployment::startOutside() {
+  writePeerKey();
   Backends = std::make_unique<Process>(
       "standin-backend", std::vector<std::string>{}, backendConfig().dump());
   const json backends = parseStarted(*Backends);
@@ -106,15 +130,18 @@
 
 state::Result<bool> Deployment::startDaemon(std::size_t i) {
   Daemon &daemon = Daemons[i];
+  ++Instances[daemon.VmId];
   std::vector<std::string> args = {"--listen=" + daemon.Listen,
                                    "--operator_listen=" + daemon.OperatorListen,
                                    "--peer_listen=" + daemon.PeerListen,
                                    "--platform=" + PlatformListen,
                                    "--vm_id=" + daemon.VmId,
+                                   "--vm_instance=" + instanceOf(daemon.VmId),
+                                   "--peer_key=" + PeerKeyFile,
+                                   "--balancer_lag_ms=200",
                                    "--data_centre=" + daemon.DataCentre};
   args.insert(args.end(), Options.DaemonFlags.begin(),
               Options.DaemonFlags.end());
-  ++Instances[daemon.VmId];
   daemon.Program = std::make_unique<Process>("galenaflowd", args);
   const auto line = daemon.Program->waitForLine(
       [](std::string_view text) {
@@ -276,11 +303,9 @@
   for (const Daemon &daemon : Daemons) {
     const bool isLeaving =
         std::find(leaving.begin(), leaving.end(), daemon.VmId) != leaving.end();
-    const auto it = Instances.find(daemon.VmId);
-    const std::uint64_t n = it == Instances.end() ? 1 : it->second;
     json item = json::object();
     item["id"] = daemon.VmId;
-    item["instance"] = daemon.VmId + "-" + std::to_string(n);
+    item["instance"] = instanceOf(daemon.VmId);
     item["role"] = "entry";
     item["address"] = daemon.PeerListen;
     item["operator_address"] = daemon.OperatorListen;
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -94,7 +94,11 @@
   /// Sends the VM list to the platform; all daemons are live unless named.
   void publishVms(const std::vector<std::string> &leaving = {});
 
+  /// The instance of a VM in the list; changes with each start of its daemon.
+  std::string instanceOf(const std::string &vmId) const;
+
 private:
+  void writePeerKey();
   nlohmann::json backendConfig() const;
   nlohmann::json servicesDocument(const nlohmann::json &addresses) const;
   nlohmann::json plansDocument() const;
@@ -105,6 +109,7 @@
   transport::EventLoop Loop;
   std::unique_ptr<Process> Platform;
   std::unique_ptr<Process> Backends;
+  std::string PeerKeyFile;
   std::string PlatformListen;
   std::string PlatformControl;
   std::string BackendControl;
