Add the demonstration; fix lint and the tests of message types

Cause: a newcomer needs one command that shows the system at work. The tests of the fleet messages held the old type numbers, which collide with those of the peer link (below 16).

Change: make demo starts stand-ins and three daemons, runs requests, edits a plan, shows the operator's view and stops. The tests use the new numbers.

Conclusion: the whole path is shown by one command.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,12 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all setup build format format-check lint check check-fast clean
+# Shows a small deployment at work, with stand-ins for the outside systems.
+demo: setup
+	$(MAKE) build
+	$(BUILD)/demo
+
+.PHONY: all demo setup build format format-check lint check check-fast clean
 
 all: build
 
--- a/src/daemon/caller_service.cc
+++ b/src/daemon/caller_service.cc
@@ -95,7 +95,7 @@
 }
 
 void CallerService::handle(
-    transport::HttpRequest http,
+    const transport::HttpRequest &http,
     std::shared_ptr<transport::HttpResponder> responder) {
   auto request = std::make_shared<Request>();
   ++OpenRequests;
--- a/src/daemon/caller_service.h
+++ b/src/daemon/caller_service.h
@@ -38,7 +38,7 @@
                 state::MetricRegistry &metrics, RecordSink records);
 
   /// The handler of the callers' listener.
-  void handle(transport::HttpRequest request,
+  void handle(const transport::HttpRequest &http,
               std::shared_ptr<transport::HttpResponder> responder);
 
   /// Before the lists are known, requests are refused as unavailable.
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -39,6 +39,8 @@
 /// How long a starting daemon waits for load reports of every service.
 constexpr state::Duration SnapshotWait = std::chrono::seconds(3);
 
+constexpr double OneHundredPercent = 100;
+
 std::vector<std::string> readKeys(const Options &options) {
   std::vector<std::string> keys;
   for (const std::string &path : {options.PeerKey, options.PeerKeyOther}) {
@@ -75,11 +77,10 @@
 }
 
 BackendTaskOptions backendOptions(const Options &options, std::uint64_t seed) {
-  constexpr double Percent = 100;
   BackendTaskOptions result;
   result.PollInterval = milliseconds(options.PollIntervalMs);
-  result.HedgeBudget.Ratio = options.HedgePercent / Percent;
-  result.RetryBudget.Ratio = options.RetryPercent / Percent;
+  result.HedgeBudget.Ratio = options.HedgePercent / OneHundredPercent;
+  result.RetryBudget.Ratio = options.RetryPercent / OneHundredPercent;
   result.RoundRobin = options.ReplicaPolicy == "round_robin";
   result.Seed = seed;
   return result;
@@ -164,10 +165,11 @@
       Operator(loop, {DaemonId, options.DataCentre, [this] { return phase(); },
                       [this] { return Callers.openRequests(); }, Lists,
                       Backends, Fleet, Shares, Records, Metrics}),
-      CallerServer(loop, callerServerOptions(options),
-                   [this](transport::HttpRequest request, auto responder) {
-                     Callers.handle(std::move(request), std::move(responder));
-                   }),
+      CallerServer(
+          loop, callerServerOptions(options),
+          [this](const transport::HttpRequest &request, auto responder) {
+            Callers.handle(request, std::move(responder));
+          }),
       OperatorServer(
           loop, {},
           [this](const transport::HttpRequest &request, const auto &responder) {
--- a/src/daemon/fleet_task.cc
+++ b/src/daemon/fleet_task.cc
@@ -77,7 +77,7 @@
 
 state::Result<transport::SocketAddress>
 FleetTask::start(const transport::SocketAddress &listenAddress) {
-  const auto bound = Network.listen(listenAddress);
+  auto bound = Network.listen(listenAddress);
   if (!bound)
     return bound;
   Network.setWanted(Options.SeedPeers);
--- /dev/null
+++ b/tests/demo/demo_main.cc
@@ -0,0 +1,162 @@
+#include "support/checks.h"
+#include "support/deployment.h"
+
+#include <chrono>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+// Starts the stand-ins and three daemons, runs requests as a caller would,
+// edits a plan, shows what the operator sees, and stops everything. Any
+// unexpected answer ends the program with exit code 1.
+
+using namespace galenaflow;
+using namespace galenaflow::support;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::seconds StepLimit = 30s;
+constexpr std::chrono::milliseconds EditPollInterval = 100ms;
+
+bool isExpected(const char *what, bool ok) {
+  if (!ok)
+    std::printf("unexpected: %s\n", what);
+  return ok;
+}
+
+void title(const char *text) { std::printf("\n== %s\n", text); }
+
+/// Prints a call in the form in which a person would repeat it.
+void printCurl(const Daemon &daemon, const char *path,
+               const std::string &body) {
+  std::printf("$ curl -s -H 'Authorization: Bearer %s' -d '%s' http://%s%s\n",
+              Deployment::callerKey("customer-standard").c_str(), body.c_str(),
+              daemon.Listen.c_str(), path);
+}
+
+/// Prints an answer without most of its hits.
+void printAnswer(const std::string &body) {
+  json answer = json::parse(body, nullptr, false);
+  if (answer.is_object() && answer.contains("hits")) {
+    const std::size_t n = answer["hits"].size();
+    answer["hits"] = "(" + std::to_string(n) + " hits)";
+  }
+  std::printf("%s\n", answer.dump().c_str());
+}
+
+std::string runCtl(const Daemon &daemon, std::vector<std::string> words) {
+  words.insert(words.begin(), "--daemon=" + daemon.OperatorListen);
+  std::string line = "$ galenaflowctl";
+  for (const std::string &word : words)
+    line += " " + word;
+  std::printf("%s\n", line.c_str());
+  Process ctl("galenaflowctl", words);
+  const auto code = ctl.wait(StepLimit);
+  std::printf("%s(exit code %d)\n", ctl.output().c_str(), code.value_or(-1));
+  return code == 0 ? ctl.output() : "";
+}
+
+bool showRequests(Deployment &deployment) {
+  const Daemon &daemon = deployment.daemons()[0];
+  CallerClient caller(deployment, daemon.Listen, "customer-standard");
+  title("a search over all 20 shards of archivio");
+  printCurl(daemon, "/v1/search",
+            R"({"service":"archivio","query":"vane","limit":10})");
+  const auto found = caller.search("archivio", "vane", 10);
+  printAnswer(found.Body);
+  if (!isExpected("status of the search", found.Status == 200))
+    return false;
+  title("a suggestion, and one record from a pool service");
+  const auto suggested = caller.suggest("archivio", "va", 5);
+  printAnswer(suggested.Body);
+  const auto record = caller.read("commesse", "commesse-7");
+  printAnswer(record.Body);
+  title("a write that is not repeatable, submitted twice through two daemons");
+  const std::string key = caller.issueKey();
+  const auto first = caller.write("commesse", key, R"({"claim":"vane-7"})");
+  printAnswer(first.Body);
+  CallerClient other(deployment, deployment.daemons()[1].Listen,
+                     "customer-standard");
+  const auto second = other.write("commesse", key, R"({"claim":"vane-7"})");
+  printAnswer(second.Body);
+  const json journal =
+      deployment.callJson(deployment.backendControl(), "/control/journal");
+  std::printf("runs in the backend servers' journals: %zu\n",
+              countRuns(journal, key));
+  title("what happened to the search");
+  const std::string id = json::parse(found.Body).value("request_id", "");
+  const std::string told = runCtl(deployment.daemons()[2], {"request", id});
+  return isExpected("status of the suggestion", suggested.Status == 200) &&
+         isExpected("status of the record", record.Status == 200) &&
+         isExpected("status of the write", first.Status == 200) &&
+         isExpected("number of runs", countRuns(journal, key) == 1) &&
+         isExpected("the record of the search", !told.empty());
+}
+
+/// Lowers the largest page and waits until all daemons cut to it.
+bool editPlan(Deployment &deployment) {
+  title("the operator lowers max_limit of searches to 3");
+  json plans = deployment.plansDocument();
+  plans["plans"][0]["operations"]["search"]["max_limit"] = 3;
+  deployment.callJson(deployment.platformControl(), "/control/values/plans",
+                      plans.dump());
+  const auto start = std::chrono::steady_clock::now();
+  for (Daemon &daemon : deployment.daemons()) {
+    CallerClient caller(deployment, daemon.Listen, "customer-standard");
+    std::size_t hits = 0;
+    do {
+      std::this_thread::sleep_for(EditPollInterval);
+      const auto found = caller.search("archivio", "vane", 10);
+      const json answer = json::parse(found.Body, nullptr, false);
+      hits = answer.is_object() && answer.contains("hits")
+                 ? answer["hits"].size()
+                 : 0;
+    } while (hits != 3 && std::chrono::steady_clock::now() - start < StepLimit);
+    if (!isExpected("number of hits after the edit", hits == 3))
+      return false;
+  }
+  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - start);
+  std::printf("in force at all daemons after %lld ms\n",
+              static_cast<long long>(took.count()));
+  return true;
+}
+
+bool stopAll(Deployment &deployment) {
+  title("graceful stop");
+  for (Daemon &daemon : deployment.daemons())
+    daemon.Program->terminate();
+  bool clean = true;
+  for (Daemon &daemon : deployment.daemons()) {
+    const auto code = daemon.Program->wait(StepLimit);
+    std::printf("%s: exit code %d\n", daemon.VmId.c_str(), code.value_or(-1));
+    clean = clean && code == 0;
+  }
+  return isExpected("exit codes", clean);
+}
+
+} // namespace
+
+int main() {
+  DeploymentOptions options;
+  options.Services = {{"archivio", 20, 2, 2, 25, 6},
+                      {"commesse", 0, 15, 2, 35, 1}};
+  options.Daemons = 3;
+  Deployment deployment(options);
+  title("starting the stand-ins and three daemons");
+  const auto outside = deployment.startOutside();
+  const auto started = outside ? deployment.startDaemons() : outside;
+  if (!started) {
+    std::printf("%s\n", started.error().Text.c_str());
+    return 1;
+  }
+  if (!showRequests(deployment) || !editPlan(deployment))
+    return 1;
+  title("what the operator sees");
+  runCtl(deployment.daemons()[0], {"status"});
+  runCtl(deployment.daemons()[0], {"plans"});
+  runCtl(deployment.daemons()[0], {"peers"});
+  return stopAll(deployment) ? 0 : 1;
+}
--- a/tests/fleet_messages_test.cc
+++ b/tests/fleet_messages_test.cc
@@ -88,16 +88,16 @@
   const MemberId id{"vm-1", "1"};
   Ping ping;
   ping.Updates.resize(MaxUpdates + 1);
-  CHECK_FALSE(decodeFleetMessage(1, encodeFleetMessage({id, id, ping})));
+  CHECK_FALSE(decodeFleetMessage(21, encodeFleetMessage({id, id, ping})));
   ping.Updates.clear();
   ping.Digest.resize(MaxDigestBytes + 1);
-  CHECK_FALSE(decodeFleetMessage(1, encodeFleetMessage({id, id, ping})));
+  CHECK_FALSE(decodeFleetMessage(21, encodeFleetMessage({id, id, ping})));
   const MemberId longId{std::string(MaxIdBytes + 1, 'x'), "1"};
-  CHECK_FALSE(decodeFleetMessage(1, encodeFleetMessage({longId, id, Ping{}})));
+  CHECK_FALSE(decodeFleetMessage(21, encodeFleetMessage({longId, id, Ping{}})));
   ConfigValue value{ConfigKey::Plans, 1, std::string(MaxConfigValueBytes, 'x')};
-  CHECK(decodeFleetMessage(10, encodeFleetMessage({id, id, value})));
+  CHECK(decodeFleetMessage(31, encodeFleetMessage({id, id, value})));
   value.Value += 'x';
-  CHECK_FALSE(decodeFleetMessage(10, encodeFleetMessage({id, id, value})));
+  CHECK_FALSE(decodeFleetMessage(31, encodeFleetMessage({id, id, value})));
 }
 
 TEST_CASE("fields of a newer release are ignored") {
@@ -116,7 +116,7 @@
   builder.AddOffset<flatbuffers::String>(fleet::Message::VT_SHARE + 2, added);
   builder.Finish(flatbuffers::Offset<fleet::Message>(builder.EndTable(start)));
   const auto decoded =
-      decodeFleetMessage(11, {builder.GetBufferPointer(), builder.GetSize()});
+      decodeFleetMessage(32, {builder.GetBufferPointer(), builder.GetSize()});
   REQUIRE(decoded);
   CHECK(std::get<ConfigPull>(decoded->Body).Versions ==
         ConfigVersionVector{1, 2, 3, 4});
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -94,6 +94,9 @@
   /// Sends the VM list to the platform; all daemons are live unless named.
   void publishVms(const std::vector<std::string> &leaving = {});
 
+  /// The plans document that the deployment starts with.
+  nlohmann::json plansDocument() const;
+
   /// The instance of a VM in the list; changes with each start of its daemon.
   std::string instanceOf(const std::string &vmId) const;
 
@@ -101,7 +104,6 @@
   void writePeerKey();
   nlohmann::json backendConfig() const;
   nlohmann::json servicesDocument(const nlohmann::json &addresses) const;
-  nlohmann::json plansDocument() const;
   static nlohmann::json customersDocument(const nlohmann::json &plans);
   nlohmann::json vmsDocument(const std::vector<std::string> &leaving) const;
 
