--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -130,7 +130,8 @@
 
 state::Result<bool> Deployment::startDaemon(std::size_t i) {
   Daemon &daemon = Daemons[i];
-  ++Instances[daemon.VmId];
+  if (!KeepInstances)
+    ++Instances[daemon.VmId];
   std::vector<std::string> args = {"--listen=" + daemon.Listen,
                                    "--operator_listen=" + daemon.OperatorListen,
                                    "--peer_listen=" + daemon.PeerListen,
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -71,6 +71,14 @@
   /// Starts one daemon again under its addresses, as a replaced VM.
   state::Result<bool> startDaemon(std::size_t i);
 
+  /// A further flag for daemons that are started from now on.
+  void addDaemonFlag(std::string flag) {
+    Options.DaemonFlags.push_back(std::move(flag));
+  }
+
+  /// Daemons that are started from now on are restarts on the same VM.
+  void keepInstances() { KeepInstances = true; }
+
   bool waitUntilReady(std::size_t i, std::chrono::milliseconds limit);
 
   /// The key of a customer, derived from its id.
@@ -117,6 +125,7 @@
   std::string BackendControl;
   std::vector<Daemon> Daemons;
   std::map<std::string, std::uint64_t> Instances; ///< starts of each VM
+  bool KeepInstances = false;
 };
 
 } // namespace galenaflow::support
