Honour all settings of queries and admission

Change: the hedge quantile, ejection threshold, idle probe age, urgent share and the bounds on open queries and answer size reach the code that uses them. An answer above its bound is refused as payload_too_large with ran.

--- a/src/coordination/hedge_policy.cc
+++ b/src/coordination/hedge_policy.cc
@@ -65,7 +65,7 @@
 }
 
 AdaptiveHedgePolicy::AdaptiveHedgePolicy(HedgeOptions options)
-    : Options(options), Budget(options.Budget), Latency(0.95) {}
+    : Options(options), Budget(options.Budget), Latency(options.Quantile) {}
 
 std::optional<Duration> AdaptiveHedgePolicy::p95() const {
   const auto value = Latency.value();
--- a/src/coordination/hedge_policy.h
+++ b/src/coordination/hedge_policy.h
@@ -36,6 +36,7 @@
 struct HedgeOptions {
   TokenBudgetOptions Budget;
   Duration MinDelay = std::chrono::milliseconds(1);
+  double Quantile = 0.95; ///< of recent latencies
 };
 
 /// HedgePolicy for one service and operation: p95 of recent latencies, and a
--- a/src/daemon/admission_task.cc
+++ b/src/daemon/admission_task.cc
@@ -56,9 +56,11 @@
   return "queue_full";
 }
 
-AdmissionTask::ServiceState::ServiceState(std::size_t maxQueued, double slots,
-                                          double connections)
-    : Queue({.Capacity = slots, .MaxQueued = maxQueued}),
+AdmissionTask::ServiceState::ServiceState(const AdmissionTaskOptions &options,
+                                          double slots, double connections)
+    : Queue({.Capacity = slots,
+             .MaxQueued = options.MaxQueued,
+             .UrgentShare = options.UrgentShare}),
       Concurrency({.Min = slots, .Max = connections, .Initial = slots}) {}
 
 AdmissionTask::AdmissionTask(transport::EventLoop &loop,
@@ -93,8 +95,7 @@
         existing->Queue.setCapacity(existing->Concurrency.limit(), Loop.now()));
     return;
   }
-  auto created =
-      std::make_unique<ServiceState>(Options.MaxQueued, slots, connections);
+  auto created = std::make_unique<ServiceState>(Options, slots, connections);
   for (const auto &[plan, weight] : Weights)
     created->Queue.setWeight(plan, weight);
   Services.emplace(std::string(service), std::move(created));
@@ -105,6 +106,10 @@
   const AdmissionId id = ++LastId;
   const state::TimePoint now = Loop.now();
   ServiceState *service = findService(request.Service);
+  if (Open.size() >= Options.MaxOpen) {
+    callback(id, AdmissionVerdict::QueueFull, state::Duration(0));
+    return;
+  }
   std::uint64_t hold = 0;
   const auto verdict = service == nullptr ? AdmissionVerdict::UnknownPlan
                                           : passPlan(request, hold);
--- a/src/daemon/admission_task.h
+++ b/src/daemon/admission_task.h
@@ -61,6 +61,8 @@
 
 struct AdmissionTaskOptions {
   std::size_t MaxQueued = 1000; ///< requests waiting, per service
+  std::size_t MaxOpen = 1024;   ///< requests admitted and waiting, in all
+  double UrgentShare = 0.5;     ///< see coordination::AdmissionOptions
 };
 
 /// Admits requests by plan limits and by the capacity of each service. Each
@@ -103,7 +105,8 @@
 
 private:
   struct ServiceState {
-    ServiceState(std::size_t maxQueued, double slots, double connections);
+    ServiceState(const AdmissionTaskOptions &options, double slots,
+                 double connections);
     coordination::AdmissionQueue Queue;
     coordination::AdaptiveConcurrency Concurrency;
     state::Duration TypicalTime{0};
--- a/src/daemon/backend_task.cc
+++ b/src/daemon/backend_task.cc
@@ -48,8 +48,9 @@
 struct BackendTask::ReplicaState {
   ReplicaState(transport::EventLoop &loop, const state::Service &service,
                const state::Replica &listed,
-               const transport::SocketAddress &address)
-      : ServiceName(service.Name), Listed(listed), Pool(loop, address) {}
+               const transport::SocketAddress &address,
+               const transport::BackendPoolOptions &pool)
+      : ServiceName(service.Name), Listed(listed), Pool(loop, address, pool) {}
 
   std::string ServiceName;
   state::Replica Listed;
@@ -68,9 +69,7 @@
 
   static std::unique_ptr<coordination::AdaptiveHedgePolicy>
   makePolicy(const BackendTaskOptions &options) {
-    coordination::HedgeOptions hedge;
-    hedge.Budget = options.HedgeBudget;
-    return std::make_unique<coordination::AdaptiveHedgePolicy>(hedge);
+    return std::make_unique<coordination::AdaptiveHedgePolicy>(options.Hedging);
   }
 
   std::array<std::unique_ptr<coordination::AdaptiveHedgePolicy>,
@@ -83,6 +82,7 @@
 BackendTask::BackendTask(transport::EventLoop &loop, BackendTaskOptions options,
                          state::MetricRegistry &metrics)
     : Loop(loop), Options(options), Metrics(metrics),
+      Outliers(options.Outliers),
       Selector(Outliers, std::mt19937_64(options.Seed)),
       Random(options.Seed + 1) {
   const std::function<void()> compare = [this] {
@@ -144,8 +144,8 @@
                       {{"replica", replica.Id}, {"address", replica.Address}});
     return;
   }
-  auto created =
-      std::make_unique<ReplicaState>(Loop, service, replica, *address);
+  auto created = std::make_unique<ReplicaState>(Loop, service, replica,
+                                                *address, Options.Pool);
   ReplicaState &added = *created;
   added.Pool.onFree([this, &added] {
     while (!added.Blocked.empty() && added.Pool.hasFree()) {
--- a/src/daemon/backend_task.h
+++ b/src/daemon/backend_task.h
@@ -32,7 +32,9 @@
   /// Connections opened to a replica before they are needed.
   std::size_t WarmConnections = 2;
 
-  coordination::TokenBudgetOptions HedgeBudget;
+  coordination::HedgeOptions Hedging;
+  coordination::OutlierOptions Outliers;
+  transport::BackendPoolOptions Pool;
   coordination::TokenBudgetOptions RetryBudget;
 
   /// Baseline for measurements: choose replicas in turn and never hedge.
--- a/src/daemon/caller_service.cc
+++ b/src/daemon/caller_service.cc
@@ -438,6 +438,11 @@
 }
 
 void CallerService::answer(const RequestPtr &request, std::string body) {
+  if (body.size() > Options.MaxAnswerBytes) {
+    answerError(request, CallerErrorCode::PayloadTooLarge, Ran::Ran,
+                "the answer is larger than this daemon allows");
+    return;
+  }
   auto response = transport::jsonResponse(200, std::move(body));
   response.Headers.add("x-request-id", request->Record.RequestId);
   close(request, "ok", Ran::Ran);
--- a/src/daemon/caller_service.h
+++ b/src/daemon/caller_service.h
@@ -22,6 +22,7 @@
 struct CallerServiceOptions {
   std::string DaemonId;  ///< VM id and instance, for request records
   double SampleRate = 0; ///< part of requests without a trace that are traced
+  std::size_t MaxAnswerBytes = std::size_t{16} << 20;
   std::uint64_t Seed = 1;
 };
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -79,7 +79,10 @@
 BackendTaskOptions backendOptions(const Options &options, std::uint64_t seed) {
   BackendTaskOptions result;
   result.PollInterval = milliseconds(options.PollIntervalMs);
-  result.HedgeBudget.Ratio = options.HedgePercent / OneHundredPercent;
+  result.Hedging.Quantile = options.HedgeQuantile;
+  result.Outliers.ConsecutiveFailures = options.EjectAfterFailures;
+  result.Pool.IdleProbeAge = milliseconds(options.IdleProbeMs);
+  result.Hedging.Budget.Ratio = options.HedgePercent / OneHundredPercent;
   result.RetryBudget.Ratio = options.RetryPercent / OneHundredPercent;
   result.RoundRobin = options.ReplicaPolicy == "round_robin";
   result.Seed = seed;
@@ -151,17 +154,20 @@
       DaemonId(options.VmId + "/" + options.VmInstance),
       Fleet(loop, fleetOptions(options, seed), Lists, Metrics),
       Backends(loop, backendOptions(options, seed + 1), Metrics),
-      Admission(loop, {options.MaxQueuedQueries}),
+      Admission(loop, {options.MaxQueuedQueries, options.MaxInFlightQueries,
+                       options.UrgentSharePercent / OneHundredPercent}),
       Shares(loop, Fleet, Lists, Admission, Backends, selfOf(options).Id,
              shareOptions(options)),
       Writes(loop, Fleet, Lists, Backends, selfOf(options).Id,
              writeOptions(options), seed + 2),
       Records(loop, Fleet, selfOf(options), options.RecordMemoryBytes),
-      Callers(loop, {DaemonId, options.TraceSampleRate, seed + 3}, Lists,
-              Backends, Admission, Writes, Metrics,
-              [this](state::RequestRecord record) {
-                Records.add(std::move(record));
-              }),
+      Callers(
+          loop,
+          {DaemonId, options.TraceSampleRate, options.MaxAnswerBytes, seed + 3},
+          Lists, Backends, Admission, Writes, Metrics,
+          [this](state::RequestRecord record) {
+            Records.add(std::move(record));
+          }),
       Operator(loop, {DaemonId, options.DataCentre, [this] { return phase(); },
                       [this] { return Callers.openRequests(); }, Lists,
                       Backends, Fleet, Shares, Records, Metrics}),
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -137,10 +137,10 @@
 TEST_CASE("six daemons together admit no more than a plan's burst and rate") {
   DeploymentOptions options = sixDaemons();
   json plans = Deployment(options).plansDocument();
-  constexpr int MaxRate = 30;
-  constexpr int Burst = 6;
-  plans["plans"][0]["max_rate"] = MaxRate;
-  plans["plans"][0]["burst"] = Burst;
+  const int maxRate = 30;
+  const int burst = 6;
+  plans["plans"][0]["max_rate"] = maxRate;
+  plans["plans"][0]["burst"] = burst;
   options.Plans = plans.dump();
   Fleet fleet(options);
   const auto start = std::chrono::steady_clock::now();
@@ -159,7 +159,7 @@
   INFO("admitted " << admitted << " refused " << refused << " in "
                    << took.count() << " s");
   // One more for each daemon, whose bucket can hold a part of a request.
-  CHECK(admitted <= Burst + 6 + MaxRate * took.count());
+  CHECK(admitted <= burst + 6 + maxRate * took.count());
   CHECK(admitted + refused == 600);
   CHECK(refused > 0);
 }
