--- a/src/daemon/caller_service.cc
+++ b/src/daemon/caller_service.cc
@@ -26,7 +26,7 @@
   state::TimePoint DeadlineAt;
   state::TimePoint AdmittedAt;
   state::Priority Priority = state::Priority::Normal;
-  protocol::TraceContext Trace;
+  OpenSpan Span;
   state::PlanCatalogPtr Catalog; ///< keeps Plan valid
   const state::Plan *Plan = nullptr;
   const state::OperationLimits *Limits = nullptr;
@@ -87,9 +87,10 @@
                              CallerServiceOptions options,
                              PublishedLists &lists, BackendTask &backends,
                              AdmissionTask &admission, WriteService &writes,
-                             state::MetricRegistry &metrics, RecordSink records)
+                             Tracer &spans, state::MetricRegistry &metrics,
+                             RecordSink records)
     : Loop(loop), Options(std::move(options)), Lists(lists), Backends(backends),
-      Admission(admission), Writes(writes), Metrics(metrics),
+      Admission(admission), Writes(writes), Spans(spans), Metrics(metrics),
       Records(std::move(records)), Random(Options.Seed) {
   IdPrefix = state::mintUuidV7(Loop.wallNow(), Random).Text;
 }
@@ -171,11 +172,8 @@
   request->Record.Service = service;
   if (!options.RequestId.empty())
     request->Record.RequestId = options.RequestId;
-  request->Trace =
-      options.Trace
-          ? protocol::childOf(*options.Trace, Random)
-          : protocol::newTrace(Random, std::bernoulli_distribution(
-                                           Options.SampleRate)(Random));
+  request->Span = Spans.startRequest(options.Trace);
+  request->Span.Name = state::operationName(operation);
   request->Limits = request->Plan->limitsOf(operation);
   if (request->Limits == nullptr ||
       !request->Plan->Services.contains(service)) {
@@ -496,12 +494,20 @@
       .histogram("galenaflow_request_seconds", "Time to answer a request",
                  {{"operation", operation}})
       .record(record.Took);
+  if (request->Span.Context.IsSampled)
+    Spans.finish(std::move(request->Span),
+                 outcome == "ok" ? "" : record.Outcome,
+                 {{"request_id", record.RequestId},
+                  {"service", record.Service},
+                  {"plan", record.PlanId},
+                  {"shards_answered", std::to_string(record.ShardsAnswered)},
+                  {"shards_asked", std::to_string(record.ShardsAsked)}});
   Records(std::move(record));
 }
 
 SubRequestContext CallerService::contextOf(const RequestPtr &request) {
   return {IdPrefix + "-" + std::to_string(++LastQuery), request->Priority,
-          request->Trace};
+          request->Span.Context, &Spans};
 }
 
 state::Duration CallerService::left(const RequestPtr &request) const {
--- a/src/daemon/caller_service.h
+++ b/src/daemon/caller_service.h
@@ -20,8 +20,7 @@
 namespace galenaflow::daemon {
 
 struct CallerServiceOptions {
-  std::string DaemonId;  ///< VM id and instance, for request records
-  double SampleRate = 0; ///< part of requests without a trace that are traced
+  std::string DaemonId; ///< VM id and instance, for request records
   std::size_t MaxAnswerBytes = std::size_t{16} << 20;
   std::uint64_t Seed = 1;
 };
@@ -35,7 +34,7 @@
 public:
   CallerService(transport::EventLoop &loop, CallerServiceOptions options,
                 PublishedLists &lists, BackendTask &backends,
-                AdmissionTask &admission, WriteService &writes,
+                AdmissionTask &admission, WriteService &writes, Tracer &spans,
                 state::MetricRegistry &metrics, RecordSink records);
 
   /// The handler of the callers' listener.
@@ -101,6 +100,7 @@
   BackendTask &Backends;
   AdmissionTask &Admission;
   WriteService &Writes;
+  Tracer &Spans;
   state::MetricRegistry &Metrics;
   RecordSink Records;
   std::mt19937_64 Random;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -9,9 +9,11 @@
 #include "daemon/published_lists.h"
 #include "daemon/record_task.h"
 #include "daemon/share_task.h"
+#include "daemon/tracer.h"
 #include "daemon/write_task.h"
 #include "state/log.h"
 #include "transport/http_server.h"
+#include "transport/trace_exporter.h"
 
 #include <fstream>
 #include <iterator>
@@ -104,6 +106,16 @@
   return result;
 }
 
+transport::TraceExporterOptions exporterOptions(const Options &options) {
+  transport::TraceExporterOptions result;
+  const auto collector = transport::parseSocketAddress(options.TraceEndpoint);
+  if (collector)
+    result.Collector = *collector;
+  result.File = options.TraceFile;
+  result.BufferSpans = options.TraceBufferSpans;
+  return result;
+}
+
 transport::HttpServerOptions callerServerOptions(const Options &options) {
   transport::HttpServerOptions result;
   result.MaxBodyBytes = options.MaxBodyBytes;
@@ -137,6 +149,8 @@
   ShareTask Shares;
   WriteTask Writes;
   RecordTask Records;
+  transport::TraceExporter Exporter;
+  Tracer Spans;
   CallerService Callers;
   OperatorService Operator;
   transport::HttpServer CallerServer;
@@ -161,13 +175,15 @@
       Writes(loop, Fleet, Lists, Backends, selfOf(options).Id,
              writeOptions(options), seed + 2),
       Records(loop, Fleet, selfOf(options), options.RecordMemoryBytes),
-      Callers(
-          loop,
-          {DaemonId, options.TraceSampleRate, options.MaxAnswerBytes, seed + 3},
-          Lists, Backends, Admission, Writes, Metrics,
-          [this](state::RequestRecord record) {
-            Records.add(std::move(record));
-          }),
+      Exporter(loop, exporterOptions(options),
+               {options.VmId, options.DataCentre}),
+      Spans(loop, options.TraceSampleRate, seed + 4,
+            [this](protocol::Span span) { Exporter.add(std::move(span)); }),
+      Callers(loop, {DaemonId, options.MaxAnswerBytes, seed + 3}, Lists,
+              Backends, Admission, Writes, Spans, Metrics,
+              [this](state::RequestRecord record) {
+                Records.add(std::move(record));
+              }),
       Operator(loop, {DaemonId, options.DataCentre, [this] { return phase(); },
                       [this] { return Callers.openRequests(); }, Lists,
                       Backends, Fleet, Shares, Records, Metrics}),
@@ -287,6 +303,8 @@
       {options.Listen, result.Callers, [this](const auto &address) {
          return Self->CallerServer.listen(address);
        }}};
+  if (const auto opened = Self->Exporter.open(); !opened)
+    return tl::unexpected(opened.error());
   for (const Listener &listener : listeners) {
     const auto address = transport::parseSocketAddress(listener.Text);
     if (!address)
--- a/src/daemon/sub_request_task.cc
+++ b/src/daemon/sub_request_task.cc
@@ -38,6 +38,26 @@
   }
 }
 
+std::string_view attemptKindName(coordination::AttemptKind kind) {
+  switch (kind) {
+  case coordination::AttemptKind::Primary:
+    return "primary";
+  case coordination::AttemptKind::Hedge:
+    return "hedge";
+  case coordination::AttemptKind::Retry:
+    return "retry";
+  }
+  return "primary";
+}
+
+/// Why the exchange failed; empty after a 200.
+std::string failureText(const transport::HttpResult &result) {
+  if (!result)
+    return result.error().Cause.Text;
+  return result->Status == 200 ? ""
+                               : "status " + std::to_string(result->Status);
+}
+
 } // namespace
 
 SubFailure failureOf(coordination::SubRequestNumber number,
@@ -72,24 +92,40 @@
   request.Headers.add(protocol::SubRequestIdHeader, call.SubRequestId);
   request.Headers.add(protocol::DeadlineHeader,
                       std::to_string(std::max<std::int64_t>(ms.count(), 1)));
+  OpenCall &open = Calls[action.Number];
+  open.Span = Context.Spans->startChild(Context.Trace, "sub_request",
+                                        protocol::SpanKind::Client);
+  open.Replica = action.Replica;
+  open.Shard = action.Shard;
+  open.Kind = action.Kind;
   request.Headers.add(protocol::TraceparentHeader,
-                      protocol::formatTraceparent(Context.Trace));
+                      protocol::formatTraceparent(open.Span.Context));
   call.Request = std::move(request);
-  Calls[action.Number] =
-      Backends.call(std::move(call), [self = shared_from_this(),
-                                      action](transport::HttpResult result) {
-        self->Calls.erase(action.Number);
-        self->onResult(action, std::move(result));
-      });
+  open.Id = Backends.call(std::move(call), [self = shared_from_this(), action](
+                                               transport::HttpResult result) {
+    auto node = self->Calls.extract(action.Number);
+    self->finishSpan(std::move(node.mapped()), failureText(result));
+    self->onResult(action, std::move(result));
+  });
 }
 
 void SubRequestTask::cancel(coordination::SubRequestNumber number) {
   const auto it = Calls.find(number);
   if (it == Calls.end())
     return;
-  const CallId id = it->second;
+  OpenCall call = std::move(it->second);
   Calls.erase(it);
-  Backends.cancel(id);
+  Backends.cancel(call.Id);
+  finishSpan(std::move(call), "cancelled");
+}
+
+void SubRequestTask::finishSpan(OpenCall call, std::string failure) {
+  if (!call.Span.Context.IsSampled)
+    return;
+  Context.Spans->finish(std::move(call.Span), std::move(failure),
+                        {{"replica", call.Replica},
+                         {"shard", std::to_string(call.Shard)},
+                         {"kind", std::string(attemptKindName(call.Kind))}});
 }
 
 void SubRequestTask::setTimer(state::TimePoint at) {
--- a/src/daemon/sub_request_task.h
+++ b/src/daemon/sub_request_task.h
@@ -3,6 +3,7 @@
 
 #include "coordination/sub_request.h"
 #include "daemon/backend_task.h"
+#include "daemon/tracer.h"
 #include "protocol/trace_context.h"
 
 #include <memory>
@@ -16,7 +17,8 @@
   /// Prefix of the sub-request ids; unique over all daemons and restarts.
   std::string IdPrefix;
   state::Priority Priority = state::Priority::Normal;
-  protocol::TraceContext Trace;
+  protocol::TraceContext Trace; ///< of the caller's request
+  Tracer *Spans = nullptr;      ///< outlives the task
 };
 
 /// What an unsuccessful exchange means for the sub-request.
@@ -54,9 +56,19 @@
   transport::EventLoop &Loop;
 
 private:
+  struct OpenCall {
+    CallId Id = 0;
+    OpenSpan Span;
+    std::string Replica;
+    state::ShardNumber Shard = 0;
+    coordination::AttemptKind Kind = coordination::AttemptKind::Primary;
+  };
+
+  void finishSpan(OpenCall call, std::string failure);
+
   BackendTask &Backends;
   SubRequestContext Context;
-  std::unordered_map<coordination::SubRequestNumber, CallId> Calls;
+  std::unordered_map<coordination::SubRequestNumber, OpenCall> Calls;
   transport::TimerId Timer = 0;
 };
 
--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -2,7 +2,13 @@
 #include "support/deployment.h"
 
 #include <catch2/catch.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <thread>
+#include <unistd.h>
 
 using namespace galenaflow;
 using namespace galenaflow::support;
@@ -67,3 +73,69 @@
     CHECK(code == 0);
   }
 }
+
+namespace {
+
+/// A file that is removed at the end.
+struct TemporaryFile {
+  TemporaryFile() {
+    const int fd = mkstemp(Path.data());
+    if (fd >= 0)
+      close(fd);
+  }
+  ~TemporaryFile() { std::remove(Path.c_str()); }
+  std::string Path = "/tmp/galenaflow-test-XXXXXX";
+};
+
+/// All spans of a file of OTLP/JSON lines.
+std::vector<json> readSpans(const std::string &path) {
+  std::vector<json> spans;
+  std::ifstream file(path);
+  for (std::string line; std::getline(file, line);) {
+    const json request = json::parse(line, nullptr, false);
+    if (request.is_discarded())
+      continue;
+    for (const json &span :
+         request["resourceSpans"][0]["scopeSpans"][0]["spans"])
+      spans.push_back(span);
+  }
+  return spans;
+}
+
+} // namespace
+
+// Guards against hops without a span, and against spans that do not belong to
+// the trace of the request.
+TEST_CASE("a sampled search has one span and one more for each sub-request") {
+  const TemporaryFile file;
+  DeploymentOptions options;
+  options.Services = {Archivio};
+  options.DaemonFlags = {"--trace_file=" + file.Path, "--trace_sample_rate=1",
+                         "--hedge_percent=0"};
+  Deployment deployment(options);
+  REQUIRE(deployment.startOutside());
+  REQUIRE(deployment.startDaemons());
+  CallerClient caller(deployment, deployment.daemons()[0].Listen,
+                      "customer-standard");
+  REQUIRE(caller.search("archivio", "vane", 5).Status == 200);
+  const auto end = std::chrono::steady_clock::now() + TestLimit;
+  std::vector<json> spans;
+  while (spans.size() < 21 && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(50ms);
+    spans = readSpans(file.Path);
+  }
+  std::set<std::string> traces;
+  std::set<std::string> parents;
+  std::size_t servers = 0;
+  for (const json &span : spans) {
+    traces.insert(span["traceId"].get<std::string>());
+    if (span["name"] == "search")
+      ++servers;
+    else
+      parents.insert(span["parentSpanId"].get<std::string>());
+  }
+  CHECK(servers == 1);
+  CHECK(traces.size() == 1);
+  CHECK(parents.size() == 1);
+  CHECK(spans.size() >= 21);
+}
