Remove the second implementation of rendezvous weights

Cause: state::rendezvousWeight and coordination/rendezvous did the same, and only tests used the former. Conclusion: ranks of members stay as they were.

--- a/src/state/hash.cc
+++ b/src/state/hash.cc
@@ -1,5 +1,5 @@
-// Rendezvous weights hash the member with the hash of the key as seed. The two
-// inputs are never concatenated, so ("ab","c") and ("a","bc") differ.
+// XXH3 is fixed by its specification, so hashes may be compared between
+// machines and releases.
 #include "state/hash.h"
 
 #include <array>
@@ -28,8 +28,4 @@
   return XXH3_64bits_withSeed(data.data(), data.size(), seed);
 }
 
-std::uint64_t rendezvousWeight(std::string_view key, std::string_view member) {
-  return hash64(member, hash64(key));
-}
-
 } // namespace galenaflow::state
--- a/src/state/hash.h
+++ b/src/state/hash.h
@@ -13,10 +13,6 @@
 /// A fast hash for placement decisions, equal on all machines. Not for secrets.
 std::uint64_t hash64(std::string_view data, std::uint64_t seed = 0);
 
-/// Weight of `member` for `key` in rendezvous hashing. The member with the
-/// highest weight owns the key; ties go to the smaller member name.
-std::uint64_t rendezvousWeight(std::string_view key, std::string_view member);
-
 } // namespace galenaflow::state
 
 #endif
