Check the codes of the API page against the enumerations

Cause: nothing compared the error codes, statuses, execution states and missing reasons of docs/http-api.md with the code. Change: a test reads the tables and compares both directions; an enumerator added later is found as well.

--- a/tests/docs_test.cc
+++ b/tests/docs_test.cc
@@ -1,4 +1,6 @@
+#include "protocol/caller_api.h"
 #include "protocol/plan_documents.h"
+#include "state/ran.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -6,6 +8,8 @@
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
 
 using namespace galenaflow;
 using nlohmann::json;
@@ -31,6 +35,45 @@
   return blocks;
 }
 
+/// The first cells of each row of the table with this header line.
+std::vector<std::string> tableRows(const std::string &page,
+                                   const std::string &header) {
+  std::istringstream lines(page);
+  std::string line;
+  while (std::getline(lines, line) && line != header) {
+  }
+  std::getline(lines, line); // the rule below the header
+  std::vector<std::string> rows;
+  while (std::getline(lines, line) && line.starts_with('|'))
+    rows.push_back(line.substr(0, line.rfind('|', line.size() - 2)));
+  return rows;
+}
+
+/// The quoted words of the text between `start` and the next full stop.
+std::set<std::string> wordsAfter(const std::string &page,
+                                 const std::string &start) {
+  std::size_t at = page.find(start);
+  REQUIRE(at != std::string::npos);
+  const std::size_t end = page.find('.', at);
+  std::set<std::string> words;
+  while ((at = page.find('`', at)) < end) {
+    const std::size_t close = page.find('`', at + 1);
+    words.insert(page.substr(at + 1, close - at - 1));
+    at = close + 1;
+  }
+  return words;
+}
+
+/// The names of all values of an enumeration. Values after the last one give a
+/// name that exists already, so an enumerator that is added later is found.
+template <typename Enum, typename Name> auto namesOf(Name name) {
+  constexpr int moreThanAnyEnum = 64;
+  std::set<std::string> names;
+  for (int i = 0; i != moreThanAnyEnum; ++i)
+    names.insert(std::string(name(static_cast<Enum>(i))));
+  return names;
+}
+
 json plansExample() {
   return json::parse(jsonBlocks(readPage("lists.md")).at(0));
 }
@@ -91,3 +134,26 @@
   const json customers = json::parse(readPage("customers.schema.json"));
   CHECK(customers["$defs"]["customer"]["required"].size() == 3);
 }
+
+// Guards against codes that a caller meets and cannot look up, and against
+// documented ones that do not exist.
+TEST_CASE("the API page lists exactly the codes that answers carry") {
+  const std::string page = readPage("http-api.md");
+  const auto codes =
+      namesOf<protocol::CallerErrorCode>([](protocol::CallerErrorCode code) {
+        return "| `" + std::string(protocol::callerErrorName(code)) + "` | " +
+               std::to_string(protocol::httpStatus(code)) + " ";
+      });
+  const auto rows = tableRows(page, "| code | status | meaning |");
+  CHECK(std::set(rows.begin(), rows.end()) == codes);
+  CHECK(rows.size() == codes.size());
+
+  const auto ran = namesOf<state::Ran>([](state::Ran it) {
+    return "| `" + std::string(state::ranName(it)) + "` ";
+  });
+  const auto values = tableRows(page, "| value | meaning |");
+  CHECK(std::set(values.begin(), values.end()) == ran);
+
+  CHECK(wordsAfter(page, "included, with its reason:") ==
+        namesOf<protocol::MissingReason>(protocol::missingReasonName));
+}
