--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all setup build format format-check lint check check-fast clean
+.PHONY: all setup build format format-check lint check check-fast clean \
+  capacity capacity-check cost-check
 
 all: build
 
@@ -30,7 +31,20 @@
 	$(MAKE) build
 	$(MAKE) format-check
 	$(MAKE) lint
+	$(MAKE) capacity-check
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
+	$(MAKE) cost-check
+
+# Recomputes the tables of docs/CAPACITY.md.
+capacity:
+	tools/capacity.py
+
+capacity-check:
+	tools/capacity.py --check
+
+# Bounds the instructions of a sub-request under callgrind; takes about 5 s.
+cost-check: build
+	tools/cost_check.py $(BUILD)
 
 # Build and tests alone, for the edit loop.
 check-fast: build
--- a/bench/control_cost.cc
+++ b/bench/control_cost.cc
@@ -3,15 +3,22 @@
 #include "coordination/share_ledger.h"
 #include "support/message_exchange.h"
 
+#include <algorithm>
 #include <ctime>
 #include <iostream>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 
 // The cost of running many daemons as one: the fleet's state machines of all
 // daemons run in this process with paused time, and exchange encoded messages
 // in memory. Printed per daemon and second of paused time, after start-up.
 // Bytes are those of the FlatBuffers messages, without frames and TCP.
+//
+//   control_cost                  the sizes of today, with share ledgers
+//   control_cost DAEMONS SECONDS  eight data centres, without share ledgers,
+//                                 whose status messages go to every peer; also
+//                                 the delay of a change and the start-up reads
 
 using namespace galenaflow;
 using namespace galenaflow::coordination;
@@ -20,24 +27,33 @@
 namespace {
 
 constexpr Duration Step = 100ms;
-constexpr std::size_t DataCentres = 3;
+constexpr Duration SpreadStep = 5ms;
 constexpr std::size_t Plans = 10;
 
+struct FleetSize {
+  std::size_t Daemons = 8;
+  std::size_t DataCentres = 3;
+  bool HasLedgers = true;
+};
+
 struct Node {
   ListedVm Vm;
   std::unique_ptr<Membership> Members;
   std::unique_ptr<ConfigDistribution> Config;
   std::unique_ptr<ReaderElection> Election;
   std::unique_ptr<ShareLedger> Ledger;
+  std::uint64_t PlansVersion = 0;
+  bool IsWatchingPlans = false;
 };
 
 class Fleet {
 public:
-  explicit Fleet(std::size_t n) {
+  explicit Fleet(FleetSize size) : Size(size) {
+    const std::size_t n = size.Daemons;
     for (std::size_t i = 0; i != n; ++i)
       Vms.push_back({{"vm-" + std::to_string(i), "i-0123456789abcdef"},
                      "10.0.0." + std::to_string(i) + ":9000",
-                     "dc-" + std::to_string(i % DataCentres)});
+                     "dc-" + std::to_string(i % size.DataCentres)});
     for (std::size_t i = 0; i != n; ++i)
       Nodes.push_back(start(Vms[i], i));
   }
@@ -54,10 +70,33 @@
     for (Duration done{0}; done < time; done += Step) {
       if (isDemandMoving && done % Duration(5s) == 0ms)
         moveDemand();
-      step(done);
+      deliver(Step);
+      runTimers(done % Duration(1s) == 0ms);
+    }
+  }
+
+  /// Publishes a version of the plans. Returns the time until all have it.
+  Duration spread(std::uint64_t version, const std::string &value) {
+    const TimePoint begin = Clock.now();
+    for (Node &node : Nodes)
+      if (std::exchange(node.IsWatchingPlans, false))
+        take(node, node.Config->onRead(protocol::ConfigKey::Plans,
+                                       ReadValue{version, value}, begin));
+    const auto isBehind = [&](const Node &it) {
+      return it.PlansVersion != version;
+    };
+    // Timers run each Step as before, because they cost most of the time.
+    for (Duration done{0}; std::ranges::any_of(Nodes, isBehind) && done < 20s;
+         done += SpreadStep) {
+      deliver(SpreadStep);
+      if (done % Step == 0ms)
+        runTimers(false);
     }
+    return std::chrono::duration_cast<Duration>(Clock.now() - begin);
   }
 
+  void setLoss(double p) { Exchange.Faults.Loss = p; }
+
   std::uint64_t Bytes = 0;
   std::uint64_t ShareBytes = 0;
   std::uint64_t Messages = 0;
@@ -85,8 +124,14 @@
     node.Config->setListedPeers(Vms.size() - 1);
     node.Election =
         std::make_unique<ReaderElection>(ReaderElectionOptions{}, vm);
+    if (Size.HasLedgers)
+      startLedger(node, now);
+    return node;
+  }
+
+  void startLedger(Node &node, TimePoint now) {
     node.Ledger =
-        std::make_unique<ShareLedger>(ShareLedgerOptions{}, vm.Id, now);
+        std::make_unique<ShareLedger>(ShareLedgerOptions{}, node.Vm.Id, now);
     std::vector<ShareResource> limits;
     for (std::size_t i = 0; i != Plans; ++i)
       limits.push_back({planName(i), 100000});
@@ -95,7 +140,6 @@
     for (const ListedVm &it : Vms)
       ids.push_back(it.Id);
     node.Ledger->applyList(1, ids, now);
-    return node;
   }
 
   void post(const Node &from, const SendMessage &it) {
@@ -126,8 +170,13 @@
     for (const ConfigAction &action : actions) {
       if (const auto *send = std::get_if<SendMessage>(&action))
         post(node, *send);
+      if (const auto *apply = std::get_if<ApplyValue>(&action);
+          apply && apply->Key == protocol::ConfigKey::Plans)
+        node.PlansVersion = apply->Version;
       if (const auto *read = std::get_if<ReadKey>(&action)) {
         ++Reads;
+        node.IsWatchingPlans |=
+            read->Wait != 0ms && read->Key == protocol::ConfigKey::Plans;
         if (read->Wait == 0ms)
           take(node,
                node.Config->onRead(read->Key, ReadValue{1, "{}"}, Clock.now()));
@@ -135,21 +184,25 @@
     }
   }
 
-  void step(Duration done) {
-    Clock.advance(Step);
-    const TimePoint now = Clock.now();
-    Exchange.deliver(now, [&](const protocol::FleetMessage &it) {
+  void deliver(Duration time) {
+    Clock.advance(time);
+    Exchange.deliver(Clock.now(), [&](const protocol::FleetMessage &it) {
       receive(find(it.To), it);
     });
+  }
+
+  void runTimers(bool isElecting) {
+    const TimePoint now = Clock.now();
     for (Node &node : Nodes) {
-      if (done % Duration(1s) == 0ms)
+      if (isElecting)
         node.Config->setReader(
             node.Election->update(node.Members->liveMembers(), now));
       node.Members->setDigest(node.Config->digest());
       take(node, node.Members->tick(now));
       take(node, node.Config->tick(now));
-      for (const SendMessage &it : node.Ledger->tick(now))
-        post(node, it);
+      if (node.Ledger)
+        for (const SendMessage &it : node.Ledger->tick(now))
+          post(node, it);
     }
   }
 
@@ -165,6 +218,7 @@
 
   Node &find(const MemberId &id) { return Nodes[std::stoul(id.Vm.substr(3))]; }
 
+  FleetSize Size;
   state::ManualClock Clock;
   test::MessageExchange Exchange{1};
   std::vector<ListedVm> Vms;
@@ -175,7 +229,7 @@
 void measure(std::size_t n, bool isDemandMoving) {
   constexpr auto warmUp = 10s;
   constexpr auto time = 20s;
-  Fleet fleet(n);
+  Fleet fleet({n, 3, true});
   fleet.run(warmUp, isDemandMoving);
   fleet.Bytes = fleet.ShareBytes = fleet.Messages = fleet.Reads = 0;
   const std::clock_t begin = std::clock();
@@ -196,9 +250,52 @@
   std::cout << line.dump() << std::endl;
 }
 
+/// A document of the size that the plans have today.
+std::string plansDocument() { return std::string(4000, 'p'); }
+
+void measureLargeFleet(std::size_t n, std::chrono::seconds time) {
+  Fleet fleet({n, 8, false});
+  constexpr auto startup = 12s; // the readers have watches after it
+  fleet.run(startup, false);
+  const std::uint64_t startupReads = fleet.Reads;
+  fleet.Bytes = fleet.Messages = fleet.Reads = 0;
+  const std::clock_t begin = std::clock();
+  fleet.run(time, false);
+  const double cpu = static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
+  const double daemonSeconds =
+      static_cast<double>(n) * static_cast<double>(time.count());
+  nlohmann::json line{
+      {"daemons", n},
+      {"bytes_per_s", static_cast<double>(fleet.Bytes) / daemonSeconds},
+      {"messages_per_s", static_cast<double>(fleet.Messages) / daemonSeconds},
+      {"cpu_us_per_s", cpu * 1e6 / daemonSeconds},
+      {"startup_reads", startupReads},
+      {"platform_reads_per_s",
+       static_cast<double>(fleet.Reads) / static_cast<double>(time.count())}};
+  fleet.Bytes = fleet.Messages = 0;
+  const auto clean = fleet.spread(2, plansDocument());
+  line["change_ms"] = static_cast<double>(clean.count()) / 1000;
+  line["change_bytes"] =
+      static_cast<double>(fleet.Bytes) / static_cast<double>(n);
+  fleet.run(2s, false);
+  fleet.setLoss(0.1);
+  const auto lossy = fleet.spread(3, plansDocument());
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  line["kb_per_daemon"] =
+      static_cast<double>(usage.ru_maxrss) / static_cast<double>(n);
+  line["change_ms_10_percent_loss"] = static_cast<double>(lossy.count()) / 1000;
+  std::cout << line.dump() << std::endl;
+}
+
 } // namespace
 
-int main() {
+int main(int argc, char **argv) {
+  if (argc == 3) {
+    measureLargeFleet(std::strtoul(argv[1], nullptr, 10),
+                      std::chrono::seconds(std::strtol(argv[2], nullptr, 10)));
+    return 0;
+  }
   // Every lender is asked for every plan, so moving demand is run only at
   // today's size: its cost grows with the square of the fleet.
   measure(8, true);
--- /dev/null
+++ b/tools/cost_check.py
@@ -0,0 +1,52 @@
+#!/usr/bin/env python3
+"""Checks the instructions of one sub-request against docs/capacity/bounds.json.
+
+Each program runs twice under callgrind with different counts; the difference
+over the added units excludes the set-up. The result repeats from run to run and
+does not depend on the load of the machine, so CI can compare it with a bound.
+"""
+
+import json
+import pathlib
+import re
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+def instructions(command):
+    """The instructions of one run, as callgrind counts them."""
+    result = subprocess.run(
+        ["valgrind", "--tool=callgrind", "--callgrind-out-file=/dev/null"]
+        + command, capture_output=True, text=True, check=True)
+    match = re.search(r"Collected : (\d+)", result.stderr)
+    if match is None:
+        sys.exit(f"no instruction count from {' '.join(command)}")
+    return int(match.group(1))
+
+
+def per_unit(build, check):
+    """Instructions for each unit that the second run has more."""
+    counts = []
+    for arguments in (check["few"], check["many"]):
+        program = str(build / check["program"])
+        counts.append(instructions([program] + arguments))
+    return (counts[1] - counts[0]) / check["added_units"]
+
+
+def main():
+    build = pathlib.Path(sys.argv[1] if len(sys.argv) > 1 else "build")
+    checks = json.loads((ROOT / "docs/capacity/bounds.json").read_text())
+    failed = False
+    for check in checks["checks"]:
+        measured = per_unit(build, check)
+        within = measured <= check["bound"]
+        failed |= not within
+        print(f"{'ok' if within else 'TOO MANY'}: {check['name']}: "
+              f"{measured:.0f} instructions, bound {check['bound']}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
