--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all setup build format format-check lint check check-fast clean \
+.PHONY: all demo setup build format format-check lint check check-fast clean \
   capacity capacity-check cost-check
 
 all: build
@@ -50,5 +50,10 @@
 check-fast: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+# Shows a small deployment at work, with stand-ins for the outside systems.
+demo: setup
+	$(MAKE) build
+	$(BUILD)/demo
+
 clean:
 	rm -rf $(BUILD)
--- a/src/daemon/caller_service.h
+++ b/src/daemon/caller_service.h
@@ -22,6 +22,7 @@
 struct CallerServiceOptions {
   std::string DaemonId;  ///< VM id and instance, for request records
   double SampleRate = 0; ///< part of requests without a trace that are traced
+  std::size_t MaxAnswerBytes = std::size_t{16} << 20;
   std::uint64_t Seed = 1;
 };
 
@@ -38,7 +39,7 @@
                 state::MetricRegistry &metrics, RecordSink records);
 
   /// The handler of the callers' listener.
-  void handle(transport::HttpRequest request,
+  void handle(const transport::HttpRequest &http,
               std::shared_ptr<transport::HttpResponder> responder);
 
   /// Before the lists are known, requests are refused as unavailable.
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -71,6 +71,14 @@
   /// Starts one daemon again under its addresses, as a replaced VM.
   state::Result<bool> startDaemon(std::size_t i);
 
+  /// A further flag for daemons that are started from now on.
+  void addDaemonFlag(std::string flag) {
+    Options.DaemonFlags.push_back(std::move(flag));
+  }
+
+  /// Daemons that are started from now on are restarts on the same VM.
+  void keepInstances() { KeepInstances = true; }
+
   bool waitUntilReady(std::size_t i, std::chrono::milliseconds limit);
 
   /// The key of a customer, derived from its id.
@@ -94,10 +102,16 @@
   /// Sends the VM list to the platform; all daemons are live unless named.
   void publishVms(const std::vector<std::string> &leaving = {});
 
+  /// The plans document that the deployment starts with.
+  nlohmann::json plansDocument() const;
+
+  /// The instance of a VM in the list; changes with each start of its daemon.
+  std::string instanceOf(const std::string &vmId) const;
+
 private:
+  void writePeerKey();
   nlohmann::json backendConfig() const;
   nlohmann::json servicesDocument(const nlohmann::json &addresses) const;
-  nlohmann::json plansDocument() const;
   static nlohmann::json customersDocument(const nlohmann::json &plans);
   nlohmann::json vmsDocument(const std::vector<std::string> &leaving) const;
 
@@ -105,11 +119,13 @@
   transport::EventLoop Loop;
   std::unique_ptr<Process> Platform;
   std::unique_ptr<Process> Backends;
+  std::string PeerKeyFile;
   std::string PlatformListen;
   std::string PlatformControl;
   std::string BackendControl;
   std::vector<Daemon> Daemons;
   std::map<std::string, std::uint64_t> Instances; ///< starts of each VM
+  bool KeepInstances = false;
 };
 
 } // namespace galenaflow::support
