--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -324,9 +324,10 @@
         ["times a daemon sends one member update", sends],
         ["bytes/s of member updates per daemon",
          versions / DAY * update_bytes],
-        ["time in which reading a VM list stops the event loop (ms)",
+        ["time in which parsing a VM list stops the event loop (ms; at most, "
+         "the slope includes rendering)",
          x.seconds(x.slope("vm_list_parse_7000")) * 1000],
-        ["the same for the services document (ms)",
+        ["the same for the services document",
          x.seconds(x.slope("topology_parse_5700")) * 1000],
         ["bytes of a grant request, one list of all VMs", list_bytes],
         ["bytes of a grant request, group of 7", x.slope("grant_request")],
