Keep a drained h2o context

Change: such a server stays in memory until the process ends, as one with open connections does. A test destroys a drained server.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -39,6 +39,7 @@
   h2o_socket_t *Listener = nullptr;
   std::size_t Connections = 0;
   std::size_t Requests = 0;
+  bool IsDrained = false;
 
   Impl(EventLoop &loop, HttpServerOptions options, HttpHandler handler)
       : Loop(loop), Options(std::move(options)), Handler(std::move(handler)) {}
@@ -220,12 +221,13 @@
 }
 
 // The loop holds links into the context, which h2o_context_dispose() removes.
-// h2o cannot dispose of a context with open connections. Such a server stays in
+// h2o cannot dispose of a context with open connections, nor of one that was
+// asked to shut down, whose timers are still linked. Such a server stays in
 // memory; this happens only at the end of a process or test.
 HttpServer::~HttpServer() {
   if (Self->Listener != nullptr)
     h2o_socket_close(Self->Listener);
-  if (Self->Connections != 0) {
+  if (Self->Connections != 0 || Self->IsDrained) {
     static_cast<void>(Self.release());
     return;
   }
@@ -269,6 +271,7 @@
     return;
   h2o_socket_close(Self->Listener);
   Self->Listener = nullptr;
+  Self->IsDrained = true;
   h2o_context_request_shutdown(&Self->Context);
 }
 
--- a/tests/fuzz/corpus_main.cc
+++ b/tests/fuzz/corpus_main.cc
@@ -52,8 +52,8 @@
 }
 
 void writeFleet(const CorpusFolder &folder) {
-  const protocol::ShareExchange shares{
-      {3, 4}, 5, true, {{7, 1, 20, 10}}, {{8, 2, 6}}, {7, 9}};
+  const protocol::ShareExchange shares{{3, 4},           5,           true,
+                                       {{7, 1, 20, 10}}, {{8, 2, 6}}, {7, 9}};
   const protocol::FleetBody bodies[] = {
       swimMessage<protocol::Ping>(),
       swimMessage<protocol::PingRequest>(),
--- a/tests/http_transport_test.cc
+++ b/tests/http_transport_test.cc
@@ -164,3 +164,26 @@
   }
   loop.runUntil([] { return false; }, 20ms);
 }
+
+// Guards against an assertion of h2o, which aborted the daemon at the end of a
+// planned stop.
+TEST_CASE("a drained server can be destroyed") {
+  EventLoop loop;
+  {
+    HttpServer server(loop, {}, [](const HttpRequest &, const auto &responder) {
+      responder->send(jsonResponse(200, "{}"));
+    });
+    const auto address = server.listen(anyPort());
+    REQUIRE(address);
+    {
+      HttpConnection connection(loop, *address);
+      Exchange exchange{loop, {}};
+      connection.send({"GET", "/", {}, ""}, 10s, exchange.callback());
+      REQUIRE(exchange.wait());
+    }
+    REQUIRE(loop.runUntil([&] { return server.openConnections() == 0; }, 20s));
+    server.drain();
+    CHECK(server.openRequests() == 0);
+  }
+  loop.runUntil([] { return false; }, 20ms);
+}
