Add fuzz targets and check-sanitize; fix a misaligned load

Cause: codecs for untrusted bytes had no fuzzing, and sanitizers were run by hand. The target of fleet messages found a load of a misaligned 64-bit number: the verifier of FlatBuffers checks only the alignment of a vector's length. Change: numbers are copied out as bytes; the input is in the corpus, which each build replays as a test. make fuzz and make fuzz-short run eight targets with libFuzzer by number of runs; the short form belongs to make check. make check-sanitize builds and runs all tests with address and undefined-behaviour checks and then with the race checker; memory that h2o itself keeps is suppressed by function name. The race checker has not run yet.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,19 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
+# Builds with sanitizers and for fuzzing have folders of their own.
+ADDRESS_BUILD ?= build-address
+THREAD_BUILD ?= build-thread
+FUZZ_BUILD ?= build-fuzz
+SANITIZE_JOBS ?= 4
+FUZZ_JOBS ?= 4
+# Runs for each fuzz target. The short number belongs to `make check`.
+FUZZ_RUNS ?= 2000000
+FUZZ_SHORT_RUNS ?= 20000
+
 .PHONY: all setup build format format-check lint check check-fast clean
+.PHONY: check-sanitize check-address check-thread fuzz fuzz-short fuzz-build
+.PHONY: fuzz-corpus
 
 all: build
 
@@ -31,6 +43,48 @@
 	$(MAKE) format-check
 	$(MAKE) lint
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
+	$(MAKE) fuzz-short
+
+# All tests under address, undefined-behaviour and leak checks, then under the
+# race checker. Faults inside h2o are suppressed by name (tools/sanitizers).
+check-sanitize: check-address check-thread
+
+SUPPRESSIONS := $(CURDIR)/tools/sanitizers
+
+# The library h2o has no frame pointers, so that only the slow unwinder names
+# its functions in a report.
+check-address:
+	cmake -S . -B $(ADDRESS_BUILD) -G Ninja \
+	  -DGALENAFLOW_SANITIZE=address,undefined \
+	  -DCMAKE_CXX_FLAGS_RELWITHDEBINFO="-O1 -g"
+	cmake --build $(ADDRESS_BUILD) -j $(SANITIZE_JOBS)
+	LSAN_OPTIONS=suppressions=$(SUPPRESSIONS)/leak.supp \
+	ASAN_OPTIONS=fast_unwind_on_malloc=0:malloc_context_size=14 \
+	UBSAN_OPTIONS=print_stacktrace=1 \
+	ctest --test-dir $(ADDRESS_BUILD) --output-on-failure -j $(SANITIZE_JOBS)
+
+check-thread:
+	cmake -S . -B $(THREAD_BUILD) -G Ninja -DGALENAFLOW_SANITIZE=thread \
+	  -DCMAKE_CXX_FLAGS_RELWITHDEBINFO="-O1 -g"
+	cmake --build $(THREAD_BUILD) -j $(SANITIZE_JOBS)
+	TSAN_OPTIONS=suppressions=$(SUPPRESSIONS)/thread.supp \
+	ctest --test-dir $(THREAD_BUILD) --output-on-failure -j $(SANITIZE_JOBS)
+
+# Fuzz targets with libFuzzer (tests/fuzz).
+fuzz-build:
+	cmake -S . -B $(FUZZ_BUILD) -G Ninja -DGALENAFLOW_FUZZ=ON \
+	  -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_CXX_FLAGS_RELWITHDEBINFO="-O1 -g"
+	cmake --build $(FUZZ_BUILD) -j $(SANITIZE_JOBS)
+
+fuzz: fuzz-build
+	tools/fuzz.sh $(FUZZ_BUILD) $(FUZZ_RUNS) $(FUZZ_JOBS)
+
+fuzz-short: fuzz-build
+	tools/fuzz.sh $(FUZZ_BUILD) $(FUZZ_SHORT_RUNS) $(FUZZ_JOBS)
+
+# Writes the binary part of the corpus again after a change of a message.
+fuzz-corpus: build
+	$(BUILD)/fuzz-corpus tests/fuzz/corpus
 
 # Build and tests alone, for the edit loop.
 check-fast: build
--- a/src/protocol/fleet_messages.cc
+++ b/src/protocol/fleet_messages.cc
@@ -3,6 +3,7 @@
 #include "protocol/fleet_generated.h"
 
 #include <algorithm>
+#include <cstring>
 
 // One FlatBuffers root table holds an optional table for each kind of body.
 // The type number selects the body, so a table that a newer release adds does
@@ -19,6 +20,16 @@
 using state::makeError;
 using state::Result;
 
+using NumberVector = flatbuffers::Vector<std::uint64_t>;
+
+// The verifier checks the alignment of a vector's length, which is less than
+// that of 64-bit elements, so the elements are copied out as bytes.
+std::uint64_t numberAt(const NumberVector &numbers, std::size_t i) {
+  std::uint64_t number = 0;
+  std::memcpy(&number, numbers.Data() + i * sizeof(number), sizeof(number));
+  return flatbuffers::EndianScalar(number);
+}
+
 enum class Type : std::uint16_t {
   Ping = 21,
   PingRequest = 22,
@@ -211,9 +222,10 @@
     if (!table || !table->versions())
       return result;
     // A newer release may have more keys; an older one, fewer.
-    const auto &versions = *table->versions();
+    const NumberVector &versions = *table->versions();
     const std::size_t n = std::min<std::size_t>(versions.size(), result.size());
-    std::copy_n(versions.begin(), n, result.begin());
+    for (std::size_t i = 0; i != n; ++i)
+      result[i] = numberAt(versions, i);
     return result;
   }
 
@@ -224,8 +236,8 @@
     ShareExchange result;
     if (const auto *lists = share->list_versions()) {
       require(lists->size() <= MaxListVersions);
-      if (IsValid)
-        result.ListVersions.assign(lists->begin(), lists->end());
+      for (std::size_t i = 0; IsValid && i != lists->size(); ++i)
+        result.ListVersions.push_back(numberAt(*lists, i));
     }
     result.NewestList = share->newest_list();
     result.Requests = items<ShareRequest>(share->requests(), MaxShareItems);
--- /dev/null
+++ b/tests/fuzz/peer_session_fuzz.cc
@@ -0,0 +1,122 @@
+// Input: one byte of mode, one byte of chunk length, then bytes.
+//   0  the bytes arrive instead of a handshake
+//   1  the bytes arrive after a handshake
+//   2  the bytes are payload of messages; two of them say where to alter the
+//      stream of frames
+// Without the key, no byte string may bring a session up or be delivered, and
+// the result must not depend on how the bytes are cut into reads.
+#include "fuzz/fuzz.h"
+#include "transport/peer_session.h"
+
+#include <algorithm>
+
+using namespace galenaflow;
+using transport::LinkClose;
+using transport::PeerFrame;
+using transport::PeerSession;
+
+namespace {
+
+transport::PeerSessionOptions optionsOf(const std::string &name) {
+  transport::PeerSessionOptions options;
+  options.Self = {name, "1", "a", "127.0.0.1:1"};
+  options.Keys = {"0123456789abcdef0123456789abcdef"};
+  return options;
+}
+
+transport::PeerNonce nonceOf(unsigned char fill) {
+  transport::PeerNonce nonce;
+  nonce.fill(fill);
+  return nonce;
+}
+
+/// Two sessions with fixed nonces, so that each input has one result.
+struct Pair {
+  PeerSession Dialler{optionsOf("vm-1"), true, nonceOf(1)};
+  PeerSession Acceptor{optionsOf("vm-2"), false, nonceOf(2)};
+
+  void shakeHands() {
+    std::vector<PeerFrame> none;
+    for (int round = 0; round != 2; ++round) {
+      Acceptor.receive(Dialler.takeOutput(), none);
+      Dialler.receive(Acceptor.takeOutput(), none);
+    }
+    fuzz::require(Dialler.isUp() && Acceptor.isUp(), "a handshake succeeds");
+  }
+};
+
+LinkClose receiveInChunks(PeerSession &session, std::string_view bytes,
+                          std::size_t chunk, std::vector<PeerFrame> &frames) {
+  LinkClose result = LinkClose::None;
+  while (!bytes.empty() && result == LinkClose::None) {
+    result = session.receive(bytes.substr(0, chunk), frames);
+    bytes.remove_prefix(std::min(chunk, bytes.size()));
+  }
+  return result;
+}
+
+void checkForeignBytes(std::string_view bytes, std::size_t chunk, bool isUp) {
+  Pair whole;
+  Pair cut;
+  if (isUp) {
+    whole.shakeHands();
+    cut.shakeHands();
+  }
+  std::vector<PeerFrame> frames;
+  const LinkClose result = whole.Acceptor.receive(bytes, frames);
+  const LinkClose same = receiveInChunks(cut.Acceptor, bytes, chunk, frames);
+  fuzz::require(result == same, "the result is independent of the reads");
+  fuzz::require(frames.empty(), "nothing is delivered without the key");
+  fuzz::require(whole.Acceptor.isUp() == isUp && cut.Acceptor.isUp() == isUp,
+                "no session comes up without the key");
+}
+
+/// The messages that were delivered must be the first of those sent, and all
+/// of them when nothing was altered.
+void checkDelivered(const std::vector<PeerFrame> &sent,
+                    const std::vector<PeerFrame> &received, bool isAltered) {
+  fuzz::require(isAltered ? received.size() < sent.size()
+                          : received.size() == sent.size(),
+                "exactly unaltered streams are delivered completely");
+  for (std::size_t i = 0; i != received.size(); ++i)
+    fuzz::require(received[i].Type == sent[i].Type &&
+                      received[i].Payload == sent[i].Payload,
+                  "messages arrive unaltered and in order");
+}
+
+void checkStream(std::string_view input, std::size_t chunk) {
+  Pair pair;
+  pair.shakeHands();
+  const std::uint16_t place = fuzz::takeNumber(input);
+  const std::uint8_t mask = fuzz::takeByte(input);
+  std::vector<PeerFrame> sent;
+  do {
+    const std::size_t wanted = 1U + fuzz::takeByte(input);
+    const std::size_t n = std::min(wanted, input.size());
+    const auto type =
+        static_cast<std::uint16_t>(transport::FirstMessageType + sent.size());
+    sent.push_back({type, std::string(input.substr(0, n))});
+    input.remove_prefix(n);
+    pair.Dialler.send(type, sent.back().Payload);
+  } while (!input.empty());
+  std::string stream = pair.Dialler.takeOutput();
+  char &altered = stream[place % stream.size()];
+  altered = static_cast<char>(altered ^ mask);
+  std::vector<PeerFrame> received;
+  receiveInChunks(pair.Acceptor, stream, chunk, received);
+  checkDelivered(sent, received, mask != 0);
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data,
+                                      std::size_t size) {
+  std::string_view input = fuzz::asText(data, size);
+  const int mode = fuzz::takeByte(input) % 3;
+  const std::size_t chunk = 1 + fuzz::takeByte(input);
+  if (mode == 2)
+    checkStream(input, chunk);
+  else
+    checkForeignBytes(input, chunk, mode == 1);
+  return 0;
+}
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -4,8 +4,9 @@
 set -euo pipefail
 
 packages=(
-  ccache clang-format clang-tidy cmake curl g++ make ninja-build valgrind
-  python3 catch2 flatbuffers-compiler libabsl-dev libboost-dev libexpected-dev
+  ccache clang clang-format clang-tidy cmake curl g++ make ninja-build valgrind
+  python3 catch2 flatbuffers-compiler libabsl-dev libboost-dev
+  libclang-rt-14-dev libexpected-dev
   libflatbuffers-dev libh2o-evloop-dev librapidcheck-dev libspdlog-dev
   libssl-dev libxxhash-dev nlohmann-json3-dev zlib1g-dev
 )
