Dispose of h2o's context with a server

Cause: leak checking reported that a destroyed HttpServer left its h2o context and configuration behind; the loop also kept links to timeouts inside the freed server. Change: the destructor disposes of both; a test destroys servers under a running loop.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -219,13 +219,18 @@
   Self->configure();
 }
 
-// h2o cannot dispose of a context with open connections. Servers live as long
-// as their process or test, so the h2o objects are released with it.
+// The loop holds links into the context, which h2o_context_dispose() removes.
+// h2o cannot dispose of a context with open connections. Such a server stays in
+// memory; this happens only at the end of a process or test.
 HttpServer::~HttpServer() {
   if (Self->Listener != nullptr)
     h2o_socket_close(Self->Listener);
-  if (Self->Connections != 0)
+  if (Self->Connections != 0) {
     static_cast<void>(Self.release());
+    return;
+  }
+  h2o_context_dispose(&Self->Context);
+  h2o_config_dispose(&Self->Config);
 }
 
 state::Result<SocketAddress> HttpServer::listen(SocketAddress address) {
--- a/tests/http_transport_test.cc
+++ b/tests/http_transport_test.cc
@@ -142,3 +142,25 @@
   REQUIRE(exchange.Result->has_value());
   CHECK((*exchange.Result)->Status == 413);
 }
+
+// Guards against a loop that keeps links into a server that has been destroyed,
+// and against the memory of one: leak checking reports what h2o has kept.
+TEST_CASE("a loop works on after a server has ended") {
+  EventLoop loop;
+  for (int i = 0; i != 3; ++i) {
+    HttpServer server(loop, {}, [](const HttpRequest &, const auto &responder) {
+      responder->send(jsonResponse(200, "{}"));
+    });
+    const auto address = server.listen(anyPort());
+    REQUIRE(address);
+    auto connection = std::make_unique<HttpConnection>(loop, *address);
+    Exchange exchange{loop, {}};
+    connection->send({"GET", "/", {}, ""}, 10s, exchange.callback());
+    REQUIRE(exchange.wait());
+    CHECK(exchange.Result->has_value());
+    connection.reset();
+    REQUIRE(loop.runUntil([&] { return server.openConnections() == 0; },
+                          TestLimit));
+  }
+  loop.runUntil([] { return false; }, 20ms);
+}
