Add the trace exporter

Cause: finished spans had no way out of the process. Change: a batch is sent with POST /v1/traces, or appended to a file, from a timer; failures are repeated with backoff, final refusals and a full buffer are counted.

--- /dev/null
+++ b/src/transport/trace_exporter.cc
@@ -0,0 +1,162 @@
+#include "transport/trace_exporter.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <unistd.h>
+
+// One batch is taken from the buffer, encoded once and kept until the collector
+// has answered. The buffer keeps filling meanwhile, up to its bound, so a
+// collector that is down or slow costs bounded memory and no time of a query.
+//
+// The OTLP/HTTP rules decide what is repeated: a connection failure, a timeout,
+// 429, 502, 503 and 504. Any other refusal would come again for the same bytes,
+// so the batch is given up and counted. A batch whose answer is lost is
+// repeated and can therefore arrive twice; collectors tell spans apart by id.
+//
+// The file is written on the loop's thread, without fsync: a line of one batch
+// goes to the page cache. After a failed or partial write, for example on a
+// full disk, the same line is continued later, so that no line is torn.
+
+namespace galenaflow::transport {
+
+namespace {
+
+constexpr std::string_view TracesPath = "/v1/traces";
+
+bool isAccepted(int status) { return status >= 200 && status < 300; }
+
+bool isRetryable(int status) {
+  return status == 429 || status == 502 || status == 503 || status == 504;
+}
+
+} // namespace
+
+TraceExporter::TraceExporter(EventLoop &loop, TraceExporterOptions options,
+                             protocol::SpanSource source)
+    : Loop(loop), Options(std::move(options)), Source(std::move(source)),
+      Buffer(Options.BufferSpans) {
+  if (Options.Collector)
+    Connection = std::make_unique<HttpConnection>(Loop, *Options.Collector);
+}
+
+TraceExporter::~TraceExporter() {
+  Loop.cancel(Timer);
+  if (File >= 0)
+    close(File);
+}
+
+state::Result<bool> TraceExporter::open() {
+  if (Options.Collector || Options.File.empty())
+    return false;
+  constexpr mode_t mode = 0640;
+  File = ::open(Options.File.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC,
+                mode);
+  if (File < 0)
+    return state::makeError(state::ErrorCode::Unavailable,
+                            "cannot append traces to " + Options.File + ": " +
+                                std::strerror(errno));
+  return true;
+}
+
+void TraceExporter::add(protocol::Span span) {
+  if (!isEnabled() || !span.Context.IsSampled || !Buffer.add(std::move(span)))
+    return;
+  const bool isIdle = Body.empty() && Timer == 0;
+  if (isIdle)
+    schedule(Options.ExportInterval);
+}
+
+TraceExporterCounters TraceExporter::counters() const {
+  TraceExporterCounters counters = Counters;
+  counters.Dropped = Buffer.dropped();
+  return counters;
+}
+
+void TraceExporter::schedule(state::Duration delay) {
+  Timer = Loop.schedule(delay, [this] {
+    Timer = 0;
+    exportBatch();
+  });
+}
+
+void TraceExporter::exportBatch() {
+  if (Body.empty())
+    takeBatch();
+  if (Options.Collector)
+    post();
+  else
+    writeLine();
+}
+
+void TraceExporter::takeBatch() {
+  const auto spans = Buffer.take(Options.BatchSpans);
+  InFlight = spans.size();
+  Body = protocol::encodeSpans(spans, Source);
+  if (!Options.Collector)
+    Body += '\n';
+}
+
+void TraceExporter::writeLine() {
+  while (Written != Body.size()) {
+    const ssize_t n =
+        ::write(File, Body.data() + Written, Body.size() - Written);
+    if (n < 0 && errno == EINTR)
+      continue;
+    if (n <= 0)
+      return failed();
+    Written += static_cast<std::size_t>(n);
+  }
+  accepted();
+}
+
+void TraceExporter::post() {
+  HttpRequest request{"POST", std::string(TracesPath), {}, Body};
+  request.Headers.add("content-type", "application/json");
+  Connection->send(
+      request, Options.ExportTimeout,
+      [this, alive = std::weak_ptr(Alive)](const HttpResult &result) {
+        if (!alive.expired())
+          finish(result);
+      });
+}
+
+void TraceExporter::finish(const HttpResult &result) {
+  if (result && isAccepted(result->Status))
+    accepted();
+  else if (result && !isRetryable(result->Status))
+    rejected();
+  else
+    failed();
+}
+
+void TraceExporter::accepted() {
+  Counters.Exported += InFlight;
+  startNext();
+}
+
+void TraceExporter::rejected() {
+  Counters.Rejected += InFlight;
+  startNext();
+}
+
+void TraceExporter::failed() {
+  ++Counters.Failures;
+  Backoff = std::clamp(2 * Backoff, Options.MinBackoff, Options.MaxBackoff);
+  schedule(Backoff);
+}
+
+void TraceExporter::startNext() {
+  Body.clear();
+  Written = 0;
+  InFlight = 0;
+  Backoff = state::Duration::zero();
+  if (Buffer.size() == 0)
+    return;
+  // A full batch waits for nothing more.
+  const bool isFull = Buffer.size() >= Options.BatchSpans;
+  schedule(isFull ? state::Duration::zero() : Options.ExportInterval);
+}
+
+} // namespace galenaflow::transport
