--- a/Makefile
+++ b/Makefile
@@ -12,12 +12,17 @@
 FUZZ_RUNS ?= 2000000
 FUZZ_SHORT_RUNS ?= 20000
 
-.PHONY: all setup build format format-check lint check check-fast clean
+.PHONY: all demo setup build format format-check lint check check-fast clean
 .PHONY: check-sanitize check-address check-thread fuzz fuzz-short fuzz-build
 .PHONY: fuzz-corpus
 
 all: build
 
+# Shows a small deployment at work, with stand-ins for the outside systems.
+demo: setup
+	$(MAKE) build
+	$(BUILD)/demo
+
 # Installs the packages that the build and the tests need.
 setup:
 	tools/setup.sh
--- a/src/daemon/backend_task.h
+++ b/src/daemon/backend_task.h
@@ -32,7 +32,9 @@
   /// Connections opened to a replica before they are needed.
   std::size_t WarmConnections = 2;
 
-  coordination::TokenBudgetOptions HedgeBudget;
+  coordination::HedgeOptions Hedging;
+  coordination::OutlierOptions Outliers;
+  transport::BackendPoolOptions Pool;
   coordination::TokenBudgetOptions RetryBudget;
 
   /// Baseline for measurements: choose replicas in turn and never hedge.
@@ -103,6 +105,9 @@
   coordination::Collaborators collaborators(std::string_view service,
                                             state::Operation operation);
 
+  /// Whether every sharded service has a snapshot that can be queried.
+  bool hasSnapshots();
+
   /// While admission waits, nothing is hedged.
   void setSaturated(std::string_view service, bool saturated);
 
