Repeat a lost pull of lists after 300 ms

Cause: a pull or its answer that is lost was repeated only at the next digest, about 1 s later, so two losses exceed the 2 s in which a change must be in force.

Change: an announcement is pulled again from a random peer after 300 ms, at most 4 times.

Measured: the directed test fails without the change (no second pull) and passes with it; the 2 s test passes as before.

Conclusion: the bound no longer depends on the next heartbeat.

--- a/src/coordination/config_distribution.cc
+++ b/src/coordination/config_distribution.cc
@@ -93,6 +93,7 @@
   }
   if (!IsReady && now >= NextAsk)
     askPeers(now, actions);
+  retryPull(now, actions);
   checkReady(now);
   return actions;
 }
@@ -252,10 +253,29 @@
   if (PullSince && now - *PullSince < Options.PullTimeout)
     return;
   PullSince = now;
+  PullTarget = theirs;
+  Pulls = 1;
   actions.emplace_back(
       SendMessage{from.Id, from.Address, ConfigPull{versions()}});
 }
 
+// A lost pull or answer would otherwise be repeated only at the next digest,
+// about a second later, which leaves no room for a second loss within the 2 s
+// in which a change must be in force.
+void ConfigDistribution::retryPull(TimePoint now, ConfigActions &actions) {
+  if (!PullSince || now - *PullSince < Options.PullRetry)
+    return;
+  if (!isBehind(PullTarget) || Pulls >= Options.MaxPulls || Peers.empty()) {
+    PullSince.reset();
+    return;
+  }
+  PullSince = now;
+  ++Pulls;
+  std::uniform_int_distribution<std::size_t> any(0, Peers.size() - 1);
+  const ListedVm &to = Peers[any(Random)];
+  actions.emplace_back(SendMessage{to.Id, to.Address, ConfigPull{versions()}});
+}
+
 void ConfigDistribution::answerPull(const ListedVm &to,
                                     const ConfigVersionVector &theirs,
                                     ConfigActions &actions) const {
--- a/src/coordination/config_distribution.h
+++ b/src/coordination/config_distribution.h
@@ -33,6 +33,9 @@
   /// First backoff of a key that the platform has not answered yet.
   Duration StartupBackoff = std::chrono::seconds(2);
   Duration PullTimeout = std::chrono::seconds(1);
+  /// A pull without an answer is repeated at another peer after this time.
+  Duration PullRetry = std::chrono::milliseconds(300);
+  unsigned MaxPulls = 4; ///< for one announcement
   /// A read without outcome for this long beyond its wait counts as failed.
   Duration ReadGrace = std::chrono::seconds(5);
 };
@@ -137,6 +140,7 @@
   void spreadStartupReads(TimePoint now);
   void askPeers(TimePoint now, ConfigActions &actions);
   void checkReady(TimePoint now);
+  void retryPull(TimePoint now, ConfigActions &actions);
   void pullIfBehind(const ListedVm &from, const ConfigVersionVector &theirs,
                     TimePoint now, ConfigActions &actions);
   void answerPull(const ListedVm &to, const ConfigVersionVector &theirs,
@@ -158,6 +162,8 @@
   TimePoint StartedAt;
   TimePoint NextAsk;
   std::optional<TimePoint> PullSince;
+  ConfigVersionVector PullTarget{}; ///< announced by peers
+  unsigned Pulls = 0;
   std::uint64_t ReadsIssued = 0;
 };
 
--- a/tests/config_distribution_test.cc
+++ b/tests/config_distribution_test.cc
@@ -309,3 +309,38 @@
   CHECK(readers(all, now + 5s) == 2);
   CHECK(readers(all, now + 30s) == 2);
 }
+
+// Guards against a lost pull, or a lost answer, that delays a change until the
+// next digest.
+TEST_CASE("a lost pull is repeated without a further announcement") {
+  state::ManualClock clock;
+  const auto anyValue = [](ConfigKey, const std::string &) {
+    return state::Findings();
+  };
+  const ListedVm ahead{{"vm-1", "1"}, "a1", "dc-0"};
+  const ListedVm behind{{"vm-2", "1"}, "a2", "dc-0"};
+  ConfigDistribution source({}, ahead.Id, anyValue, std::mt19937_64(1),
+                            clock.now());
+  ConfigDistribution target({}, behind.Id, anyValue, std::mt19937_64(2),
+                            clock.now());
+  source.onRead(ConfigKey::Plans, ReadValue{7, "valid"}, clock.now());
+  target.setPeers({ahead});
+  const auto pulls = [](const ConfigActions &actions) {
+    return std::count_if(actions.begin(), actions.end(), [](const auto &it) {
+      const auto *message = std::get_if<SendMessage>(&it);
+      return message != nullptr &&
+             std::holds_alternative<protocol::ConfigPull>(message->Body);
+    });
+  };
+  target.tick(clock.now()); // asks its peers once, as every starting daemon
+  CHECK(pulls(target.onDigest(ahead, source.digest(), clock.now())) == 1);
+  clock.advance(100ms);
+  CHECK(pulls(target.tick(clock.now())) == 0);
+  clock.advance(300ms);
+  CHECK(pulls(target.tick(clock.now())) == 1);
+  // After the value has arrived, nothing is asked again.
+  target.receive(ahead, protocol::ConfigValue{ConfigKey::Plans, 7, "valid"},
+                 clock.now());
+  clock.advance(300ms);
+  CHECK(pulls(target.tick(clock.now())) == 0);
+}
