Ask the send gate of a backend call before its first byte leaves

The fault matrix found writes that ran although the caller was told not_run (cells accept/pause and wait/partition). BackendTask dropped the gate of a call when it handed the call to the connection pool, so WriteRegistry::beginRun was never asked and an entry stayed Ready while its write was in flight. After GrantValidity, tick() gave the entry up as a majority that did not send, and answered not_run. Ruled out: MaybeSent of the connection, which is set before the first byte, and WriteExecution, which reports a sent write as unknown.

--- a/src/daemon/backend_task.cc
+++ b/src/daemon/backend_task.cc
@@ -363,11 +363,13 @@
     return;
   }
   open.Exchange = replica.Pool.send(
-      open.Call.Request, left, [this, id](transport::HttpResult result) {
+      open.Call.Request, left,
+      [this, id](transport::HttpResult result) {
         finish(id, std::move(result));
         carryOut(Scheduler.onEnded(id, Loop.now()));
         armQueueTimer();
-      });
+      },
+      open.Call.Gate);
   if (open.Exchange == 0)
     replica.Blocked.push_back(id);
 }
