--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all setup build format format-check lint check check-fast clean
+.PHONY: matrix all setup build format format-check lint check check-fast clean
 
 all: build
 
@@ -36,5 +36,11 @@
 check-fast: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+# All cells of the fault matrix; the table also goes to build/matrix/.
+matrix: build
+	mkdir -p $(BUILD)/matrix
+	$(BUILD)/fault-matrix tests/matrix/matrix.json --docs docs/fault-matrix.md
+	$(BUILD)/fault-matrix tests/matrix/matrix.json --known_red KNOWN-RED.txt --out $(BUILD)/matrix/table.md
+
 clean:
 	rm -rf $(BUILD)
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -98,15 +98,20 @@
   for (std::uint32_t i = 0; i != Options.Daemons; ++i)
     Daemons.push_back({"vm-" + std::to_string(i + 1),
                        Options.DataCentres[i % Options.DataCentres.size()],
-                       reserveAddress(), reserveAddress(), reserveAddress(),
-                       nullptr});
+                       reserveAddress(), reserveAddress(), reserveAddress(), "",
+                       "", nullptr});
+  for (Daemon &daemon : Daemons)
+    daemon.PeerAddress = daemon.PeerListen;
+  json replicas = backends.at("replicas");
+  if (Options.UseProxy)
+    if (auto started = startProxy(replicas); !started)
+      return started;
   const json plans = plansDocument();
-  const json config = {
-      {"values",
-       {{"plans", plans},
-        {"customers", customersDocument(plans)},
-        {"services", servicesDocument(backends.at("replicas"))}}},
-      {"vms", vmsDocument({}).at("vms")}};
+  const json config = {{"values",
+                        {{"plans", plans},
+                         {"customers", customersDocument(plans)},
+                         {"services", servicesDocument(replicas)}}},
+                       {"vms", vmsDocument({}).at("vms")}};
   Platform = std::make_unique<Process>(
       "standin-platform", std::vector<std::string>{}, config.dump());
   const json platform = parseStarted(*Platform);
@@ -114,9 +119,48 @@
     return makeError(ErrorCode::Unavailable, Platform->output());
   PlatformListen = platform.at("listen").get<std::string>();
   PlatformControl = platform.at("control").get<std::string>();
+  for (Daemon &daemon : Daemons) {
+    daemon.PlatformAddress = PlatformListen;
+    if (Options.UseProxy)
+      daemon.PlatformAddress = addRoute({{"id", "platform." + daemon.VmId},
+                                         {"target", PlatformListen},
+                                         {"from", daemon.VmId},
+                                         {"to", "platform"}});
+  }
+  return true;
+}
+
+state::Result<bool> Deployment::startProxy(json &replicas) {
+  Proxy = std::make_unique<Process>("fault-proxy", std::vector<std::string>{},
+                                    json{{"seed", Options.Seed}}.dump());
+  const json proxy = parseStarted(*Proxy);
+  if (!proxy.is_object())
+    return makeError(ErrorCode::Unavailable, Proxy->output());
+  ProxyControl = proxy.at("control").get<std::string>();
+  for (const auto &[id, address] : replicas.items())
+    address = addRoute({{"id", "backend." + id},
+                        {"target", address},
+                        {"from", "net"},
+                        {"to", "backends"}});
+  for (Daemon &daemon : Daemons)
+    daemon.PeerAddress = addRoute({{"id", "peer." + daemon.VmId},
+                                   {"target", daemon.PeerListen},
+                                   {"from", "net"},
+                                   {"to", daemon.VmId}});
   return true;
 }
 
+std::string Deployment::addRoute(const json &route) {
+  const json added = callJson(ProxyControl, "/control/routes", route.dump());
+  return added.is_object() ? added.value("address", "") : "";
+}
+
+std::uint64_t Deployment::publishPlans(const json &plans) {
+  const json set =
+      callJson(PlatformControl, "/control/values/plans", plans.dump());
+  return set.is_object() ? set.value("version", std::uint64_t{0}) : 0;
+}
+
 state::Result<bool> Deployment::startDaemons() {
   for (std::size_t i = 0; i != Daemons.size(); ++i)
     if (const auto started = startDaemon(i); !started)
@@ -134,7 +178,8 @@
   std::vector<std::string> args = {"--listen=" + daemon.Listen,
                                    "--operator_listen=" + daemon.OperatorListen,
                                    "--peer_listen=" + daemon.PeerListen,
-                                   "--platform=" + PlatformListen,
+                                   "--platform=" + daemon.PlatformAddress,
+                                   "--advertise_peer=" + daemon.PeerAddress,
                                    "--vm_id=" + daemon.VmId,
                                    "--vm_instance=" + instanceOf(daemon.VmId),
                                    "--peer_key=" + PeerKeyFile,
@@ -307,7 +352,7 @@
     item["id"] = daemon.VmId;
     item["instance"] = instanceOf(daemon.VmId);
     item["role"] = "entry";
-    item["address"] = daemon.PeerListen;
+    item["address"] = daemon.PeerAddress;
     item["operator_address"] = daemon.OperatorListen;
     item["data_centre"] = daemon.DataCentre;
     item["state"] = isLeaving ? "leaving" : "live";
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -43,6 +43,12 @@
 
   /// Flags for every daemon, in addition to the addresses and names.
   std::vector<std::string> DaemonFlags;
+
+  /// Puts a fault-proxy route in front of each replica ("backend.ID"), of each
+  /// daemon's peer listener ("peer.VM") and of the platform as each daemon sees
+  /// it ("platform.VM"). Routes lead from "net" to "VM", "backends" and
+  /// "platform"; a platform route leads from "VM".
+  bool UseProxy = false;
 };
 
 /// One daemon of a deployment.
@@ -52,6 +58,8 @@
   std::string Listen;
   std::string OperatorListen;
   std::string PeerListen;
+  std::string PeerAddress;     ///< at which the other daemons reach it
+  std::string PlatformAddress; ///< at which it reaches the platform
   std::unique_ptr<Process> Program;
 };
 
@@ -86,6 +94,7 @@
 
   const std::string &platformControl() const { return PlatformControl; }
   const std::string &backendControl() const { return BackendControl; }
+  const std::string &proxyControl() const { return ProxyControl; }
   Process &platform() { return *Platform; }
   Process &backends() { return *Backends; }
   std::vector<Daemon> &daemons() { return Daemons; }
@@ -97,11 +106,17 @@
   /// The instance of a VM in the list; changes with each start of its daemon.
   std::string instanceOf(const std::string &vmId) const;
 
+  /// Publishes a new version of the plans document. Returns its version; 0 when
+  /// the platform refused it.
+  std::uint64_t publishPlans(const nlohmann::json &plans);
+  nlohmann::json plansDocument() const;
+
 private:
   void writePeerKey();
+  state::Result<bool> startProxy(nlohmann::json &replicas);
+  std::string addRoute(const nlohmann::json &route);
   nlohmann::json backendConfig() const;
   nlohmann::json servicesDocument(const nlohmann::json &addresses) const;
-  nlohmann::json plansDocument() const;
   static nlohmann::json customersDocument(const nlohmann::json &plans);
   nlohmann::json vmsDocument(const std::vector<std::string> &leaving) const;
 
@@ -109,6 +124,8 @@
   transport::EventLoop Loop;
   std::unique_ptr<Process> Platform;
   std::unique_ptr<Process> Backends;
+  std::unique_ptr<Process> Proxy;
+  std::string ProxyControl;
   std::string PeerKeyFile;
   std::string PlatformListen;
   std::string PlatformControl;
