Add the experiment driver of make bench

Cause: no program measured the targets of design section 1.3 on whole deployments, and the load generator had no writes and no tests.

The load generator gains writes, weights for each phase, counts from the daemons' metrics, and goodput by the time of the answer.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all setup build format format-check lint check check-fast clean
+.PHONY: all setup build format format-check lint check check-fast bench clean
 
 all: build
 
@@ -36,5 +36,10 @@
 check-fast: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+# Measures both deployments; see docs/MEASUREMENTS.md.
+bench: build
+	mkdir -p $(BUILD)/bench
+	$(BUILD)/galenaflow-experiment $(BUILD)/bench $(BENCH_FLAGS)
+
 clean:
 	rm -rf $(BUILD)
--- a/bench/load_generator.cc
+++ b/bench/load_generator.cc
@@ -22,24 +22,44 @@
 constexpr auto DrainLimit = std::chrono::seconds(30);
 constexpr auto RequestLimit = std::chrono::seconds(20);
 
-struct Arrival {
-  TimePoint At;
-  std::uint32_t Phase;
-  std::uint32_t Item;
-};
+/// The choice of an item, by the weights of the phase or of the mix.
+std::discrete_distribution<std::uint32_t> itemChoice(const Scenario &scenario,
+                                                     const Phase &phase) {
+  std::vector<double> weights = phase.Weights;
+  if (weights.empty())
+    for (const LoadItem &item : scenario.Mix)
+      weights.push_back(item.Weight);
+  return {weights.begin(), weights.end()};
+}
+
+/// A number member of the coverage object. The position is found by name,
+/// since parsing the whole body would cost more than sending the request.
+std::uint32_t coverageNumber(std::string_view body, std::string_view name) {
+  const std::string key = "\"" + std::string(name) + "\":";
+  const auto at =
+      body.find(key, std::min(body.find("\"coverage\""), body.size()));
+  std::uint32_t n = 0;
+  if (at != std::string_view::npos)
+    std::from_chars(body.data() + at + key.size(), body.data() + body.size(),
+                    n);
+  return n;
+}
+
+std::uint32_t microsSince(TimePoint from, TimePoint now) {
+  return static_cast<std::uint32_t>(
+      std::max<std::int64_t>(0, (now - from).count()));
+}
+
+} // namespace
 
 std::vector<Arrival> drawSchedule(const Scenario &scenario, TimePoint start,
                                   std::mt19937_64 &rng) {
-  std::vector<double> weights;
-  for (const LoadItem &item : scenario.Mix)
-    weights.push_back(item.Weight);
-  std::discrete_distribution<std::uint32_t> pick(weights.begin(),
-                                                 weights.end());
   std::vector<Arrival> schedule;
   double begin = 0;
   for (std::uint32_t i = 0; i != scenario.Phases.size(); ++i) {
     const Phase &phase = scenario.Phases[i];
     const double end = begin + phase.Seconds;
+    auto pick = itemChoice(scenario, phase);
     if (phase.Rate > 0) {
       std::exponential_distribution<double> gap(phase.Rate / scenario.Threads);
       for (double at = begin + gap(rng); at < end; at += gap(rng))
@@ -52,29 +72,13 @@
   return schedule;
 }
 
-/// A number member of the coverage object. The position is found by name,
-/// since parsing the whole body would cost more than sending the request.
-std::uint32_t coverageNumber(std::string_view body, std::string_view name) {
-  const std::string key = "\"" + std::string(name) + "\":";
-  const auto at =
-      body.find(key, std::min(body.find("\"coverage\""), body.size()));
-  std::uint32_t n = 0;
-  if (at != std::string_view::npos)
-    std::from_chars(body.data() + at + key.size(), body.data() + body.size(),
-                    n);
-  return n;
-}
-
-std::uint32_t microsSince(TimePoint from, TimePoint now) {
-  return static_cast<std::uint32_t>(
-      std::max<std::int64_t>(0, (now - from).count()));
-}
+namespace {
 
 class Generator {
 public:
   Generator(const Scenario &scenario, std::uint32_t thread, TimePoint start)
       : Config(scenario), Random(scenario.Seed * 1000 + thread),
-        Schedule(drawSchedule(scenario, start, Random)) {
+        Schedule(drawSchedule(scenario, start, Random)), Start(start) {
     for (std::uint32_t i = 0; i != scenario.Connections; ++i)
       for (const std::string &target : scenario.Targets)
         if (const auto address = transport::parseSocketAddress(target)) {
@@ -94,7 +98,7 @@
     // Requests in flight have ended by RequestLimit; these were never sent.
     for (const Arrival &arrival : Waiting)
       Samples.push_back(
-          {arrival.Phase, arrival.Item, Outcome::Failed, 0, 0, 0, 0});
+          {arrival.Phase, arrival.Item, Outcome::Failed, 0, 0, 0, 0, 0});
     return std::move(Samples);
   }
 
@@ -134,7 +138,8 @@
                   microsSince(arrival.At, now),
                   microsSince(sent, now),
                   0,
-                  0};
+                  0,
+                  microsSince(Start, now)};
     const bool isRead = Config.Mix[arrival.Item].Operation == "read";
     if (result &&
         (result->Status == 200 || (isRead && result->Status == 404))) {
@@ -151,6 +156,7 @@
   transport::EventLoop Loop;
   std::mt19937_64 Random;
   std::vector<Arrival> Schedule;
+  TimePoint Start;
   std::size_t Next = 0;
   std::deque<Arrival> Waiting;
   std::vector<std::unique_ptr<transport::HttpConnection>> Connections;
--- a/bench/load_generator.h
+++ b/bench/load_generator.h
@@ -20,8 +20,20 @@
   std::uint32_t ServiceUs = 0; ///< from the time it was sent
   std::uint32_t Asked = 0;     ///< shards
   std::uint32_t Covered = 0;
+  std::uint64_t DoneUs = 0; ///< from the start of the load
 };
 
+/// A request that is to be sent at a time of the schedule.
+struct Arrival {
+  state::TimePoint At;
+  std::uint32_t Phase;
+  std::uint32_t Item;
+};
+
+/// One thread's arrivals, in order.
+std::vector<Arrival> drawSchedule(const Scenario &scenario,
+                                  state::TimePoint start, std::mt19937_64 &rng);
+
 /// Runs one thread's part of the load on a loop of its own. Arrivals follow a
 /// seeded Poisson schedule that does not wait for answers. A request whose turn
 /// comes while all connections are busy waits, and this wait counts.
--- a/bench/report.cc
+++ b/bench/report.cc
@@ -12,8 +12,6 @@
 
 using nlohmann::json;
 
-namespace {
-
 double percentileMs(const std::vector<std::uint32_t> &sorted, double part) {
   if (sorted.empty())
     return 0;
@@ -23,6 +21,23 @@
          1000.0;
 }
 
+double goodput(const Scenario &scenario, const std::vector<Sample> &samples,
+               std::uint32_t phase, std::optional<std::uint32_t> item) {
+  double begin = 0;
+  for (std::uint32_t i = 0; i != phase; ++i)
+    begin += scenario.Phases[i].Seconds;
+  const double seconds = scenario.Phases[phase].Seconds;
+  const auto n =
+      std::count_if(samples.begin(), samples.end(), [&](const Sample &sample) {
+        const double at = static_cast<double>(sample.DoneUs) / 1e6;
+        return sample.Result == Outcome::Answered && at >= begin &&
+               at < begin + seconds && (!item || sample.Item == *item);
+      });
+  return static_cast<double>(n) / seconds;
+}
+
+namespace {
+
 json percentiles(const std::vector<std::uint32_t> &sorted) {
   return {{"count", sorted.size()},
           {"p50_ms", percentileMs(sorted, 0.5)},
@@ -57,8 +72,7 @@
                 {"answered", percentiles(answered)},
                 {"refused", percentiles(refused)},
                 {"failed", failed},
-                {"goodput_per_s", static_cast<double>(answered.size()) /
-                                      scenario.Phases[phase].Seconds}};
+                {"goodput_per_s", goodput(scenario, samples, phase, item)}};
   if (asked != 0)
     entry["coverage"] =
         static_cast<double>(covered) / static_cast<double>(asked);
@@ -81,7 +95,12 @@
     if (i + 1 < readings.size()) {
       const auto run = readings[i + 1].Run - readings[i].Run;
       const auto repeated = readings[i + 1].Repeated - readings[i].Repeated;
-      phase["backend"] = {{"run", run}, {"repeated", repeated}};
+      phase["backend"] = {
+          {"run", run},
+          {"repeated", repeated},
+          {"primaries", readings[i + 1].Primaries - readings[i].Primaries},
+          {"hedges", readings[i + 1].Hedges - readings[i].Hedges},
+          {"retries", readings[i + 1].Retries - readings[i].Retries}};
     }
     phases.push_back(std::move(phase));
   }
--- a/bench/scenario.cc
+++ b/bench/scenario.cc
@@ -1,5 +1,7 @@
 #include "scenario.h"
 
+#include "state/uuid.h"
+
 #include <nlohmann/json.hpp>
 
 // Queries are drawn from a bounded set of words, so that runs with the same
@@ -31,6 +33,7 @@
   phase.Name = in.value("name", "phase");
   phase.Seconds = in.value("seconds", 1.0);
   phase.Rate = in.value("rate", 100.0);
+  phase.Weights = in.value("weights", std::vector<double>{});
   for (const json &call : in.value("controls", json::array()))
     phase.Controls.push_back({call.value("address", ""), call.value("path", ""),
                               call.value("body", json::object()).dump()});
@@ -51,10 +54,16 @@
   scenario.Targets = root.value("targets", std::vector<std::string>{});
   scenario.StatsAddresses =
       root.value("stats_addresses", std::vector<std::string>{});
+  scenario.MetricsAddresses =
+      root.value("metrics_addresses", std::vector<std::string>{});
   for (const json &item : root.value("mix", json::array()))
     scenario.Mix.push_back(readItem(item));
   for (const json &phase : root.value("phases", json::array()))
     scenario.Phases.push_back(readPhase(phase));
+  for (const Phase &phase : scenario.Phases)
+    if (!phase.Weights.empty() && phase.Weights.size() != scenario.Mix.size())
+      return state::makeError(state::ErrorCode::InvalidArgument,
+                              "a phase has not one weight for each item");
   if (scenario.Targets.empty() || scenario.Mix.empty() ||
       scenario.Phases.empty())
     return state::makeError(state::ErrorCode::InvalidArgument,
@@ -74,6 +83,14 @@
     return request;
   }
   request.Method = "POST";
+  if (item.Operation == "write") {
+    state::SystemClock clock;
+    request.Path = "/v1/writes/" + item.Service;
+    request.Headers.add("idempotency-key",
+                        state::mintUuidV7(clock.wallNow(), rng).Text);
+    request.Body = json{{"claim", word}}.dump();
+    return request;
+  }
   request.Path = "/v1/" + item.Operation;
   json body = {{"service", item.Service}, {"limit", item.Limit}};
   body[item.Operation == "suggest" ? "prefix" : "query"] = word;
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -15,7 +15,7 @@
 /// One kind of request in the mix.
 struct LoadItem {
   std::string Name;      ///< groups results, for example "urgent-suggest"
-  std::string Operation; ///< search, suggest or read
+  std::string Operation; ///< search, suggest, read or write
   std::string Service;
   std::string Key; ///< caller key
   std::string Priority;
@@ -34,7 +34,8 @@
 struct Phase {
   std::string Name;
   double Seconds = 1;
-  double Rate = 100; ///< requests/s over all targets
+  double Rate = 100;           ///< requests/s over all targets
+  std::vector<double> Weights; ///< of the mix; empty: those of the items
   std::vector<ControlCall> Controls;
 };
 
@@ -43,7 +44,8 @@
   std::uint32_t Threads = 2;
   std::uint32_t Connections = 64; ///< per thread and target
   std::vector<std::string> Targets;
-  std::vector<std::string> StatsAddresses; ///< control of standin-backend
+  std::vector<std::string> StatsAddresses;   ///< control of standin-backend
+  std::vector<std::string> MetricsAddresses; ///< operator, of each daemon
   std::vector<LoadItem> Mix;
   std::vector<Phase> Phases;
 };
