Ask another replica at once when no connection was made

Cause: with one replica of each shard lost, the retry budget of 5 % covered few of the failed connections before the replicas were ejected; the queries then waited for tokens.

Change: an attempt that provably was not sent is redirected to a replica that was not asked yet, without a token, since the first replica did no work.

--- a/src/coordination/query_execution.cc
+++ b/src/coordination/query_execution.cc
@@ -224,7 +224,11 @@
       wakeShardAt(it, now + MinRetryWait);
     return;
   }
-  if (reason == FailureReason::SnapshotGone && redirect(i, now))
+  // Without a connection the replica did no work, so asking another one is no
+  // extra load. The retry budget alone could not cover a lost replica of each
+  // shard before it is ejected.
+  const bool unsent = reason == FailureReason::ConnectionFailed && !mayHaveRun;
+  if ((reason == FailureReason::SnapshotGone || unsent) && redirect(i, now))
     return;
   resend(i, now);
 }
