Raise the lower bound of admission with the slots share

Cause: a daemon starts with a share of zero connections. The adaptive limit was created then with a lower bound and a start value of one sub-request, and only its upper bound followed the share. Each daemon ran one query at a time, and others were refused at once.

Change: both bounds follow the share. The limit starts at 2.5 sub-requests per slot, since a query keeps its cost until its slowest shard has answered, and is adjusted every 10 requests instead of every 100.

--- a/src/coordination/adaptive_concurrency.cc
+++ b/src/coordination/adaptive_concurrency.cc
@@ -24,9 +24,10 @@
     : Options(options), Limit(std::clamp(options.Initial, options.Min,
                                          std::max(options.Min, options.Max))) {}
 
-void AdaptiveConcurrency::setMax(double max) {
-  Options.Max = std::max(max, Options.Min);
-  Limit = std::clamp(Limit, Options.Min, Options.Max);
+void AdaptiveConcurrency::setBounds(double min, double max, double initial) {
+  Options.Min = min;
+  Options.Max = std::max(max, min);
+  Limit = std::clamp(Baseline == 0 ? initial : Limit, Options.Min, Options.Max);
 }
 
 void AdaptiveConcurrency::onSample(Duration latency, double inFlight) {
--- a/src/coordination/adaptive_concurrency.h
+++ b/src/coordination/adaptive_concurrency.h
@@ -28,8 +28,9 @@
   /// A request of known latency has ended with `inFlight` at its start.
   void onSample(Duration latency, double inFlight);
 
-  /// The bounds follow the slots share.
-  void setMax(double max);
+  /// The bounds follow the slots share. Before the first adjustment the limit
+  /// starts again at `initial`.
+  void setBounds(double min, double max, double initial);
   double limit() const { return Limit; }
 
 private:
--- a/src/daemon/admission_task.cc
+++ b/src/daemon/admission_task.cc
@@ -16,6 +16,16 @@
 /// Weight of the newest sample in the mean time of a service's requests.
 constexpr double TypicalTimeGain = 0.05;
 
+/// A query keeps its cost until its slowest shard has answered, which takes
+/// about 2.5 times the mean service time at 20 shards. A limit equal to the
+/// slots would leave more than half of them idle.
+constexpr double InitialCostPerSlot = 2.5;
+
+/// Requests for one adjustment of the limit. A request holds many
+/// sub-requests, so with 100 the limit would need 10 s for one step at 10
+/// requests/s.
+constexpr std::size_t ConcurrencyWindow = 10;
+
 AdmissionVerdict verdictOf(PlanLimiter::Verdict verdict) {
   switch (verdict) {
   case PlanLimiter::Verdict::Admitted:
@@ -58,8 +68,12 @@
 
 AdmissionTask::ServiceState::ServiceState(std::size_t maxQueued, double slots,
                                           double connections)
-    : Queue({.Capacity = slots, .MaxQueued = maxQueued}),
-      Concurrency({.Min = slots, .Max = connections, .Initial = slots}) {}
+    : Queue({.Capacity = std::min(slots * InitialCostPerSlot, connections),
+             .MaxQueued = maxQueued}),
+      Concurrency({.Min = slots,
+                   .Max = connections,
+                   .Initial = slots * InitialCostPerSlot,
+                   .Window = ConcurrencyWindow}) {}
 
 AdmissionTask::AdmissionTask(transport::EventLoop &loop,
                              AdmissionTaskOptions options)
@@ -88,7 +102,9 @@
                                        double connections) {
   ServiceState *existing = findService(service);
   if (existing != nullptr) {
-    existing->Concurrency.setMax(connections);
+    // The share is zero at the start, so the lower bound has to follow as well.
+    existing->Concurrency.setBounds(slots, connections,
+                                    slots * InitialCostPerSlot);
     carryOut(
         existing->Queue.setCapacity(existing->Concurrency.limit(), Loop.now()));
     return;
