Compare latency within a priority in the adaptive limit

Cause: the limit took the short times of urgent suggestions for the baseline of searches, so a change of the mix looked like overload and the limit fell below the cost of one query. The estimate of the wait of a normal request left out the share that urgent ones may take before it.

Change: one limit with a baseline for each priority; the typical time is kept by priority; the estimate leaves urgent requests their share.

--- a/src/coordination/adaptive_concurrency.cc
+++ b/src/coordination/adaptive_concurrency.cc
@@ -27,30 +27,32 @@
 void AdaptiveConcurrency::setBounds(double min, double max, double initial) {
   Options.Min = min;
   Options.Max = std::max(max, min);
-  Limit = std::clamp(Baseline == 0 ? initial : Limit, Options.Min, Options.Max);
+  Limit = std::clamp(Adjusted ? Limit : initial, Options.Min, Options.Max);
 }
 
-void AdaptiveConcurrency::onSample(Duration latency, double inFlight) {
-  Sum += static_cast<double>(latency.count());
-  MostInFlight = std::max(MostInFlight, inFlight);
-  if (++Samples < Options.Window)
+void AdaptiveConcurrency::onSample(Duration latency, double inFlight,
+                                   std::size_t kind) {
+  Kind &known = Kinds[kind];
+  known.Sum += static_cast<double>(latency.count());
+  known.MostInFlight = std::max(known.MostInFlight, inFlight);
+  if (++known.Samples < Options.Window)
     return;
-  adjust();
-  Samples = 0;
-  Sum = 0;
-  MostInFlight = 0;
+  adjust(known);
+  known = {.Baseline = known.Baseline};
 }
 
-void AdaptiveConcurrency::adjust() {
-  const double recent = std::max(Sum / static_cast<double>(Samples), 1.0);
-  if (Baseline == 0 || recent < Baseline)
-    Baseline = recent;
+void AdaptiveConcurrency::adjust(Kind &kind) {
+  const double recent =
+      std::max(kind.Sum / static_cast<double>(kind.Samples), 1.0);
+  if (kind.Baseline == 0 || recent < kind.Baseline)
+    kind.Baseline = recent;
   else
-    Baseline += BaselineRise * (recent - Baseline);
+    kind.Baseline += BaselineRise * (recent - kind.Baseline);
+  Adjusted = true;
   const double gradient =
-      std::clamp(Options.Tolerance * Baseline / recent, 0.5, 1.0);
+      std::clamp(Options.Tolerance * kind.Baseline / recent, 0.5, 1.0);
   // Without use of the limit, low latency says nothing about a higher one.
-  if (gradient == 1 && MostInFlight < Limit / 2)
+  if (gradient == 1 && kind.MostInFlight < Limit / 2)
     return;
   const double target = Limit * gradient + std::sqrt(Limit);
   Limit += Smoothing * (target - Limit);
--- a/src/coordination/adaptive_concurrency.h
+++ b/src/coordination/adaptive_concurrency.h
@@ -3,6 +3,7 @@
 
 #include "state/clock.h"
 
+#include <array>
 #include <cstddef>
 
 namespace galenaflow::coordination {
@@ -25,8 +26,12 @@
 public:
   explicit AdaptiveConcurrency(ConcurrencyOptions options);
 
-  /// A request of known latency has ended with `inFlight` at its start.
-  void onSample(Duration latency, double inFlight);
+  /// Requests of different kinds, which take different times.
+  static constexpr std::size_t KindCount = 2;
+
+  /// A request of known latency has ended with `inFlight` at its start. Latency
+  /// is compared within a kind only.
+  void onSample(Duration latency, double inFlight, std::size_t kind = 0);
 
   /// The bounds follow the slots share. Before the first adjustment the limit
   /// starts again at `initial`.
@@ -34,14 +39,19 @@
   double limit() const { return Limit; }
 
 private:
-  void adjust();
+  struct Kind {
+    double Baseline = 0; ///< microseconds
+    double Sum = 0;
+    double MostInFlight = 0;
+    std::size_t Samples = 0;
+  };
+
+  void adjust(Kind &kind);
 
   ConcurrencyOptions Options;
   double Limit;
-  double Baseline = 0; ///< microseconds
-  double Sum = 0;
-  double MostInFlight = 0;
-  std::size_t Samples = 0;
+  bool Adjusted = false;
+  std::array<Kind, KindCount> Kinds;
 };
 
 } // namespace galenaflow::coordination
--- a/src/coordination/admission_queue.cc
+++ b/src/coordination/admission_queue.cc
@@ -81,8 +81,12 @@
   double waitMicros = 0;
   if (Queued > 0 || !fits(request.Cost)) {
     const PlanState &plan = Plans[std::string(request.Plan)];
+    // Urgent requests that come later still go first, up to their share.
+    const bool behindUrgent = cls == Normal && InService[Urgent] > 0;
+    const double rate =
+        Options.Capacity * (behindUrgent ? 1 - Options.UrgentShare : 1);
     const double rounds =
-        (costAhead(plan, cls) + request.Cost) / std::max(Options.Capacity, 1.0);
+        (costAhead(plan, cls) + request.Cost) / std::max(rate, 1.0);
     waitMicros = rounds * MeanServiceMicros;
   }
   const auto wait = Duration(static_cast<std::int64_t>(waitMicros));
--- a/src/daemon/admission_task.cc
+++ b/src/daemon/admission_task.cc
@@ -46,6 +46,10 @@
              : AdmissionVerdict::WouldMissDeadline;
 }
 
+std::size_t kindOf(state::Priority priority) {
+  return priority == state::Priority::Urgent ? 0 : 1;
+}
+
 } // namespace
 
 std::string_view admissionVerdictName(AdmissionVerdict verdict) {
@@ -129,8 +133,12 @@
     return;
   }
   const coordination::AdmissionRequest arrival{
-      id,           request.Plan,       request.Priority,
-      request.Cost, request.DeadlineAt, service->TypicalTime};
+      id,
+      request.Plan,
+      request.Priority,
+      request.Cost,
+      request.DeadlineAt,
+      service->TypicalTime[kindOf(request.Priority)]};
   OpenRequest open;
   open.Request = std::move(request);
   open.Callback = std::move(callback);
@@ -194,11 +202,13 @@
   leavePlan(open);
   ServiceState *service = findService(open.Request.Service);
   if (informative) {
-    const auto old = static_cast<double>(service->TypicalTime.count());
+    const std::size_t kind = kindOf(open.Request.Priority);
+    state::Duration &typical = service->TypicalTime[kind];
+    const auto old = static_cast<double>(typical.count());
     const auto sample = static_cast<double>(took.count());
-    service->TypicalTime = state::Duration(static_cast<std::int64_t>(
+    typical = state::Duration(static_cast<std::int64_t>(
         old == 0 ? sample : old + (sample - old) * TypicalTimeGain));
-    service->Concurrency.onSample(took, open.InFlightAtStart);
+    service->Concurrency.onSample(took, open.InFlightAtStart, kind);
   }
   const state::TimePoint now = Loop.now();
   carryOut(service->Queue.setCapacity(service->Concurrency.limit(), now));
--- a/src/daemon/admission_task.h
+++ b/src/daemon/admission_task.h
@@ -7,6 +7,7 @@
 #include "state/plan_catalog.h"
 #include "transport/event_loop.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -106,7 +107,9 @@
     ServiceState(std::size_t maxQueued, double slots, double connections);
     coordination::AdmissionQueue Queue;
     coordination::AdaptiveConcurrency Concurrency;
-    state::Duration TypicalTime{0};
+    /// By priority, since urgent requests are often of a shorter kind.
+    std::array<state::Duration, coordination::AdaptiveConcurrency::KindCount>
+        TypicalTime{};
   };
 
   struct OpenRequest {
