Refuse earlier when the wait is uncertain

Cause: the wait is estimated as a mean. A request at the edge was accepted and then refused only after it had waited for its whole deadline.

Change: the wait counts twice, and it is at least the age of the oldest waiting request of the plan. Tests guard the bounds of the adaptive limit and its comparison of latency within a priority.

--- a/src/coordination/admission_queue.cc
+++ b/src/coordination/admission_queue.cc
@@ -29,6 +29,11 @@
 constexpr std::size_t Normal = 1;
 constexpr double ServiceTimeWeight = 0.1;
 
+/// The estimate of the wait is a mean, and so is the age of the plan's oldest
+/// waiting request. Without a margin, half of the requests at the edge would be
+/// refused only after they have waited for their whole deadline.
+constexpr std::int64_t WaitMargin = 2;
+
 std::size_t classOf(state::Priority priority) {
   return priority == state::Priority::Urgent ? Urgent : Normal;
 }
@@ -89,7 +94,11 @@
         (costAhead(plan, cls) + request.Cost) / std::max(rate, 1.0);
     waitMicros = rounds * MeanServiceMicros;
   }
-  const auto wait = Duration(static_cast<std::int64_t>(waitMicros));
+  auto wait = Duration(static_cast<std::int64_t>(waitMicros) * WaitMargin);
+  const auto plan = Plans.find(request.Plan);
+  if (plan != Plans.end() && !plan->second.Queues[cls].empty())
+    wait = std::max(wait, (now - plan->second.Queues[cls].front().ArrivedAt) *
+                              WaitMargin);
   return now + wait + request.ServiceTime > request.DeadlineAt;
 }
 
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -243,3 +243,23 @@
     CHECK(!slots.nextTimer());
   }
 }
+
+// Guards against a daemon that starts with a share of zero and then keeps the
+// limit of that time.
+TEST_CASE("the adaptive limit follows a share that grows from zero") {
+  AdaptiveConcurrency limit({.Min = 1, .Max = 1, .Initial = 1});
+  limit.setBounds(12, 160, 32);
+  CHECK(limit.limit() == 32);
+}
+
+// Guards against searches that look slow next to suggestions.
+TEST_CASE("the adaptive limit compares latency within a kind") {
+  AdaptiveConcurrency limit(
+      {.Min = 12, .Max = 160, .Initial = 32, .Window = 10});
+  for (int i = 0; i != 1000; ++i) {
+    const bool urgent = i / 10 % 2 == 0;
+    limit.onSample(std::chrono::milliseconds(urgent ? 10 : 100), 32,
+                   urgent ? 0 : 1);
+    REQUIRE(limit.limit() >= 32);
+  }
+}
