--- a/Makefile
+++ b/Makefile
@@ -120,5 +120,10 @@
 	$(BUILD)/fault-matrix tests/matrix/matrix.json --docs docs/fault-matrix.md
 	$(BUILD)/fault-matrix tests/matrix/matrix.json --known_red KNOWN-RED.txt --out $(BUILD)/matrix/table.md
 
+# Measures both deployments; see docs/MEASUREMENTS.md.
+bench: build
+	mkdir -p $(BUILD)/bench
+	$(BUILD)/galenaflow-experiment $(BUILD)/bench $(BENCH_FLAGS)
+
 clean:
 	rm -rf $(BUILD)
--- a/src/daemon/admission_task.cc
+++ b/src/daemon/admission_task.cc
@@ -16,6 +16,16 @@
 /// Weight of the newest sample in the mean time of a service's requests.
 constexpr double TypicalTimeGain = 0.05;
 
+/// A query keeps its cost until its slowest shard has answered, which takes
+/// about 2.5 times the mean service time at 20 shards. A limit equal to the
+/// slots would leave more than half of them idle.
+constexpr double InitialCostPerSlot = 2.5;
+
+/// Requests for one adjustment of the limit. A request holds many
+/// sub-requests, so with 100 the limit would need 10 s for one step at 10
+/// requests/s.
+constexpr std::size_t ConcurrencyWindow = 10;
+
 AdmissionVerdict verdictOf(PlanLimiter::Verdict verdict) {
   switch (verdict) {
   case PlanLimiter::Verdict::Admitted:
@@ -36,6 +46,10 @@
              : AdmissionVerdict::WouldMissDeadline;
 }
 
+std::size_t kindOf(state::Priority priority) {
+  return priority == state::Priority::Urgent ? 0 : 1;
+}
+
 } // namespace
 
 std::string_view admissionVerdictName(AdmissionVerdict verdict) {
@@ -58,10 +72,13 @@
 
 AdmissionTask::ServiceState::ServiceState(const AdmissionTaskOptions &options,
                                           double slots, double connections)
-    : Queue({.Capacity = slots,
+    : Queue({.Capacity = std::min(slots * InitialCostPerSlot, connections),
              .MaxQueued = options.MaxQueued,
              .UrgentShare = options.UrgentShare}),
-      Concurrency({.Min = slots, .Max = connections, .Initial = slots}) {}
+      Concurrency({.Min = slots,
+                   .Max = connections,
+                   .Initial = slots * InitialCostPerSlot,
+                   .Window = ConcurrencyWindow}) {}
 
 AdmissionTask::AdmissionTask(transport::EventLoop &loop,
                              AdmissionTaskOptions options)
@@ -90,7 +107,9 @@
                                        double connections) {
   ServiceState *existing = findService(service);
   if (existing != nullptr) {
-    existing->Concurrency.setMax(connections);
+    // The share is zero at the start, so the lower bound has to follow as well.
+    existing->Concurrency.setBounds(slots, connections,
+                                    slots * InitialCostPerSlot);
     carryOut(
         existing->Queue.setCapacity(existing->Concurrency.limit(), Loop.now()));
     return;
@@ -118,8 +137,12 @@
     return;
   }
   const coordination::AdmissionRequest arrival{
-      id,           request.Plan,       request.Priority,
-      request.Cost, request.DeadlineAt, service->TypicalTime};
+      id,
+      request.Plan,
+      request.Priority,
+      request.Cost,
+      request.DeadlineAt,
+      service->TypicalTime[kindOf(request.Priority)]};
   OpenRequest open;
   open.Request = std::move(request);
   open.Callback = std::move(callback);
@@ -183,11 +206,13 @@
   leavePlan(open);
   ServiceState *service = findService(open.Request.Service);
   if (informative) {
-    const auto old = static_cast<double>(service->TypicalTime.count());
+    const std::size_t kind = kindOf(open.Request.Priority);
+    state::Duration &typical = service->TypicalTime[kind];
+    const auto old = static_cast<double>(typical.count());
     const auto sample = static_cast<double>(took.count());
-    service->TypicalTime = state::Duration(static_cast<std::int64_t>(
+    typical = state::Duration(static_cast<std::int64_t>(
         old == 0 ? sample : old + (sample - old) * TypicalTimeGain));
-    service->Concurrency.onSample(took, open.InFlightAtStart);
+    service->Concurrency.onSample(took, open.InFlightAtStart, kind);
   }
   const state::TimePoint now = Loop.now();
   carryOut(service->Queue.setCapacity(service->Concurrency.limit(), now));
--- a/src/daemon/admission_task.h
+++ b/src/daemon/admission_task.h
@@ -7,6 +7,7 @@
 #include "state/plan_catalog.h"
 #include "transport/event_loop.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -109,7 +110,9 @@
                  double connections);
     coordination::AdmissionQueue Queue;
     coordination::AdaptiveConcurrency Concurrency;
-    state::Duration TypicalTime{0};
+    /// By priority, since urgent requests are often of a shorter kind.
+    std::array<state::Duration, coordination::AdaptiveConcurrency::KindCount>
+        TypicalTime{};
   };
 
   struct OpenRequest {
