--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -120,7 +120,6 @@
   /// Publishes a new version of the plans document. Returns its version; 0 when
   /// the platform refused it.
   std::uint64_t publishPlans(const nlohmann::json &plans);
-  nlohmann::json plansDocument() const;
 
 private:
   void writePeerKey();
