Name the caller's request id in every refusal

Cause: a daemon refused a request before it read X-Request-Id when it had no lists yet, and after a failed authentication it answered with an id of its own, so a caller on the phone could not be matched.

Change: the id is read first. The end-to-end test checks a refusal with 401.

Conclusion: every answer names the caller's id.

--- a/src/daemon/caller_service.cc
+++ b/src/daemon/caller_service.cc
@@ -105,6 +105,13 @@
   request->Record.Started = Loop.wallNow();
   request->Record.DaemonId = Options.DaemonId;
   request->Record.RequestId = state::mintUuidV7(Loop.wallNow(), Random).Text;
+  // Every answer carries the caller's id, refusals included. A malformed id is
+  // reported with the other findings once the request is parsed.
+  state::Findings ignored;
+  const std::string givenId =
+      protocol::parseOptions(viewHeaders(http.Headers), ignored).RequestId;
+  if (!givenId.empty())
+    request->Record.RequestId = givenId;
   const auto endpoint =
       protocol::findEndpoint(http.Method, withoutQuery(http.Path));
   if (!endpoint) {
@@ -170,8 +177,6 @@
                          const protocol::RequestOptions &options) {
   request->Record.Operation = operation;
   request->Record.Service = service;
-  if (!options.RequestId.empty())
-    request->Record.RequestId = options.RequestId;
   request->Span = Spans.startRequest(options.Trace);
   request->Span.Name = state::operationName(operation);
   request->Limits = request->Plan->limitsOf(operation);
--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -64,6 +64,13 @@
         deployment.callJson(deployment.backendControl(), "/control/journal");
     CHECK(countRuns(journal, key) == 1);
   }
+  // A refusal names the caller's own request id, also before the key is known.
+  transport::HttpRequest stranger{"POST", "/v1/search", {}, "{}"};
+  stranger.Headers.add("x-request-id", "id-of-the-caller");
+  const auto refused =
+      deployment.call(deployment.daemons()[0].Listen, stranger);
+  CHECK(refused.Status == 401);
+  CHECK(json::parse(refused.Body)["error"]["request_id"] == "id-of-the-caller");
   // A planned stop ends with exit code 0.
   for (Daemon &daemon : deployment.daemons())
     daemon.Program->terminate();
