Free closed connections for use and bound the wait of blocked calls

Cause: after a timeout, idle connections that were already closed counted as waiting for a probe, so that a pool offered fewer connections than it had. A call that waited for a probe kept its place in the slot scheduler past its deadline.

Change: only open connections need a probe. A blocked call is dropped at its deadline, as not sent.

Measured: the new pool test fails before and passes after.

Conclusion: pools recover with all their connections.

--- a/src/daemon/backend_task.cc
+++ b/src/daemon/backend_task.cc
@@ -371,7 +371,29 @@
       },
       open.Call.Gate);
   if (open.Exchange == 0)
-    replica.Blocked.push_back(id);
+    block(id, replica, left);
+}
+
+// The scheduler counts a blocked call as started. Without a limit of its own it
+// would keep its place past its deadline, while a silent replica lets none of
+// the probes end.
+void BackendTask::block(CallId id, ReplicaState &replica,
+                        state::Duration left) {
+  replica.Blocked.push_back(id);
+  Loop.schedule(left, [this, id] { dropBlocked(id); });
+}
+
+void BackendTask::dropBlocked(CallId id) {
+  const auto it = Calls.find(id);
+  if (it == Calls.end() || it->second.Exchange != 0)
+    return;
+  const auto replica = Replicas.find(it->second.Call.Replica);
+  if (replica == Replicas.end() ||
+      std::erase(replica->second->Blocked, id) == 0)
+    return;
+  fail(id, ErrorCode::DeadlineExceeded, "no connection was free in time");
+  carryOut(Scheduler.onEnded(id, Loop.now()));
+  armQueueTimer();
 }
 
 void BackendTask::finish(CallId id, transport::HttpResult result) {
--- a/src/daemon/backend_task.h
+++ b/src/daemon/backend_task.h
@@ -129,6 +129,8 @@
   void carryOut(const coordination::SlotActions &actions);
   void start(CallId id);
   void sendNow(CallId id, ReplicaState &replica);
+  void block(CallId id, ReplicaState &replica, state::Duration left);
+  void dropBlocked(CallId id);
   void finish(CallId id, transport::HttpResult result);
   void fail(CallId id, state::ErrorCode code, std::string_view text);
   void noteDraining(const OpenCall &open, const transport::HttpResult &result);
--- a/src/transport/backend_pool.cc
+++ b/src/transport/backend_pool.cc
@@ -100,9 +100,10 @@
   const state::TimePoint oldest = Loop.now() - Options.IdleProbeAge;
   return std::any_of(
       Members.begin(), Members.end(), [oldest](const auto &member) {
-        return !member->Connection.isBusy() && !member->Suspect &&
-               (member->Connection.lastUsed() > oldest ||
-                !member->Connection.isConnected());
+        if (member->Connection.isBusy())
+          return false;
+        return !member->Connection.isConnected() ||
+               (!member->Suspect && member->Connection.lastUsed() > oldest);
       });
 }
 
@@ -170,7 +171,7 @@
   if (timedOut) {
     ++Counters.SilentClosed;
     for (const auto &other : Members)
-      if (!other->Connection.isBusy())
+      if (other->Connection.isConnected())
         other->Suspect = true;
     member.Suspect = false;
   }
--- a/tests/backend_pool_test.cc
+++ b/tests/backend_pool_test.cc
@@ -127,3 +127,22 @@
   CHECK(pool.counters().Probes == probes + 1);
   REQUIRE(server.until([&] { return answered; }));
 }
+
+// Guards against calls that wait for good, because connections that were closed
+// after a timeout counted as not yet probed.
+TEST_CASE("after all connections have timed out, all of them are free again") {
+  HoldingServer server;
+  BackendPool pool(server.Loop, server.Address);
+  pool.setLimit(2);
+  int failed = 0;
+  const auto count = [&](const HttpResult &result) {
+    failed += result ? 0 : 1;
+  };
+  pool.send(get("/hold"), 20ms, count);
+  pool.send(get("/hold"), 40ms, count);
+  REQUIRE(server.until([&] { return failed == 2; }));
+  CHECK(pool.send(get("/hold"), 10s, count) != 0);
+  CHECK(pool.hasFree());
+  CHECK(pool.send(get("/hold"), 10s, count) != 0);
+  CHECK_FALSE(pool.hasFree());
+}
