Encode share messages with FlexBuffers

Cause: the messages of the share ledger used a hand-written variable-length encoding. The users ask that codecs come from libraries.

Change: FlexBuffers, which come with FlatBuffers, verify and choose the width of each vector. Sequence numbers are relative to the smallest one, and large numbers are indirect, so that they do not widen every field.

--- a/src/protocol/fleet_messages.cc
+++ b/src/protocol/fleet_messages.cc
@@ -1,13 +1,14 @@
 #include "protocol/fleet_messages.h"
 
-#include "protocol/fleet_generated.h"
+#include "protocol/fleet_fb.h"
 
 #include <algorithm>
 #include <cstring>
 #include <optional>
 
 // One FlatBuffers root table holds an optional table for each kind of body but
-// share messages, which are frequent and small and have a root of their own.
+// share messages. These are frequent, and their many small numbers take eight
+// bytes each in a table, so they are FlexBuffers, which choose a width.
 // The type number selects the body, so a table that a newer release adds does
 // not disturb an older one. The verifier proves that all offsets stay inside
 // the buffer before any field is read; the size limits are checked after it.
@@ -64,146 +65,151 @@
                                    update.Incarnation);
 }
 
-/// Little-endian groups of 7 bits; the high bit tells that another one follows.
-class VarintWriter {
-public:
-  void number(std::uint64_t n) {
-    for (; n >= 0x80; n >>= 7U)
-      Bytes.push_back(static_cast<std::uint8_t>(n | 0x80U));
-    Bytes.push_back(static_cast<std::uint8_t>(n));
-  }
-  void text(const std::string &text) {
-    number(text.size());
-    Bytes.insert(Bytes.end(), text.begin(), text.end());
-  }
-  void fixed(std::uint64_t n) {
-    for (int i = 0; i != 8; ++i, n >>= 8U)
-      Bytes.push_back(static_cast<std::uint8_t>(n));
-  }
-  /// Numbers of one message are mostly equal, so the difference is one byte.
-  void sequence(std::uint64_t n) {
-    number(n - Last);
-    Last = n;
-  }
-  const std::vector<std::uint8_t> &bytes() const { return Bytes; }
+/// Typed vectors of FlexBuffers take the smallest width that holds all their
+/// numbers.
+template <typename Items, typename Field>
+void packNumbers(flexbuffers::Builder &builder, const Items &items,
+                 Field field) {
+  builder.TypedVector([&] {
+    for (const auto &item : items)
+      builder.UInt(field(item));
+  });
+}
 
-private:
-  std::vector<std::uint8_t> Bytes;
-  std::uint64_t Last = 0;
+/// Fields of a share message, in order. A newer release adds further ones.
+enum ShareField : std::size_t {
+  FromVm,
+  FromInstance,
+  ToVm,
+  ToInstance,
+  ListVersions,
+  NewestList,
+  WantsReport,
+  RequestResources,
+  RequestSequenceBase,
+  RequestSequences,
+  RequestWanted,
+  RequestKeep,
+  GrantResources,
+  GrantSequenceBase,
+  GrantSequences,
+  GrantAmounts,
+  Spare,
+  ShareFieldCount
 };
 
-class VarintReader {
+/// Sequence numbers are sent relative to the smallest one of their vector,
+/// since those of one message are close together.
+template <typename Item> std::uint64_t lowest(const std::vector<Item> &items) {
+  std::uint64_t result = items.empty() ? 0 : items.front().Sequence;
+  for (const Item &item : items)
+    result = std::min(result, item.Sequence);
+  return result;
+}
+
+std::vector<std::uint8_t> packShare(const FleetMessage &message) {
+  const auto &share = std::get<ShareExchange>(message.Body);
+  const std::uint64_t requestBase = lowest(share.Requests);
+  const std::uint64_t grantBase = lowest(share.Grants);
+  const auto same = [](std::uint64_t n) { return n; };
+  // Large numbers are indirect: in place, they would widen every field.
+  flexbuffers::Builder it;
+  it.Vector([&] {
+    for (const MemberId &id : {message.From, message.To}) {
+      it.String(id.Vm);
+      it.String(id.Instance);
+    }
+    packNumbers(it, share.ListVersions, same);
+    it.IndirectUInt(share.NewestList);
+    it.Bool(share.WantsReport);
+    packNumbers(it, share.Requests, [](const auto &r) { return r.Resource; });
+    it.IndirectUInt(requestBase);
+    packNumbers(it, share.Requests,
+                [&](const auto &r) { return r.Sequence - requestBase; });
+    packNumbers(it, share.Requests, [](const auto &r) { return r.Wanted; });
+    packNumbers(it, share.Requests, [](const auto &r) { return r.Keep; });
+    packNumbers(it, share.Grants, [](const auto &g) { return g.Resource; });
+    it.IndirectUInt(grantBase);
+    packNumbers(it, share.Grants,
+                [&](const auto &g) { return g.Sequence - grantBase; });
+    packNumbers(it, share.Grants, [](const auto &g) { return g.Amount; });
+    packNumbers(it, share.Spare, same);
+  });
+  it.Finish();
+  return it.GetBuffer();
+}
+
+/// Reads the fields of a share message and remembers whether a limit was
+/// broken.
+class ShareReader {
 public:
-  explicit VarintReader(std::span<const std::uint8_t> bytes) : Rest(bytes) {}
+  explicit ShareReader(flexbuffers::Vector fields) : Fields(fields) {}
 
   bool isValid() const { return IsValid; }
-  std::uint64_t number() {
-    std::uint64_t n = 0;
-    for (unsigned shift = 0; shift < 64; shift += 7) {
-      const std::uint64_t b = byte();
-      n |= (b & 0x7FU) << shift;
-      if (b < 0x80)
-        return n;
-    }
-    IsValid = false;
-    return 0;
-  }
-  std::string text() {
-    std::string result(count(std::min(MaxIdBytes, Rest.size())), ' ');
-    for (char &c : result)
-      c = static_cast<char>(byte());
-    return result;
-  }
-  std::uint64_t fixed() {
-    std::uint64_t n = 0;
-    for (unsigned i = 0; i != 8; ++i)
-      n |= static_cast<std::uint64_t>(byte()) << (8 * i);
-    return n;
+
+  std::string text(ShareField field) {
+    const auto text = Fields[field].AsString();
+    IsValid = IsValid && Fields[field].IsString() && text.size() <= MaxIdBytes;
+    return IsValid ? text.str() : std::string();
   }
-  std::uint64_t sequence() { return Last += number(); }
-  /// Zero, after a count above the limit.
-  std::size_t count(std::size_t limit) {
-    const std::uint64_t n = number();
-    IsValid = IsValid && n <= limit;
-    return IsValid ? n : 0;
+
+  std::uint64_t number(ShareField field) const {
+    return Fields[field].AsUInt64();
   }
 
-private:
-  std::uint8_t byte() {
-    IsValid = IsValid && !Rest.empty();
-    if (!IsValid)
-      return 0;
-    const std::uint8_t result = Rest.front();
-    Rest = Rest.subspan(1);
+  /// `size` numbers, or up to `limit` of them without a size.
+  std::vector<std::uint64_t> numbers(ShareField field, std::size_t limit,
+                                     std::optional<std::size_t> size = {}) {
+    const auto items = Fields[field].AsTypedVector();
+    IsValid =
+        IsValid && items.size() <= limit && (!size || items.size() == *size);
+    std::vector<std::uint64_t> result(IsValid ? items.size()
+                                              : size.value_or(0));
+    for (std::size_t i = 0; IsValid && i != result.size(); ++i)
+      result[i] = items[i].AsUInt64();
     return result;
   }
 
-  std::span<const std::uint8_t> Rest;
-  std::uint64_t Last = 0;
+private:
+  flexbuffers::Vector Fields;
   bool IsValid = true;
 };
 
-std::vector<std::uint8_t> packShare(const FleetMessage &message) {
-  const auto &share = std::get<ShareExchange>(message.Body);
-  VarintWriter it;
-  for (const MemberId &id : {message.From, message.To}) {
-    it.text(id.Vm);
-    it.text(id.Instance);
-  }
-  it.number(share.ListVersions.size());
-  for (const std::uint64_t version : share.ListVersions)
-    it.number(version);
-  it.number(share.NewestList);
-  it.number(share.WantsReport ? 1 : 0);
-  it.number(share.Requests.size());
-  for (const ShareRequest &request : share.Requests) {
-    it.fixed(request.Resource);
-    it.sequence(request.Sequence);
-    it.number(request.Wanted);
-    it.number(request.Keep);
-  }
-  it.number(share.Grants.size());
-  for (const ShareGrant &grant : share.Grants) {
-    it.fixed(grant.Resource);
-    it.sequence(grant.Sequence);
-    it.number(grant.Amount);
-  }
-  it.number(share.Spare.size());
-  for (const std::uint64_t resource : share.Spare)
-    it.fixed(resource);
-  return it.bytes();
-}
-
-/// Bytes behind the known ones are fields of a newer release.
 std::optional<FleetMessage> unpackShare(std::span<const std::uint8_t> packed) {
-  VarintReader it(packed);
+  // The verifier checks alignment against the start of the buffer in memory.
+  const std::vector<std::uint8_t> aligned(packed.begin(), packed.end());
+  if (aligned.empty() ||
+      !flexbuffers::VerifyBuffer(aligned.data(), aligned.size()))
+    return std::nullopt;
+  const auto root = flexbuffers::GetRoot(aligned);
+  if (!root.IsVector() || root.AsVector().size() < ShareFieldCount)
+    return std::nullopt;
+  ShareReader it(root.AsVector());
   FleetMessage message;
-  for (MemberId *id : {&message.From, &message.To}) {
-    id->Vm = it.text();
-    id->Instance = it.text();
-  }
+  message.From = {it.text(FromVm), it.text(FromInstance)};
+  message.To = {it.text(ToVm), it.text(ToInstance)};
   ShareExchange share;
-  for (std::size_t n = it.count(MaxListVersions); n != 0; --n)
-    share.ListVersions.push_back(it.number());
-  share.NewestList = it.number();
-  share.WantsReport = it.number() != 0;
-  for (std::size_t n = it.count(MaxShareItems); n != 0; --n) {
-    ShareRequest request;
-    request.Resource = it.fixed();
-    request.Sequence = it.sequence();
-    request.Wanted = it.number();
-    request.Keep = it.number();
-    share.Requests.push_back(request);
-  }
-  for (std::size_t n = it.count(MaxShareItems); n != 0; --n) {
-    ShareGrant grant;
-    grant.Resource = it.fixed();
-    grant.Sequence = it.sequence();
-    grant.Amount = it.number();
-    share.Grants.push_back(grant);
-  }
-  for (std::size_t n = it.count(MaxShareItems); n != 0; --n)
-    share.Spare.push_back(it.fixed());
+  share.ListVersions = it.numbers(ListVersions, MaxListVersions);
+  share.NewestList = it.number(NewestList);
+  share.WantsReport = it.number(WantsReport) != 0;
+  const auto resources = it.numbers(RequestResources, MaxShareItems);
+  const std::size_t n = resources.size();
+  const auto sequences = it.numbers(RequestSequences, MaxShareItems, n);
+  const auto wanted = it.numbers(RequestWanted, MaxShareItems, n);
+  const auto keep = it.numbers(RequestKeep, MaxShareItems, n);
+  const std::uint64_t requestBase = it.number(RequestSequenceBase);
+  for (std::size_t i = 0; i != n; ++i)
+    share.Requests.push_back(
+        {resources[i], requestBase + sequences[i], wanted[i], keep[i]});
+  const auto granted = it.numbers(GrantResources, MaxShareItems);
+  const auto grantSequences =
+      it.numbers(GrantSequences, MaxShareItems, granted.size());
+  const auto amounts = it.numbers(GrantAmounts, MaxShareItems, granted.size());
+  const std::uint64_t grantBase = it.number(GrantSequenceBase);
+  for (std::size_t i = 0; i != granted.size(); ++i)
+    share.Grants.push_back(
+        {granted[i], grantBase + grantSequences[i], amounts[i]});
+  share.Spare = it.numbers(Spare, MaxShareItems);
   if (!it.isValid())
     return std::nullopt;
   message.Body = std::move(share);
