--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -251,7 +251,7 @@
     heartbeats = 1 / x.heartbeat_s * (32 + 104)
     polls = 2 / x.poll_s * x.poll_bytes
     ledger = x.slope("ledgers")
-    per_peer = (ledger["128"] - ledger["64"]) / 64
+    per_peer = (ledger["64 moving"] - ledger["32 moving"]) / 32
     records = 2 * x.node_queries * x.slope("record_heap")
     changes = x.changes_per_day / DAY * x.customers_bytes
     delta = versions / DAY * (x.slope("member_update") + x.wire_overhead) * 2
@@ -263,8 +263,8 @@
         ("heartbeats", heartbeats * (x.nodes - 1),
          heartbeats / 4 * x.gossip_links),
         ("polls of replicas", x.replicas * polls, x.owned * x.poll_bytes / 4),
-        ("share ledger, 10 limits", per_peer * (x.nodes - 1),
-         per_peer * 7),
+        ("share ledger, 10 limits, demand moves every 5 s",
+         ledger["64 moving"] + per_peer * (x.nodes - 64), ledger["8 moving"]),
         ("request records, two copies", records,
          records / 1000)]
 
--- a/tools/measure_slopes.py
+++ b/tools/measure_slopes.py
@@ -184,8 +184,9 @@
              run(program("control-cost", "")).stdout.splitlines()]
     values = {str(it["daemons"]): it["share_bytes_per_s"]
               for it in lines if it["demand"] == "none"}
-    moving = next(it for it in lines if it["demand"] != "none")
-    values["8 moving"] = moving["share_bytes_per_s"]
+    for it in lines:
+        if it["demand"] != "none":
+            values[f"{it['daemons']} moving"] = it["share_bytes_per_s"]
     yield "ledgers", {**slope(0, "share bytes/s and daemon, 10 limits",
                               f"{BENCH}/control-cost", "repeatable"),
                       "value": values}
