Admit requests to an idle service whatever time they are expected to take

Cause: a request was refused when its expected time exceeded its deadline. After a partition in which requests took as long as their deadlines, the expected time could stay above every deadline: all requests were refused at the door, so no new sample corrected it, and the service stayed closed with idle backend servers. Found by the fault matrix, cell wait/partition; ruled out before: unusable replicas, exhausted connections and open requests, which the daemons' status showed to be fine in a failing run.

Change: with nothing in service, only a deadline that has passed refuses.

Measured: the new test fails before and passes after.

Conclusion: a service recovers by its first request after a fault.

--- a/src/coordination/admission_queue.cc
+++ b/src/coordination/admission_queue.cc
@@ -80,8 +80,18 @@
   return std::min(all, plan.CostQueued[cls] * weights / plan.Weight);
 }
 
+// With nothing in service, the expected time may stem from a fault that is
+// over. Refusing by it would leave it as it is, and so refuse every request for
+// good; an admitted request gives a new sample.
+bool AdmissionQueue::isTooLate(Duration serviceTime, TimePoint deadlineAt,
+                               TimePoint now) const {
+  return Open.empty() ? now >= deadlineAt : now + serviceTime > deadlineAt;
+}
+
 bool AdmissionQueue::wouldMissDeadline(const AdmissionRequest &request,
                                        TimePoint now) {
+  if (Open.empty())
+    return isTooLate(request.ServiceTime, request.DeadlineAt, now);
   const std::size_t cls = classOf(request.Priority);
   double waitMicros = 0;
   if (Queued > 0 || !fits(request.Cost)) {
@@ -146,7 +156,7 @@
                               TimePoint now) {
   while (PlanState *plan = nextPlan(cls)) {
     const Waiting &front = plan->Queues[cls].front();
-    if (now + front.ServiceTime <= front.DeadlineAt)
+    if (!isTooLate(front.ServiceTime, front.DeadlineAt, now))
       return;
     const Waiting it = takeFront(*plan, cls);
     actions.emplace_back(Refuse{it.Id, RefusalReason::WouldMissDeadline});
--- a/src/coordination/admission_queue.h
+++ b/src/coordination/admission_queue.h
@@ -95,6 +95,8 @@
     TimePoint AdmittedAt;
   };
 
+  bool isTooLate(Duration serviceTime, TimePoint deadlineAt,
+                 TimePoint now) const;
   bool wouldMissDeadline(const AdmissionRequest &request, TimePoint now);
   double costAhead(const PlanState &plan, std::size_t cls) const;
   void makeRoom(AdmissionActions &actions);
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -263,3 +263,20 @@
     REQUIRE(limit.limit() >= 32);
   }
 }
+
+// Guards against a service that refuses everything for good after a fault in
+// which requests took as long as their deadlines.
+TEST_CASE("an idle queue admits a request whose expected time is too long") {
+  AdmissionQueue queue({.Capacity = 10, .MaxQueued = 100});
+  const AdmissionRequest slow{
+      1, "p", Priority::Normal, 1, Start + seconds(5), seconds(6)};
+  const auto admitted = queue.onArrival(slow, Start);
+  REQUIRE(admitted.size() == 1);
+  CHECK(std::holds_alternative<Admit>(admitted[0]));
+  // While it runs, the expected time counts again.
+  AdmissionRequest next = slow;
+  next.Id = 2;
+  const auto refused = queue.onArrival(next, Start);
+  REQUIRE(refused.size() == 1);
+  CHECK(std::holds_alternative<Refuse>(refused[0]));
+}
