Carry out the actions of all executions in one place

Cause: the loop that sends, cancels, sets timers and finishes stood three times, in the tasks of queries, reads and writes.

Change: SubRequestTask::perform() serves all three. Behaviour is unchanged.

Conclusion: a new kind of execution needs its own sending and finishing only.

--- a/src/daemon/query_task.cc
+++ b/src/daemon/query_task.cc
@@ -4,9 +4,7 @@
 
 namespace galenaflow::daemon {
 
-using coordination::CancelSubRequest;
 using coordination::SendSubRequest;
-using coordination::SetTimer;
 
 namespace {
 
@@ -45,20 +43,12 @@
 }
 
 void QueryTask::carryOut(coordination::QueryActions actions) {
-  for (auto &action : actions) {
-    if (const auto *toSend = std::get_if<SendSubRequest>(&action)) {
-      sendToShard(*toSend);
-    } else if (const auto *cancelled = std::get_if<CancelSubRequest>(&action)) {
-      cancel(cancelled->Number);
-    } else if (const auto *timer = std::get_if<SetTimer>(&action)) {
-      setTimer(timer->At);
-    } else if (auto *finished =
-                   std::get_if<coordination::FinishQuery>(&action)) {
-      stopTimer();
-      const Callback done = std::move(Done);
-      done(std::move(finished->Outcome));
-    }
-  }
+  perform<coordination::FinishQuery>(
+      std::move(actions),
+      [this](const SendSubRequest &action) { sendToShard(action); },
+      [this](std::unique_ptr<coordination::QueryOutcome> outcome) {
+        std::exchange(Done, nullptr)(std::move(outcome));
+      });
 }
 
 void QueryTask::sendToShard(const SendSubRequest &action) {
@@ -108,20 +98,14 @@
 void ReadTask::cancelRead() { carryOut(Execution.onCallerCancel(Loop.now())); }
 
 void ReadTask::carryOut(coordination::ReadActions actions) {
-  for (auto &action : actions) {
-    if (const auto *toSend = std::get_if<SendSubRequest>(&action)) {
-      send(*toSend, {"GET", protocol::recordPath(RecordId), {}, ""});
-    } else if (const auto *cancelled = std::get_if<CancelSubRequest>(&action)) {
-      cancel(cancelled->Number);
-    } else if (const auto *timer = std::get_if<SetTimer>(&action)) {
-      setTimer(timer->At);
-    } else if (auto *finished =
-                   std::get_if<coordination::FinishRead>(&action)) {
-      stopTimer();
-      const Callback done = std::move(Done);
-      done(std::move(finished->Outcome));
-    }
-  }
+  perform<coordination::FinishRead>(
+      std::move(actions),
+      [this](const SendSubRequest &action) {
+        send(action, {"GET", protocol::recordPath(RecordId), {}, ""});
+      },
+      [this](std::unique_ptr<coordination::ReadOutcome> outcome) {
+        std::exchange(Done, nullptr)(std::move(outcome));
+      });
 }
 
 void ReadTask::onResult(const SendSubRequest &action,
--- a/src/daemon/sub_request_task.h
+++ b/src/daemon/sub_request_task.h
@@ -9,6 +9,8 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <variant>
 
 namespace galenaflow::daemon {
 
@@ -48,6 +50,28 @@
 
   std::string subRequestId(coordination::SubRequestNumber number) const;
 
+  /// Carries out the actions of an execution in order. `sendTo` takes a
+  /// SendSubRequest; `finish` takes the outcome that a Finish action holds.
+  template <typename Finish, typename Actions, typename SendTo,
+            typename OnFinish>
+  void perform(Actions actions, SendTo sendTo, OnFinish finish) {
+    for (auto &action : actions) {
+      if (const auto *toSend =
+              std::get_if<coordination::SendSubRequest>(&action)) {
+        sendTo(*toSend);
+      } else if (const auto *cancelled =
+                     std::get_if<coordination::CancelSubRequest>(&action)) {
+        cancel(cancelled->Number);
+      } else if (const auto *timer =
+                     std::get_if<coordination::SetTimer>(&action)) {
+        setTimer(timer->At);
+      } else if (auto *finished = std::get_if<Finish>(&action)) {
+        stopTimer();
+        finish(std::move(finished->Outcome));
+      }
+    }
+  }
+
   /// A sub-request that was not cancelled has ended.
   virtual void onResult(const coordination::SendSubRequest &action,
                         transport::HttpResult result) = 0;
--- a/src/daemon/write_task.cc
+++ b/src/daemon/write_task.cc
@@ -47,27 +47,18 @@
   }
 
   void carryOut(coordination::WriteActions actions) {
-    for (auto &action : actions) {
-      if (const auto *toSend =
-              std::get_if<coordination::SendSubRequest>(&action)) {
-        transport::HttpRequest request{
-            "POST", std::string(protocol::BackendWritesPath), {}, Body};
-        request.Headers.add("content-type", "application/json");
-        request.Headers.add(protocol::IdempotencyKeyHeader, Key);
-        send(*toSend, std::move(request), Gate);
-      } else if (const auto *cancelled =
-                     std::get_if<coordination::CancelSubRequest>(&action)) {
-        cancel(cancelled->Number);
-      } else if (const auto *timer =
-                     std::get_if<coordination::SetTimer>(&action)) {
-        setTimer(timer->At);
-      } else if (auto *finished =
-                     std::get_if<coordination::FinishWrite>(&action)) {
-        stopTimer();
-        const Callback done = std::move(Done);
-        done(std::move(finished->Outcome));
-      }
-    }
+    perform<coordination::FinishWrite>(
+        std::move(actions),
+        [this](const coordination::SendSubRequest &action) {
+          transport::HttpRequest request{
+              "POST", std::string(protocol::BackendWritesPath), {}, Body};
+          request.Headers.add("content-type", "application/json");
+          request.Headers.add(protocol::IdempotencyKeyHeader, Key);
+          send(action, std::move(request), Gate);
+        },
+        [this](std::unique_ptr<coordination::WriteOutcome> outcome) {
+          std::exchange(Done, nullptr)(std::move(outcome));
+        });
   }
 
   void onResult(const coordination::SendSubRequest &action,
