Remove the metrics that the backend task never used

Cause: BackendTask took and kept a registry without a use.

Change: the parameter and the member are gone. Behaviour is unchanged.

Conclusion: less to read.

--- a/src/daemon/backend_task.cc
+++ b/src/daemon/backend_task.cc
@@ -79,10 +79,8 @@
   std::uint32_t ConnectionShare = 0; ///< none before the shares are known
 };
 
-BackendTask::BackendTask(transport::EventLoop &loop, BackendTaskOptions options,
-                         state::MetricRegistry &metrics)
-    : Loop(loop), Options(options), Metrics(metrics),
-      Outliers(options.Outliers),
+BackendTask::BackendTask(transport::EventLoop &loop, BackendTaskOptions options)
+    : Loop(loop), Options(options), Outliers(options.Outliers),
       Selector(Outliers, std::mt19937_64(options.Seed)),
       Random(options.Seed + 1) {
   const std::function<void()> compare = [this] {
--- a/src/daemon/backend_task.h
+++ b/src/daemon/backend_task.h
@@ -7,7 +7,6 @@
 #include "coordination/retry_budget.h"
 #include "coordination/slot_scheduler.h"
 #include "coordination/snapshot_selector.h"
-#include "state/metrics.h"
 #include "state/plan_catalog.h"
 #include "state/topology.h"
 #include "transport/backend_pool.h"
@@ -78,8 +77,7 @@
 /// decisions that queries share.
 class BackendTask {
 public:
-  BackendTask(transport::EventLoop &loop, BackendTaskOptions options,
-              state::MetricRegistry &metrics);
+  BackendTask(transport::EventLoop &loop, BackendTaskOptions options);
   ~BackendTask();
 
   void setTopology(const state::TopologyPtr &topology);
@@ -146,7 +144,6 @@
 
   transport::EventLoop &Loop;
   BackendTaskOptions Options;
-  state::MetricRegistry &Metrics;
   state::TopologyPtr Topology;
   coordination::OutlierDetector Outliers;
   coordination::AdaptiveReplicaSelector Selector;
