Reserve test ports outside the range of outgoing connections

Cause: daemon_test failed in 1 of 4 runs, after 2 of its assertions, where the daemons start. The kernel had picked the reserved ports from the range that it also uses for outgoing connections, so another connection can take one before the daemon starts. That this was the cause of the one failure is likely but not shown, since its output was not kept.

Change: ports come from 10000 to 29999, each tried by binding it.

--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -168,12 +168,24 @@
 }
 
 std::string reserveAddress() {
-  auto address = transport::parseSocketAddress("127.0.0.1:0");
-  const auto fd = transport::listenOn(*address);
-  if (!fd)
-    return {};
-  close(*fd);
-  return address->toText();
+  // Below the range from which the kernel takes ports for outgoing connections:
+  // one of those could otherwise hold the port when the program starts. Test
+  // programs that run at once begin at different places.
+  constexpr unsigned firstPort = 10'000;
+  constexpr unsigned portCount = 20'000;
+  constexpr unsigned stride = 97;
+  static unsigned next = static_cast<unsigned>(getpid()) * stride;
+  for (unsigned tries = 0; tries != portCount; ++tries) {
+    const unsigned port = firstPort + next++ % portCount;
+    auto address =
+        transport::parseSocketAddress("127.0.0.1:" + std::to_string(port));
+    const auto fd = transport::listenOn(*address);
+    if (!fd)
+      continue;
+    close(*fd);
+    return address->toText();
+  }
+  return {};
 }
 
 } // namespace galenaflow::support
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -60,8 +60,8 @@
 std::string logField(std::string_view line, std::string_view name);
 
 /// Binds a free port of 127.0.0.1 and releases it, so that a program that needs
-/// to know its address before it starts can take it. The kernel hands out such
-/// ports in turn, so it is unlikely to give the same one to another process.
+/// to know its address before it starts can take it. The kernel does not use
+/// the port for outgoing connections.
 std::string reserveAddress();
 
 } // namespace galenaflow::support
