--- a/src/transport/backend_pool.cc
+++ b/src/transport/backend_pool.cc
@@ -24,12 +24,6 @@
   TimerId Grace = 0;
 };
 
-namespace {
-
-HttpRequest probeRequest() { return {"GET", "/healthz", {}, ""}; }
-
-} // namespace
-
 BackendPool::BackendPool(EventLoop &loop, const SocketAddress &address,
                          BackendPoolOptions options)
     : Loop(loop), Address(address), Options(options) {}
@@ -47,7 +41,13 @@
 void BackendPool::warm(std::size_t count) {
   const std::size_t wanted = std::min(count, Limit);
   while (Members.size() < wanted)
-    probe(*addMember());
+    addMember();
+  for (std::size_t i = 0; i != wanted; ++i) {
+    HttpConnection &connection = Members[i]->Connection;
+    if (!connection.isBusy() && !connection.isConnected() &&
+        !connection.isOpening())
+      connection.open(Options.ProbeTimeout);
+  }
 }
 
 ExchangeId BackendPool::send(const HttpRequest &request,
@@ -76,24 +76,31 @@
   return id;
 }
 
-void BackendPool::abandon(ExchangeId id) {
+BackendPool::Member *BackendPool::memberOf(ExchangeId id) {
   const auto it =
       std::find_if(Members.begin(), Members.end(), [id](const auto &member) {
         return id != 0 && member->Exchange == id;
       });
-  if (it == Members.end())
-    return;
-  Member &member = **it;
-  if (member.Grace != 0)
+  return it == Members.end() ? nullptr : it->get();
+}
+
+void BackendPool::abandon(ExchangeId id) {
+  Member *member = memberOf(id);
+  if (member == nullptr || member->Grace != 0)
     return;
   ++Counters.Abandoned;
-  member.Grace = Loop.schedule(Options.AbandonGrace, [this, &member] {
-    member.Grace = 0;
+  member->Grace = Loop.schedule(Options.AbandonGrace, [this, member] {
+    member->Grace = 0;
     ++Counters.SilentClosed;
-    member.Connection.cancel();
+    member->Connection.cancel();
   });
 }
 
+void BackendPool::cancel(ExchangeId id) {
+  if (Member *member = memberOf(id))
+    member->Connection.cancel();
+}
+
 bool BackendPool::hasFree() const {
   if (Members.size() < Limit)
     return true;
@@ -124,7 +131,8 @@
     if (member->Connection.isBusy())
       continue;
     if (!member->Connection.isConnected()) {
-      unconnected = member.get();
+      if (unconnected == nullptr || member->Connection.isOpening())
+        unconnected = member.get();
       continue;
     }
     if (member->Suspect || member->Connection.lastUsed() <= oldest) {
@@ -146,21 +154,29 @@
 
 BackendPool::Member *BackendPool::addMember() {
   Members.push_back(std::make_unique<Member>(Loop, Address));
-  return Members.back().get();
+  Member *member = Members.back().get();
+  member->Connection.onIdleChange([this] { announceFree(); });
+  return member;
 }
 
 void BackendPool::probe(Member &member) {
+  if (Options.ProbePath.empty()) {
+    member.Suspect = false;
+    member.Connection.closeIdle();
+    member.Connection.open(Options.ProbeTimeout);
+    return;
+  }
   ++Counters.Probes;
-  member.Connection.send(probeRequest(), Options.ProbeTimeout,
-                         [this, &member](const HttpResult &result) {
-                           member.Suspect = false;
-                           if (!result &&
-                               result.error().Cause.Code ==
-                                   state::ErrorCode::DeadlineExceeded)
-                             ++Counters.SilentClosed;
-                           trim();
-                           announceFree();
-                         });
+  member.Connection.send(
+      {"GET", Options.ProbePath, {}, ""}, Options.ProbeTimeout,
+      [this, &member](const HttpResult &result) {
+        member.Suspect = false;
+        if (!result &&
+            result.error().Cause.Code == state::ErrorCode::DeadlineExceeded)
+          ++Counters.SilentClosed;
+        trim();
+        announceFree();
+      });
 }
 
 void BackendPool::finished(Member &member, bool timedOut) {
--- a/src/transport/backend_pool.h
+++ b/src/transport/backend_pool.h
@@ -19,6 +19,10 @@
   /// because something between the ends may have dropped its state.
   state::Duration IdleProbeAge = std::chrono::seconds(10);
 
+  /// Path of the GET request that probes a connection. Empty: a connection that
+  /// would have to be probed is replaced by a new one instead.
+  std::string ProbePath = "/healthz";
+
   /// A probe without an answer for this long closes the connection.
   state::Duration ProbeTimeout = std::chrono::milliseconds(500);
 
@@ -64,6 +68,10 @@
   /// still runs once, when the connection is free.
   void abandon(ExchangeId id);
 
+  /// Ends this exchange at once and closes its connection. The callback runs
+  /// once with Cancelled.
+  void cancel(ExchangeId id);
+
   /// Called whenever a connection has become free.
   void onFree(std::function<void()> callback) { Freed = std::move(callback); }
 
@@ -77,6 +85,7 @@
 
   Member *findUsable();
   Member *addMember();
+  Member *memberOf(ExchangeId id);
   void probe(Member &member);
   void finished(Member &member, bool timedOut);
   void trim();
--- a/src/transport/h2o_api.h
+++ b/src/transport/h2o_api.h
@@ -7,8 +7,27 @@
 extern "C" {
 #include <h2o.h>
 #include <h2o/http1.h>
-#include <h2o/http1client.h>
 #include <h2o/http2.h>
+
+// picohttpparser, which the h2o library exports without a header.
+struct phr_header {
+  const char *name;
+  size_t name_len;
+  const char *value;
+  size_t value_len;
+};
+struct phr_chunked_decoder {
+  size_t bytes_left_in_chunk;
+  char consume_trailer;
+  char _hex_count;
+  char _state;
+};
+int phr_parse_response(const char *buf, size_t len, int *minor_version,
+                       int *status, const char **msg, size_t *msg_len,
+                       struct phr_header *headers, size_t *num_headers,
+                       size_t last_len);
+ssize_t phr_decode_chunked(struct phr_chunked_decoder *decoder, char *buf,
+                           size_t *bufsz);
 }
 
 #endif
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -1,14 +1,22 @@
 #include "transport/http_client.h"
 
 #include "transport/h2o_api.h"
+#include "transport/http_response_parser.h"
 
+#include <algorithm>
 #include <charconv>
-
-// Each HttpConnection owns an h2o socket pool that holds at most one socket,
-// since h2o 2.2 does not enforce a pool's capacity. Cancelling an h2o client
-// closes its socket; completing an exchange returns the socket to the pool.
-// h2o returns the socket only after the last callback has finished, so results
-// are delivered by a posted message, when the connection can be used again.
+#include <memory>
+#include <optional>
+#include <utility>
+
+// A connection reads all the time, also while it is idle: bytes that arrive
+// then belong to no request, and the end of the connection must be noticed
+// before the next request is sent on it. A connection that has carried anything
+// but whole responses to its own requests is closed, so that nothing is left
+// that could be taken for the response to a later request.
+//
+// Results are delivered by a posted message, so that callbacks may destroy the
+// connection or send again.
 
 namespace galenaflow::transport {
 
@@ -16,30 +24,21 @@
 
 namespace {
 
-/// h2o needs an I/O timeout; deadlines are enforced by the loop's own timers.
-constexpr std::uint64_t IoTimeoutMs = 120'000;
+/// An idle connection is closed after this time unless the peer states a
+/// shorter one. Peers of the product keep connections longer.
+constexpr state::Duration DefaultIdleLimit = std::chrono::seconds(60);
 
-/// h2o closes sockets that were idle in a pool for this long.
-constexpr std::uint64_t IdleTimeoutMs = 60'000;
-
-/// The I/O timeout list of h2o is registered with a loop and never removed.
-h2o_timeout_t *ioTimeout(h2o_loop_t *loop) {
-  thread_local h2o_loop_t *owner = nullptr;
-  thread_local h2o_timeout_t *timeout = nullptr;
-  if (owner != loop) {
-    owner = loop;
-    timeout = new h2o_timeout_t{};
-    h2o_timeout_init(loop, timeout, IoTimeoutMs);
-  }
-  return timeout;
-}
+/// Time before the peer's stated idle timeout at which a connection is no
+/// longer used, so that a request does not cross the peer's close.
+constexpr state::Duration IdleMargin = std::chrono::milliseconds(700);
 
 std::string encodeRequest(const HttpRequest &request,
                           const std::string &authority) {
   std::string text;
-  text.reserve(256 + request.Body.size());
+  text.reserve(512 + request.Body.size());
   text.append(request.Method).append(" ").append(request.Path);
-  text.append(" HTTP/1.1\r\nhost: ").append(authority);
+  text.append(" HTTP/1.1\r\nhost: ")
+      .append(request.Host.empty() ? authority : request.Host);
   for (const auto &[name, value] : request.Headers.items())
     text.append("\r\n").append(name).append(": ").append(value);
   if (!request.Body.empty() || request.Method == "POST" ||
@@ -50,25 +49,48 @@
   return text;
 }
 
+/// The seconds of "Keep-Alive: timeout=5".
+std::optional<state::Duration> statedIdleTimeout(const HttpHeaders &headers) {
+  constexpr std::string_view Key = "timeout=";
+  const auto value = headers.find("keep-alive");
+  const auto at = value ? value->find(Key) : std::string_view::npos;
+  if (at == std::string_view::npos)
+    return std::nullopt;
+  const std::string_view digits = value->substr(at + Key.size());
+  std::int64_t n = 0;
+  if (std::from_chars(digits.data(), digits.data() + digits.size(), n).ec !=
+      std::errc())
+    return std::nullopt;
+  return std::chrono::seconds(std::clamp<std::int64_t>(n, 0, 3600));
+}
+
 } // namespace
 
 struct HttpConnection::Impl : std::enable_shared_from_this<Impl> {
   EventLoop &Loop;
   SocketAddress Address;
   std::string Authority;
-  h2o_socketpool_t Pool{};
-  h2o_http1client_ctx_t Context{};
+  h2o_socket_t *Sock = nullptr;
+  bool Connecting = false;
+  bool Writing = false;
 
-  h2o_http1client_t *Client = nullptr;
+  /// Busy from send() until the callback runs.
   bool Busy = false;
+  bool Answered = false; ///< the result of the exchange has been posted
   bool MaybeSent = false;
-  bool MethodIsHead = false;
   TimerId Deadline = 0;
+  TimerId OpenTimer = 0;
+  TimerId IdleTimer = 0;
+  state::Duration IdleLimit = DefaultIdleLimit;
   std::string Outgoing;
-  h2o_iovec_t OutgoingBuf{};
-  HttpResponse Response;
+  std::string Sending; ///< bytes that the socket still reads
+  std::string EchoHeader;
+  std::string EchoValue;
+  HttpResponseParserOptions ParserOptions;
+  std::unique_ptr<HttpResponseParser> Parser;
   HttpCallback Callback;
   SendGate Gate;
+  std::function<void()> IdleChanged;
   state::TimePoint LastUsed;
 
   /// Counts exchanges, so that a posted result cannot reach a later exchange.
@@ -76,38 +98,184 @@
 
   Impl(EventLoop &loop, const SocketAddress &address)
       : Loop(loop), Address(address), Authority(address.toText()),
-        LastUsed(loop.now()) {
-    openPool();
-    Context.loop = loop.handle();
-    Context.io_timeout = ioTimeout(loop.handle());
+        LastUsed(loop.now()) {}
+  ~Impl() { closeSocket(); }
+
+  void connect();
+  void closeSocket();
+  void write();
+  void finish(HttpResult result);
+  void fail(ErrorCode code, const std::string &text);
+  void takeInput();
+  void onParsed(HttpResponseParser::State state);
+  bool isForeign(const HttpResponse &response) const;
+  void completeExchange();
+  void armIdleTimer();
+  void notifyIdleChange();
+
+  static void onConnect(h2o_socket_t *sock, const char *err);
+  static void onWritten(h2o_socket_t *sock, const char *err);
+  static void onRead(h2o_socket_t *sock, const char *err);
+};
+
+void HttpConnection::Impl::connect() {
+  Sock = h2o_socket_connect(Loop.handle(), Address.data(), Address.Length,
+                            &Impl::onConnect);
+  if (Sock == nullptr) {
+    if (Busy)
+      fail(ErrorCode::Unavailable, "connect: no socket");
+    return;
+  }
+  Connecting = true;
+  Sock->data = this;
+}
+
+void HttpConnection::Impl::closeSocket() {
+  Loop.cancel(IdleTimer);
+  IdleTimer = 0;
+  Loop.cancel(OpenTimer);
+  OpenTimer = 0;
+  Connecting = false;
+  if (Sock == nullptr)
+    return;
+  // The socket may still write from Sending, which must outlive it; h2o drops
+  // the callbacks of a closed socket.
+  Sock->data = nullptr;
+  h2o_socket_close(Sock);
+  Sock = nullptr;
+  Writing = false;
+}
+
+void HttpConnection::Impl::onConnect(h2o_socket_t *sock, const char *err) {
+  auto *impl = static_cast<Impl *>(sock->data);
+  if (impl == nullptr)
+    return;
+  const auto self = impl->shared_from_this();
+  self->Connecting = false;
+  self->Loop.cancel(self->OpenTimer);
+  self->OpenTimer = 0;
+  if (err != nullptr) {
+    self->closeSocket();
+    if (self->Busy)
+      self->fail(ErrorCode::Unavailable, std::string("connect: ") + err);
+    else
+      self->notifyIdleChange();
+    return;
+  }
+  self->IdleLimit = DefaultIdleLimit;
+  h2o_socket_read_start(sock, &Impl::onRead);
+  if (self->Busy) {
+    self->write();
+    return;
+  }
+  self->LastUsed = self->Loop.now();
+  self->armIdleTimer();
+  self->notifyIdleChange();
+}
+
+void HttpConnection::Impl::write() {
+  if (Gate && !Gate()) {
+    fail(ErrorCode::Cancelled, "not sent");
+    armIdleTimer();
+    return;
   }
+  MaybeSent = true;
+  Writing = true;
+  Sending = std::move(Outgoing);
+  h2o_iovec_t buf = h2o_iovec_init(Sending.data(), Sending.size());
+  h2o_socket_write(Sock, &buf, 1, &Impl::onWritten);
+}
 
-  ~Impl() { h2o_socketpool_dispose(&Pool); }
+void HttpConnection::Impl::onWritten(h2o_socket_t *sock, const char *err) {
+  auto *impl = static_cast<Impl *>(sock->data);
+  if (impl == nullptr)
+    return;
+  // A failed write is left to the reader, which may still find a response that
+  // the peer sent before it closed.
+  static_cast<void>(err);
+  impl->Writing = false;
+}
 
-  void openPool() {
-    h2o_socketpool_init_by_address(&Pool, Address.data(), Address.Length, 0,
-                                   SIZE_MAX);
-    h2o_socketpool_set_timeout(&Pool, Loop.handle(), IdleTimeoutMs);
+void HttpConnection::Impl::onRead(h2o_socket_t *sock, const char *err) {
+  auto *impl = static_cast<Impl *>(sock->data);
+  if (impl == nullptr)
+    return;
+  const auto self = impl->shared_from_this();
+  self->takeInput();
+  if (err == nullptr || self->Sock != sock)
+    return;
+  const bool inOrder = err == h2o_socket_error_closed;
+  if (self->Busy && !self->Answered) {
+    if (inOrder &&
+        self->Parser->finish() == HttpResponseParser::State::Complete) {
+      self->onParsed(HttpResponseParser::State::Complete);
+      return;
+    }
+    const std::string text =
+        inOrder ? self->Parser->error() : std::string("connection broken");
+    self->closeSocket();
+    self->fail(ErrorCode::Unavailable, text);
+    return;
   }
+  self->closeSocket();
+  self->notifyIdleChange();
+}
 
-  void finish(HttpResult result);
-  void fail(ErrorCode code, const std::string &text);
-  void takeBody(h2o_http1client_t *client);
-
-  static h2o_http1client_head_cb onConnect(h2o_http1client_t *client,
-                                           const char *err, h2o_iovec_t **bufs,
-                                           std::size_t *bufCount,
-                                           int *methodIsHead);
-  static h2o_http1client_body_cb onHead(h2o_http1client_t *client,
-                                        const char *err, int minorVersion,
-                                        int status, h2o_iovec_t message,
-                                        h2o_header_t *headers,
-                                        std::size_t headerCount, int rlen);
-  static int onBody(h2o_http1client_t *client, const char *err);
-};
+void HttpConnection::Impl::takeInput() {
+  h2o_buffer_t *&input = Sock->input;
+  if (input->size == 0)
+    return;
+  const std::string bytes(input->bytes, input->size);
+  h2o_buffer_consume(&input, input->size);
+  if (!Busy || Answered) {
+    // No request waits, so the bytes answer none.
+    closeSocket();
+    notifyIdleChange();
+    return;
+  }
+  onParsed(Parser->feed(bytes));
+}
+
+bool HttpConnection::Impl::isForeign(const HttpResponse &response) const {
+  if (EchoHeader.empty())
+    return false;
+  const auto echoed = response.Headers.find(EchoHeader);
+  return echoed && *echoed != EchoValue;
+}
+
+void HttpConnection::Impl::onParsed(HttpResponseParser::State state) {
+  while (state == HttpResponseParser::State::Complete &&
+         isForeign(Parser->response())) {
+    // A second or late response to an earlier request. Its own follows.
+    const std::string rest = Parser->excess();
+    Parser = std::make_unique<HttpResponseParser>(ParserOptions);
+    state = Parser->feed(rest);
+  }
+  if (state == HttpResponseParser::State::Incomplete)
+    return;
+  if (state == HttpResponseParser::State::Invalid) {
+    const std::string text = Parser->error();
+    closeSocket();
+    fail(ErrorCode::Unavailable, text);
+    return;
+  }
+  completeExchange();
+}
+
+void HttpConnection::Impl::completeExchange() {
+  // A response before the end of the request leaves the peer waiting for the
+  // rest, so the connection cannot be used again.
+  const bool reusable =
+      Parser->isPersistent() && !Writing && Parser->excess().empty();
+  if (const auto limit = statedIdleTimeout(Parser->response().Headers))
+    IdleLimit = std::max(*limit - IdleMargin, state::Duration(0));
+  if (!reusable)
+    closeSocket();
+  finish(std::move(Parser->response()));
+}
 
 void HttpConnection::Impl::finish(HttpResult result) {
-  Client = nullptr;
+  Answered = true;
   Loop.cancel(Deadline);
   Deadline = 0;
   const std::uint64_t exchange = Exchange;
@@ -116,7 +284,10 @@
     if (!self->Busy || self->Exchange != exchange)
       return;
     self->Busy = false;
+    self->Answered = false;
+    self->Gate = nullptr;
     self->LastUsed = self->Loop.now();
+    self->armIdleTimer();
     const HttpCallback callback = std::move(self->Callback);
     self->Callback = nullptr;
     callback(std::move(result));
@@ -128,135 +299,111 @@
       tl::unexpected(HttpFailure{{code, Authority + ": " + text}, MaybeSent}));
 }
 
-void HttpConnection::Impl::takeBody(h2o_http1client_t *client) {
-  h2o_buffer_t *&input = client->sock->input;
-  Response.Body.append(input->bytes, input->size);
-  h2o_buffer_consume(&input, input->size);
-}
-
-h2o_http1client_head_cb
-HttpConnection::Impl::onConnect(h2o_http1client_t *client, const char *err,
-                                h2o_iovec_t **bufs, std::size_t *bufCount,
-                                int *methodIsHead) {
-  auto *self = static_cast<Impl *>(client->data);
-  if (err != nullptr) {
-    self->fail(ErrorCode::Unavailable, std::string("connect: ") + err);
-    return nullptr;
-  }
-  if (self->Gate && !self->Gate()) {
-    self->fail(ErrorCode::Cancelled, "not sent");
-    return nullptr;
-  }
-  self->MaybeSent = true;
-  self->OutgoingBuf =
-      h2o_iovec_init(self->Outgoing.data(), self->Outgoing.size());
-  *bufs = &self->OutgoingBuf;
-  *bufCount = 1;
-  *methodIsHead = self->MethodIsHead ? 1 : 0;
-  return &Impl::onHead;
-}
-
-h2o_http1client_body_cb
-HttpConnection::Impl::onHead(h2o_http1client_t *client, const char *err, int,
-                             int status, h2o_iovec_t, h2o_header_t *headers,
-                             std::size_t headerCount, int) {
-  auto *self = static_cast<Impl *>(client->data);
-  if (err != nullptr && err != h2o_http1client_error_is_eos) {
-    self->fail(ErrorCode::Unavailable, err);
-    return nullptr;
-  }
-  self->Response.Status = status;
-  bool hasLength = false;
-  for (std::size_t i = 0; i != headerCount; ++i) {
-    const std::string_view name(headers[i].name->base, headers[i].name->len);
-    const std::string_view value(headers[i].value.base, headers[i].value.len);
-    self->Response.Headers.add(name, value);
-    hasLength |= name == "content-length" || name == "transfer-encoding";
-  }
-  if (err == h2o_http1client_error_is_eos) {
-    self->finish(std::move(self->Response));
-    return nullptr;
-  }
-  if (!hasLength) {
-    // Without a length, a body that was cut off looks like a whole one.
-    self->fail(ErrorCode::Unavailable, "response has no length");
-    return nullptr;
-  }
-  return &Impl::onBody;
+void HttpConnection::Impl::armIdleTimer() {
+  if (Sock == nullptr || Busy)
+    return;
+  Loop.cancel(IdleTimer);
+  IdleTimer = Loop.schedule(IdleLimit, [this] {
+    IdleTimer = 0;
+    if (Busy)
+      return;
+    const auto self = shared_from_this();
+    closeSocket();
+    notifyIdleChange();
+  });
 }
 
-int HttpConnection::Impl::onBody(h2o_http1client_t *client, const char *err) {
-  auto *self = static_cast<Impl *>(client->data);
-  if (err != nullptr && err != h2o_http1client_error_is_eos) {
-    self->fail(ErrorCode::Unavailable, err);
-    return -1;
-  }
-  self->takeBody(client);
-  if (self->Response.Body.size() > MaxResponseBytes) {
-    self->fail(ErrorCode::Unavailable, "response is too large");
-    return -1;
-  }
-  if (err == h2o_http1client_error_is_eos)
-    self->finish(std::move(self->Response));
-  return 0;
+void HttpConnection::Impl::notifyIdleChange() {
+  if (!Busy && IdleChanged)
+    Loop.post([self = shared_from_this()] {
+      if (!self->Busy && self->IdleChanged)
+        self->IdleChanged();
+    });
 }
 
 HttpConnection::HttpConnection(EventLoop &loop, const SocketAddress &address)
     : Self(std::make_shared<Impl>(loop, address)) {}
 
 HttpConnection::~HttpConnection() {
-  if (Self->Client != nullptr) {
-    h2o_http1client_cancel(Self->Client);
-    Self->Client = nullptr;
-  }
   Self->Loop.cancel(Self->Deadline);
   Self->Busy = false;
   Self->Callback = nullptr;
-  closeIdle();
+  Self->IdleChanged = nullptr;
+  Self->closeSocket();
 }
 
 void HttpConnection::send(const HttpRequest &request, state::Duration timeout,
                           HttpCallback callback, SendGate gate) {
   Impl &self = *Self;
+  self.Loop.cancel(self.IdleTimer);
+  self.IdleTimer = 0;
   self.Busy = true;
+  self.Answered = false;
   ++self.Exchange;
   self.MaybeSent = false;
-  self.MethodIsHead = request.Method == "HEAD";
-  self.Response = HttpResponse{};
   self.Outgoing = encodeRequest(request, self.Authority);
+  self.EchoHeader = request.Rules.EchoHeader;
+  self.EchoValue = request.Headers.find(self.EchoHeader).value_or("");
+  self.ParserOptions = {};
+  self.ParserOptions.IsHead = request.Method == "HEAD";
+  self.ParserOptions.AcceptUnframed = request.Rules.AcceptUnframed;
+  self.ParserOptions.MaxBodyBytes = MaxResponseBytes;
+  self.Parser = std::make_unique<HttpResponseParser>(self.ParserOptions);
   self.Callback = std::move(callback);
   self.Gate = std::move(gate);
   self.Deadline = self.Loop.schedule(timeout, [impl = Self.get()] {
     impl->Deadline = 0;
-    if (impl->Client != nullptr)
-      h2o_http1client_cancel(impl->Client);
+    impl->closeSocket();
     impl->fail(ErrorCode::DeadlineExceeded, "no response in time");
   });
-  h2o_http1client_connect_with_pool(&self.Client, &self, &self.Context,
-                                    &self.Pool, &Impl::onConnect);
+  if (self.Connecting)
+    return;
+  if (self.Sock != nullptr)
+    self.write();
+  else
+    self.connect();
 }
 
 void HttpConnection::cancel() {
   Impl &self = *Self;
-  if (self.Client == nullptr)
+  if (!self.Busy || self.Answered)
     return;
-  h2o_http1client_cancel(self.Client);
+  self.closeSocket();
   self.fail(ErrorCode::Cancelled, "cancelled");
 }
 
-void HttpConnection::closeIdle() {
+void HttpConnection::open(state::Duration timeout) {
   Impl &self = *Self;
-  if (self.Busy || self.Pool._shared.count == 0)
+  if (self.Busy || self.Sock != nullptr)
     return;
-  h2o_socketpool_dispose(&self.Pool);
-  self.Pool = h2o_socketpool_t{};
-  self.openPool();
+  self.connect();
+  if (self.Connecting)
+    self.OpenTimer = self.Loop.schedule(timeout, [impl = Self.get()] {
+      impl->OpenTimer = 0;
+      if (impl->Busy || !impl->Connecting)
+        return;
+      impl->closeSocket();
+      impl->notifyIdleChange();
+    });
+}
+
+void HttpConnection::closeIdle() {
+  if (!Self->Busy)
+    Self->closeSocket();
 }
 
 bool HttpConnection::isBusy() const { return Self->Busy; }
 
 bool HttpConnection::isConnected() const {
-  return !Self->Busy && Self->Pool._shared.count != 0;
+  return !Self->Busy && Self->Sock != nullptr && !Self->Connecting;
+}
+
+bool HttpConnection::isOpening() const {
+  return !Self->Busy && Self->Connecting;
+}
+
+void HttpConnection::onIdleChange(std::function<void()> callback) {
+  Self->IdleChanged = std::move(callback);
 }
 
 state::TimePoint HttpConnection::lastUsed() const { return Self->LastUsed; }
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -47,6 +47,11 @@
   /// because the response can no longer be told from that of a later request.
   void cancel();
 
+  /// Connects without sending a request, so that a later one does not pay for
+  /// connecting. Does nothing while busy, connecting or connected. A connection
+  /// that is not there after `timeout` is given up.
+  void open(state::Duration timeout);
+
   /// Closes an idle connection.
   void closeIdle();
 
@@ -55,6 +60,12 @@
   /// Whether an idle connection is kept open.
   bool isConnected() const;
 
+  /// Whether open() has not yet ended.
+  bool isOpening() const;
+
+  /// Calls `callback` whenever an idle connection has been opened or lost.
+  void onIdleChange(std::function<void()> callback);
+
   /// Time of the last completed response, or of construction.
   state::TimePoint lastUsed() const;
 
--- a/src/transport/http_message.h
+++ b/src/transport/http_message.h
@@ -9,6 +9,12 @@
 
 namespace galenaflow::transport {
 
+/// Whether two texts are equal but for the case of ASCII letters.
+bool equalIgnoringCase(std::string_view a, std::string_view b);
+
+/// Whether a comma-separated header value contains `token`, without case.
+bool listContains(std::string_view value, std::string_view token);
+
 /// Header fields in order. Names compare without case.
 class HttpHeaders {
 public:
@@ -22,11 +28,28 @@
   std::vector<std::pair<std::string, std::string>> Items;
 };
 
+/// What a client accepts as the response to its request.
+struct ResponseRules {
+  /// Name of a header that the peer copies from the request into its response.
+  /// A response with another value answers an earlier request and is dropped.
+  /// Empty: none.
+  std::string EchoHeader;
+
+  /// Whether a body that ends with its connection is accepted.
+  bool AcceptUnframed = false;
+};
+
 struct HttpRequest {
   std::string Method;
   std::string Path; ///< with the query string
   HttpHeaders Headers;
   std::string Body;
+
+  /// The Host header. A client sends the address of the peer when it is empty.
+  std::string Host{};
+
+  /// Used by clients only.
+  ResponseRules Rules{};
 };
 
 struct HttpResponse {
--- /dev/null
+++ b/src/transport/http_response_parser.cc
@@ -0,0 +1,200 @@
+#include "transport/http_response_parser.h"
+
+#include "transport/h2o_api.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+// The tokenizer is picohttpparser, which h2o carries and exports. The HTTP
+// client of h2o 2.2 is not used, because it ends the process with an assertion
+// when a peer sends bytes that belong to no request.
+//
+// Framing follows RFC 9112, section 6.3: no body for HEAD, 1xx, 204 and 304;
+// then chunked; then content-length; otherwise the body ends with the
+// connection. Contradictory lengths are an error, since either could be wrong.
+
+namespace galenaflow::transport {
+
+namespace {
+
+constexpr std::size_t MaxHeaders = 100;
+
+std::optional<std::size_t> parseLength(std::string_view text) {
+  std::size_t n = 0;
+  const auto [end, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), n);
+  if (ec != std::errc() || end != text.data() + text.size())
+    return std::nullopt;
+  return n;
+}
+
+} // namespace
+
+HttpResponseParser::State HttpResponseParser::fail(std::string text) {
+  Error = std::move(text);
+  return Now = State::Invalid;
+}
+
+HttpResponseParser::State
+HttpResponseParser::complete(std::string_view excess) {
+  Excess = excess;
+  if (!Excess.empty())
+    Persistent = false;
+  return Now = State::Complete;
+}
+
+HttpResponseParser::State HttpResponseParser::feed(std::string_view bytes) {
+  if (Now == State::Complete)
+    Excess += bytes;
+  if (Now != State::Incomplete || bytes.empty())
+    return Now;
+  Started = true;
+  if (!HeadDone) {
+    Buffer += bytes;
+    return parseHead();
+  }
+  switch (Body) {
+  case Framing::Length:
+    Buffer += bytes;
+    return takeLength();
+  case Framing::Chunked:
+    Response.Body += bytes;
+    return takeChunks(bytes.size());
+  case Framing::UntilClose:
+    Response.Body += bytes;
+    if (Response.Body.size() > Options.MaxBodyBytes)
+      return fail("response is too large");
+    return Now;
+  case Framing::None:
+    break;
+  }
+  return Now;
+}
+
+HttpResponseParser::State HttpResponseParser::finish() {
+  if (Now != State::Incomplete)
+    return Now;
+  if (HeadDone && Body == Framing::UntilClose && Options.AcceptUnframed)
+    return complete({});
+  return fail(Started ? "the connection was closed inside a response"
+                      : "the connection was closed before a response");
+}
+
+HttpResponseParser::State HttpResponseParser::parseHead() {
+  std::array<phr_header, MaxHeaders> headers{};
+  std::size_t count = headers.size();
+  int status = 0;
+  const char *message = nullptr;
+  std::size_t messageSize = 0;
+  const int n = phr_parse_response(Buffer.data(), Buffer.size(), &MinorVersion,
+                                   &status, &message, &messageSize,
+                                   headers.data(), &count, LastHeadSize);
+  if (n == -1)
+    return fail("the bytes are not an HTTP response");
+  if (n == -2) {
+    LastHeadSize = Buffer.size();
+    if (Buffer.size() > Options.MaxHeadBytes)
+      return fail("response head is too large");
+    return Now;
+  }
+  if (status < 100 || status > 599)
+    return fail("invalid status");
+  Response.Status = status;
+  for (std::size_t i = 0; i != count; ++i) {
+    if (headers[i].name == nullptr)
+      return fail("folded header line");
+    Response.Headers.add({headers[i].name, headers[i].name_len},
+                         {headers[i].value, headers[i].value_len});
+  }
+  Buffer.erase(0, static_cast<std::size_t>(n));
+  if (status >= 100 && status < 200 && status != 101) {
+    // An interim response announces the final one.
+    Response = HttpResponse{};
+    LastHeadSize = 0;
+    return Buffer.empty() ? Now : parseHead();
+  }
+  HeadDone = true;
+  return chooseFraming();
+}
+
+HttpResponseParser::State HttpResponseParser::chooseFraming() {
+  bool isChunked = false;
+  bool hasClose = false;
+  bool hasKeepAlive = false;
+  std::optional<std::size_t> length;
+  for (const auto &[name, value] : Response.Headers.items()) {
+    if (equalIgnoringCase(name, "transfer-encoding")) {
+      if (!equalIgnoringCase(value, "chunked"))
+        return fail("unknown transfer encoding");
+      isChunked = true;
+    } else if (equalIgnoringCase(name, "content-length")) {
+      const auto n = parseLength(value);
+      if (!n || (length && length != n))
+        return fail("invalid content length");
+      length = n;
+    } else if (equalIgnoringCase(name, "connection")) {
+      hasClose |= listContains(value, "close");
+      hasKeepAlive |= listContains(value, "keep-alive");
+    }
+  }
+  Persistent = MinorVersion >= 1 ? !hasClose : hasKeepAlive && !hasClose;
+  if (isChunked && length)
+    return fail("both chunked and with a content length");
+  const int status = Response.Status;
+  if (Options.IsHead || status == 204 || status == 304)
+    return complete(std::exchange(Buffer, {}));
+  if (isChunked) {
+    Body = Framing::Chunked;
+    Response.Body = std::exchange(Buffer, {});
+    return Response.Body.empty() ? Now : takeChunks(Response.Body.size());
+  }
+  if (length) {
+    if (*length > Options.MaxBodyBytes)
+      return fail("response is too large");
+    Body = Framing::Length;
+    Length = *length;
+    return takeLength();
+  }
+  if (!Options.AcceptUnframed)
+    return fail("response has no length");
+  Persistent = false;
+  Body = Framing::UntilClose;
+  Response.Body = std::exchange(Buffer, {});
+  return Now;
+}
+
+HttpResponseParser::State HttpResponseParser::takeLength() {
+  if (Buffer.size() < Length)
+    return Now;
+  const std::string excess = Buffer.substr(Length);
+  Buffer.resize(Length);
+  Response.Body = std::move(Buffer);
+  return complete(excess);
+}
+
+HttpResponseParser::State HttpResponseParser::takeChunks(std::size_t newBytes) {
+  phr_chunked_decoder decoder{Chunks.BytesLeft, Chunks.ConsumeTrailer,
+                              Chunks.HexCount, Chunks.Phase};
+  const std::size_t decoded = Response.Body.size() - newBytes;
+  std::size_t n = newBytes;
+  const ssize_t left =
+      phr_decode_chunked(&decoder, Response.Body.data() + decoded, &n);
+  if (left == -1)
+    return fail("invalid chunk");
+  Chunks = {decoder.bytes_left_in_chunk, decoder.consume_trailer,
+            decoder._hex_count, decoder._state};
+  // A complete body is followed by `left` bytes that are not part of it.
+  const std::string excess =
+      left > 0
+          ? Response.Body.substr(decoded + n, static_cast<std::size_t>(left))
+          : std::string();
+  Response.Body.resize(decoded + n);
+  if (Response.Body.size() > Options.MaxBodyBytes)
+    return fail("response is too large");
+  return left >= 0 ? complete(excess) : Now;
+}
+
+} // namespace galenaflow::transport
--- /dev/null
+++ b/src/transport/http_response_parser.h
@@ -0,0 +1,95 @@
+#ifndef GALENAFLOW_TRANSPORT_HTTP_RESPONSE_PARSER_H
+#define GALENAFLOW_TRANSPORT_HTTP_RESPONSE_PARSER_H
+
+#include "state/error.h"
+#include "transport/http_message.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace galenaflow::transport {
+
+struct HttpResponseParserOptions {
+  /// Whether the response answers a HEAD request and so has no body.
+  bool IsHead = false;
+
+  /// Whether a body without a length, which ends with its connection, is
+  /// accepted when the connection was closed in order. Otherwise it is an
+  /// error, because a body that was cut off looks like a whole one.
+  bool AcceptUnframed = false;
+
+  /// Largest accepted body in bytes.
+  std::size_t MaxBodyBytes = std::size_t{4} << 20;
+
+  /// Largest accepted head in bytes.
+  std::size_t MaxHeadBytes = std::size_t{64} << 10;
+};
+
+/// Parses one HTTP/1.x response from the bytes of a connection. Whatever a
+/// backend server sends ends in a complete response or in an error.
+class HttpResponseParser {
+public:
+  enum class State {
+    Incomplete, ///< more bytes are needed
+    Complete,   ///< response() is whole
+    Invalid,    ///< error() says why
+  };
+
+  explicit HttpResponseParser(HttpResponseParserOptions options)
+      : Options(options) {}
+
+  /// Takes further bytes. After Complete, excess() holds those that follow the
+  /// response.
+  State feed(std::string_view bytes);
+
+  /// The connection was closed in order. No bytes follow.
+  State finish();
+
+  HttpResponse &response() { return Response; }
+  const std::string &error() const { return Error; }
+  const std::string &excess() const { return Excess; }
+
+  /// Whether the connection can carry another request after this response.
+  bool isPersistent() const { return Persistent; }
+
+  /// Whether any byte has arrived.
+  bool hasStarted() const { return Started; }
+
+private:
+  enum class Framing { None, Length, Chunked, UntilClose };
+
+  State parseHead();
+  State chooseFraming();
+  State takeLength();
+  State takeChunks(std::size_t newBytes);
+  State fail(std::string text);
+  State complete(std::string_view excess);
+
+  HttpResponseParserOptions Options;
+  State Now = State::Incomplete;
+  bool HeadDone = false;
+  bool Started = false;
+  bool Persistent = false;
+  int MinorVersion = 0;
+  Framing Body = Framing::None;
+  std::size_t Length = 0;
+  std::size_t LastHeadSize = 0;
+  std::string Buffer; ///< bytes of the head, or of a body with a length
+  HttpResponse Response;
+  std::string Error;
+  std::string Excess;
+
+  /// State of the chunked decoder, as phr_chunked_decoder lays it out.
+  struct ChunkState {
+    std::size_t BytesLeft = 0;
+    char ConsumeTrailer = 1;
+    char HexCount = 0;
+    char Phase = 0;
+  } Chunks;
+};
+
+} // namespace galenaflow::transport
+
+#endif
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -4,7 +4,10 @@
 
 #include <cstring>
 #include <openssl/ssl.h>
+#include <poll.h>
 #include <unistd.h>
+#include <unordered_set>
+#include <utility>
 
 // One h2o context serves one listener. Every request is copied out of h2o's
 // memory and handed to the handler with a responder. The responder is kept
@@ -40,11 +43,15 @@
   std::size_t Connections = 0;
   std::size_t Requests = 0;
   bool IsDrained = false;
+  std::unordered_set<Responder *> Open; ///< requests without a response
+  TimerId DisconnectTimer = 0;
 
   Impl(EventLoop &loop, HttpServerOptions options, HttpHandler handler)
       : Loop(loop), Options(std::move(options)), Handler(std::move(handler)) {}
 
   void configure();
+  void armDisconnectCheck();
+  void checkDisconnects();
   static void onAccept(h2o_socket_t *listener, const char *err);
   static void onSocketClosed(void *data);
   static int onRequest(h2o_handler_t *handler, h2o_req_t *req);
@@ -57,12 +64,32 @@
   Responder(h2o_req_t *req, HttpServer::Impl *server)
       : Req(req), Server(server) {
     ++Server->Requests;
+    Server->Open.insert(this);
+    Server->armDisconnectCheck();
+  }
+
+  /// Whether the peer has closed an HTTP/1.1 connection. HTTP/2 connections are
+  /// read all the time.
+  bool isHungUp() const {
+    if (!isOpen() || Req->version >= 0x200)
+      return false;
+    h2o_socket_t *sock = Req->conn->callbacks->get_socket(Req->conn);
+    pollfd query{h2o_socket_get_fd(sock), POLLRDHUP, 0};
+    return poll(&query, 1, 0) == 1 &&
+           (query.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  }
+
+  /// Reports the disconnect and lets h2o free the request.
+  void onHangUp() {
+    if (Disconnected)
+      Server->Loop.post(std::exchange(Disconnected, nullptr));
+    abort();
   }
 
   void send(HttpResponse response) override {
     if (!isOpen())
       return;
-    Sent = true;
+    markSent();
     Body = std::move(response.Body);
     Req->res.status = response.Status;
     Req->res.reason = "";
@@ -85,7 +112,7 @@
   void abort() override {
     if (!isOpen())
       return;
-    Sent = true;
+    markSent();
     Req->res.status = 500;
     Req->res.reason = "";
     Req->res.content_length = SIZE_MAX;
@@ -99,12 +126,18 @@
   /// Called when h2o frees the request.
   void detach() {
     --Server->Requests;
+    Server->Open.erase(this);
     Req = nullptr;
     if (!Sent && Disconnected)
       Server->Loop.post(std::move(Disconnected));
   }
 
 private:
+  void markSent() {
+    Sent = true;
+    Server->Open.erase(this);
+  }
+
   void addHeader(const std::string &name, const std::string &value) {
     const h2o_iovec_t n = h2o_strdup(&Req->pool, name.data(), name.size());
     const h2o_iovec_t v = h2o_strdup(&Req->pool, value.data(), value.size());
@@ -132,6 +165,7 @@
   HttpRequest request;
   request.Method = toString(req->method);
   request.Path = toString(req->path);
+  request.Host = toString(req->authority);
   for (std::size_t i = 0; i != req->headers.size; ++i) {
     const h2o_header_t &header = req->headers.entries[i];
     request.Headers.add(toString(*header.name), toString(header.value));
@@ -203,6 +237,26 @@
   --static_cast<Impl *>(data)->Connections;
 }
 
+void HttpServer::Impl::armDisconnectCheck() {
+  if (DisconnectTimer == 0)
+    DisconnectTimer = Loop.schedule(DisconnectCheckPeriod, [this] {
+      DisconnectTimer = 0;
+      checkDisconnects();
+    });
+}
+
+void HttpServer::Impl::checkDisconnects() {
+  std::vector<Responder *> gone;
+  for (Responder *responder : Open)
+    if (responder->isHungUp())
+      gone.push_back(responder);
+  for (Responder *responder : gone)
+    if (Open.contains(responder))
+      responder->onHangUp();
+  if (!Open.empty())
+    armDisconnectCheck();
+}
+
 int HttpServer::Impl::onRequest(h2o_handler_t *handler, h2o_req_t *req) {
   Impl *self = reinterpret_cast<RoutingHandler *>(handler)->Server;
   auto responder = std::make_shared<Responder>(req, self);
@@ -225,6 +279,7 @@
 // asked to shut down, whose timers are still linked. Such a server stays in
 // memory; this happens only at the end of a process or test.
 HttpServer::~HttpServer() {
+  Self->Loop.cancel(Self->DisconnectTimer);
   if (Self->Listener != nullptr)
     h2o_socket_close(Self->Listener);
   if (Self->Connections != 0 || Self->IsDrained) {
@@ -271,10 +326,26 @@
     return;
   h2o_socket_close(Self->Listener);
   Self->Listener = nullptr;
+  closeAfterResponses();
+}
+
+void HttpServer::closeAfterResponses() {
+  if (Self->IsDrained)
+    return;
   Self->IsDrained = true;
   h2o_context_request_shutdown(&Self->Context);
 }
 
+void HttpServer::setMaxBodyBytes(std::size_t n) {
+  Self->Config.max_request_entity_size = n;
+}
+
+void HttpServer::setRequestTimeout(state::Duration timeout) {
+  // The timeout list of the context holds the time for new entries.
+  Self->Context.http1.req_timeout.timeout = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
+}
+
 std::size_t HttpServer::openConnections() const { return Self->Connections; }
 
 std::size_t HttpServer::openRequests() const { return Self->Requests; }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -24,7 +24,8 @@
   /// Whether the caller is still connected and no response has been sent.
   virtual bool isOpen() const = 0;
 
-  /// Calls `callback` once if the caller disconnects before the response.
+  /// Calls `callback` once if the caller disconnects before the response. It is
+  /// noticed within HttpServer::DisconnectCheckPeriod.
   virtual void onDisconnect(std::function<void()> callback) = 0;
 
   /// Closes the connection without a response.
@@ -52,6 +53,11 @@
 /// An HTTP/1.1 and HTTP/2 server on h2o. All requests go to one handler.
 class HttpServer {
 public:
+  /// h2o does not read from an HTTP/1.1 connection while a request is open, so
+  /// the sockets of open requests are asked for a hang-up in this period.
+  static constexpr state::Duration DisconnectCheckPeriod =
+      std::chrono::milliseconds(100);
+
   HttpServer(EventLoop &loop, HttpServerOptions options, HttpHandler handler);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
@@ -69,6 +75,14 @@
   /// have been answered.
   void drain();
 
+  /// Answers on connections of HTTP/1.1 carry "Connection: close" from now on.
+  /// New connections are still accepted.
+  void closeAfterResponses();
+
+  /// Replace the limits of the options for new requests and connections.
+  void setMaxBodyBytes(std::size_t n);
+  void setRequestTimeout(state::Duration timeout);
+
   std::size_t openConnections() const;
   std::size_t openRequests() const;
 
--- a/src/transport/socket_address.cc
+++ b/src/transport/socket_address.cc
@@ -30,11 +30,14 @@
   if (Storage.ss_family == AF_INET) {
     const auto *in = reinterpret_cast<const sockaddr_in *>(&Storage);
     inet_ntop(AF_INET, &in->sin_addr, buf, sizeof(buf));
-    return std::string(buf) + ":" + std::to_string(ntohs(in->sin_port));
+    std::string text(buf);
+    return text.append(":").append(std::to_string(ntohs(in->sin_port)));
   }
   const auto *in6 = reinterpret_cast<const sockaddr_in6 *>(&Storage);
   inet_ntop(AF_INET6, &in6->sin6_addr, buf, sizeof(buf));
-  return "[" + std::string(buf) + "]:" + std::to_string(ntohs(in6->sin6_port));
+  std::string text("[");
+  return text.append(buf).append("]:").append(
+      std::to_string(ntohs(in6->sin6_port)));
 }
 
 state::Result<SocketAddress> parseSocketAddress(std::string_view text) {
--- /dev/null
+++ b/tests/http_response_parser_test.cc
@@ -0,0 +1,139 @@
+#include "transport/http_response_parser.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace galenaflow::transport;
+using State = HttpResponseParser::State;
+
+namespace {
+
+/// Feeds `text` in pieces of `step` bytes.
+State feedInSteps(HttpResponseParser &parser, std::string_view text,
+                  std::size_t step) {
+  State state = State::Incomplete;
+  for (std::size_t i = 0; i < text.size(); i += step)
+    state = parser.feed(text.substr(i, step));
+  return state;
+}
+
+constexpr std::string_view Plain =
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n\r\nhello";
+constexpr std::string_view Chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("responses are the same however their bytes are split") {
+  for (const std::string_view text : {Plain, Chunked})
+    for (std::size_t step = 1; step <= text.size(); ++step) {
+      HttpResponseParser parser({});
+      INFO("step " << step);
+      REQUIRE(feedInSteps(parser, text, step) == State::Complete);
+      CHECK(parser.response().Status == 200);
+      CHECK(parser.response().Body == "hello");
+      CHECK(parser.excess().empty());
+      CHECK(parser.isPersistent());
+    }
+}
+
+// Guards against bytes of a doubled response that are read as the response to
+// the next request.
+TEST_CASE("bytes after a response are kept apart and end persistence") {
+  for (const std::string_view text : {Plain, Chunked}) {
+    HttpResponseParser parser({});
+    REQUIRE(parser.feed(std::string(text) + "HTTP/1.1 200") == State::Complete);
+    CHECK(parser.response().Body == "hello");
+    CHECK(parser.excess() == "HTTP/1.1 200");
+    CHECK_FALSE(parser.isPersistent());
+  }
+}
+
+// Guards against a response that was cut off and looks complete.
+TEST_CASE("a response that ends early is an error at every byte") {
+  for (const std::string_view text : {Plain, Chunked})
+    for (std::size_t n = 0; n != text.size(); ++n) {
+      HttpResponseParser parser({});
+      parser.feed(text.substr(0, n));
+      INFO("after " << n);
+      CHECK(parser.finish() == State::Invalid);
+    }
+}
+
+TEST_CASE("a body without a length needs permission and an orderly close") {
+  constexpr std::string_view Text = "HTTP/1.1 200 OK\r\n\r\nhello";
+  HttpResponseParser strict({});
+  CHECK(strict.feed(Text) == State::Invalid);
+  HttpResponseParserOptions options;
+  options.AcceptUnframed = true;
+  HttpResponseParser parser(options);
+  CHECK(parser.feed(Text) == State::Incomplete);
+  REQUIRE(parser.finish() == State::Complete);
+  CHECK(parser.response().Body == "hello");
+  CHECK_FALSE(parser.isPersistent());
+}
+
+TEST_CASE("contradictory or unknown framing is an error") {
+  for (const std::string_view text :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1x\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "HTTP/1.1 999 OK\r\n\r\n", "no response at all\r\n\r\n"}) {
+    INFO(text);
+    HttpResponseParser parser({});
+    CHECK(parser.feed(text) == State::Invalid);
+    CHECK_FALSE(parser.error().empty());
+  }
+}
+
+TEST_CASE("interim responses are skipped and HEAD has no body") {
+  HttpResponseParser parser({});
+  REQUIRE(parser.feed("HTTP/1.1 100 Continue\r\n\r\n") == State::Incomplete);
+  REQUIRE(parser.feed(Plain) == State::Complete);
+  CHECK(parser.response().Body == "hello");
+  HttpResponseParserOptions options;
+  options.IsHead = true;
+  HttpResponseParser head(options);
+  REQUIRE(head.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n") ==
+          State::Complete);
+  CHECK(head.response().Body.empty());
+}
+
+TEST_CASE("a head or body above its limit is an error") {
+  HttpResponseParserOptions options;
+  options.MaxBodyBytes = 4;
+  options.MaxHeadBytes = 50;
+  HttpResponseParser body(options);
+  CHECK(body.feed(Plain) == State::Invalid);
+  HttpResponseParser head(options);
+  CHECK(head.feed("HTTP/1.1 200 OK\r\nX: " + std::string(100, 'a')) ==
+        State::Invalid);
+}
+
+TEST_CASE("connections that the peer will close are not persistent") {
+  HttpResponseParser closing({});
+  closing.feed("HTTP/1.1 200 OK\r\nConnection: x, Close\r\n"
+               "Content-Length: 0\r\n\r\n");
+  CHECK_FALSE(closing.isPersistent());
+  HttpResponseParser old({});
+  old.feed("HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CHECK_FALSE(old.isPersistent());
+}
+
+// Guards against a process that is ended by what a peer sends.
+TEST_CASE("spoiled responses never end otherwise than complete or invalid") {
+  rc::check([](std::uint8_t at, unsigned char byte, std::uint8_t step) {
+    for (const std::string_view text : {Plain, Chunked}) {
+      std::string spoiled(text);
+      spoiled[at % spoiled.size()] = static_cast<char>(byte);
+      HttpResponseParser parser({});
+      feedInSteps(parser, spoiled, step % 40 + std::size_t{1});
+      const State end = parser.finish();
+      RC_ASSERT(end == State::Complete || end == State::Invalid);
+    }
+  });
+}
--- a/tests/http_transport_test.cc
+++ b/tests/http_transport_test.cc
@@ -187,3 +187,210 @@
   }
   loop.runUntil([] { return false; }, 20ms);
 }
+
+namespace {
+
+/// A listener that sends fixed bytes for each request and then closes, or keeps
+/// the connection open.
+struct SpoilingServer {
+  EventLoop Loop;
+  std::vector<std::string> Replies; ///< in turn, for each read
+  bool CloseAfterwards = false;
+  bool ResetAfterwards = false;
+  int Accepted = 0;
+  std::size_t Next = 0;
+  int Listener = -1;
+  std::vector<int> Sockets;
+  SocketAddress Address = anyPort();
+
+  SpoilingServer() {
+    Listener = *listenOn(Address);
+    serve();
+  }
+  ~SpoilingServer() {
+    for (const int fd : Sockets)
+      close(fd);
+    close(Listener);
+  }
+
+  void serve() {
+    const int fd = accept4(Listener, nullptr, nullptr, SOCK_NONBLOCK);
+    if (fd >= 0) {
+      ++Accepted;
+      Sockets.push_back(fd);
+    }
+    for (int &open : Sockets) {
+      char buf[4096];
+      if (open < 0 || recv(open, buf, sizeof(buf), 0) <= 0)
+        continue;
+      const std::string &reply = Replies[std::min(Next, Replies.size() - 1)];
+      ++Next;
+      REQUIRE(::send(open, reply.data(), reply.size(), MSG_NOSIGNAL) ==
+              static_cast<ssize_t>(reply.size()));
+      if (ResetAfterwards) {
+        const linger option{1, 0};
+        setsockopt(open, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+      }
+      if (CloseAfterwards || ResetAfterwards) {
+        close(open);
+        open = -1;
+      }
+    }
+    Loop.schedule(1ms, [this] { serve(); });
+  }
+
+  HttpResult get(HttpConnection &connection, const std::string &id = "1") {
+    Exchange exchange{Loop, {}};
+    HttpRequest request{"GET", "/", {}, ""};
+    request.Headers.add("X-Id", id);
+    request.Rules = {"X-Id", true};
+    connection.send(request, 500ms, exchange.callback());
+    REQUIRE(exchange.wait());
+    return *exchange.Result;
+  }
+
+  void idle() {
+    Loop.runUntil([] { return false; }, 30ms);
+  }
+};
+
+std::string reply(const std::string &id, const std::string &body) {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+} // namespace
+
+// Guards against an assertion of h2o's client, which ended the daemon when a
+// backend server sent bytes that belong to no request.
+TEST_CASE("extra bytes close the connection and reach no later request") {
+  SpoilingServer server;
+  HttpConnection connection(server.Loop, server.Address);
+  SECTION("in the same packet") {
+    server.Replies = {reply("1", "one") + reply("1", "two"),
+                      reply("2", "three")};
+  }
+  SECTION("a broken response") {
+    server.Replies = {reply("1", "one") + "garbage\r\n\r\n",
+                      reply("2", "three")};
+  }
+  REQUIRE(server.get(connection)->Body == "one");
+  server.idle();
+  CHECK_FALSE(connection.isConnected());
+  CHECK(server.get(connection, "2")->Body == "three");
+  CHECK(server.Accepted == 2);
+}
+
+TEST_CASE("bytes on an idle connection close it") {
+  SpoilingServer server;
+  server.Replies = {reply("1", "one"), reply("2", "two")};
+  HttpConnection connection(server.Loop, server.Address);
+  REQUIRE(server.get(connection)->Body == "one");
+  REQUIRE(connection.isConnected());
+  const std::string late = reply("1", "late");
+  REQUIRE(::send(server.Sockets[0], late.data(), late.size(), 0) > 0);
+  server.idle();
+  CHECK_FALSE(connection.isConnected());
+  CHECK(server.get(connection, "2")->Body == "two");
+}
+
+TEST_CASE("a late response to an earlier request is dropped") {
+  SpoilingServer server;
+  server.Replies = {reply("1", "one"), reply("1", "late") + reply("2", "two")};
+  HttpConnection connection(server.Loop, server.Address);
+  REQUIRE(server.get(connection)->Body == "one");
+  const HttpResult second = server.get(connection, "2");
+  REQUIRE(second.has_value());
+  CHECK(second->Body == "two");
+}
+
+TEST_CASE("a response without a length is whole after a close in order only") {
+  SpoilingServer server;
+  server.Replies = {"HTTP/1.1 200 OK\r\n\r\nbody"};
+  HttpConnection connection(server.Loop, server.Address);
+  SECTION("closed") {
+    server.CloseAfterwards = true;
+    const HttpResult result = server.get(connection);
+    REQUIRE(result.has_value());
+    CHECK(result->Body == "body");
+  }
+  SECTION("reset") {
+    server.ResetAfterwards = true;
+    const HttpResult result = server.get(connection);
+    REQUIRE_FALSE(result.has_value());
+    CHECK(result.error().MaybeSent);
+  }
+  SECTION("neither") {
+    const HttpResult result = server.get(connection);
+    REQUIRE_FALSE(result.has_value());
+    CHECK(result.error().Cause.Code == state::ErrorCode::DeadlineExceeded);
+  }
+}
+
+TEST_CASE("a response before the end of the request closes the connection") {
+  SpoilingServer server;
+  server.Replies = {reply("1", "early")};
+  HttpConnection connection(server.Loop, server.Address);
+  Exchange exchange{server.Loop, {}};
+  // More than the buffers of both sockets hold.
+  HttpRequest request{"POST", "/", {}, std::string(std::size_t{64} << 20, 'x')};
+  connection.send(request, 5s, exchange.callback());
+  REQUIRE(exchange.wait());
+  REQUIRE(exchange.Result->has_value());
+  CHECK((*exchange.Result)->Body == "early");
+  CHECK_FALSE(connection.isConnected());
+}
+
+TEST_CASE("the caller's host is sent, and the peer's address without one") {
+  EventLoop loop;
+  std::vector<std::string> hosts;
+  HttpServer server(loop, {},
+                    [&](const HttpRequest &request, const auto &responder) {
+                      hosts.push_back(request.Host);
+                      responder->send(jsonResponse(200, "{}"));
+                    });
+  const auto address = server.listen(anyPort());
+  HttpConnection connection(loop, *address);
+  for (const std::string host : {"shop.example", ""}) {
+    Exchange exchange{loop, {}};
+    HttpRequest request{"GET", "/", {}, ""};
+    request.Host = host;
+    connection.send(request, 10s, exchange.callback());
+    REQUIRE(exchange.wait());
+  }
+  CHECK(hosts == std::vector<std::string>{"shop.example", address->toText()});
+}
+
+// Guards against work for callers that have left, which h2o reports only when
+// the response is written.
+TEST_CASE("a caller that leaves is noticed while its request is open") {
+  EventLoop loop;
+  std::shared_ptr<HttpResponder> held;
+  HttpServer server(loop, {}, [&](const HttpRequest &, const auto &responder) {
+    held = responder;
+  });
+  const auto address = server.listen(anyPort());
+  HttpConnection connection(loop, *address);
+  bool gone = false;
+  connection.send({"GET", "/", {}, ""}, 10s, [](const HttpResult &) {});
+  REQUIRE(loop.runUntil([&] { return held != nullptr; }, TestLimit));
+  held->onDisconnect([&] { gone = true; });
+  loop.runUntil([] { return false; }, 250ms);
+  CHECK_FALSE(gone);
+  connection.cancel();
+  CHECK(loop.runUntil([&] { return gone; }, 500ms));
+  CHECK_FALSE(held->isOpen());
+  CHECK(loop.runUntil([&] { return server.openConnections() == 0; }, 500ms));
+}
+
+TEST_CASE("a connection can be opened before its first request") {
+  SpoilingServer server;
+  server.Replies = {reply("1", "one")};
+  HttpConnection connection(server.Loop, server.Address);
+  connection.open(1s);
+  CHECK(connection.isOpening());
+  REQUIRE(server.Loop.runUntil([&] { return connection.isConnected(); }, 1s));
+  CHECK(server.get(connection)->Body == "one");
+  CHECK(server.Accepted == 1);
+}
