--- /dev/null
+++ b/src/coordination/directory_reader.h
@@ -0,0 +1,83 @@
+#ifndef GALENAFLOW_COORDINATION_DIRECTORY_READER_H
+#define GALENAFLOW_COORDINATION_DIRECTORY_READER_H
+
+#include "state/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+
+namespace galenaflow::coordination {
+
+using state::Duration;
+using state::TimePoint;
+
+struct DirectoryReaderOptions {
+  /// Time from one read of changes to the next. The operator's bound for a
+  /// change and for a draining replica is 3 s; a lost read and its repetition
+  /// have to fit in as well. Each read is priced.
+  Duration Period = std::chrono::milliseconds(1000);
+
+  /// Wait after a failed read; doubles up to the maximum, and is multiplied by
+  /// a random factor between 0.5 and 1, so that the daemons do not return
+  /// together to a source that has just come back.
+  Duration MinBackoff = std::chrono::milliseconds(150);
+  Duration MaxBackoff = std::chrono::milliseconds(1000);
+
+  /// Without a successful read for this long, the source counts as away.
+  /// Backend servers' records lapse after three heartbeats of about 1.2 s.
+  Duration OutageAfter = std::chrono::milliseconds(2200);
+};
+
+enum class DirectoryRead {
+  All,     ///< the whole content
+  Changes, ///< what changed after revision()
+};
+
+/// Decides when to read the operator's directory and what. It follows the
+/// revisions that it has seen, and reads all again when the source's history
+/// no longer reaches back to them.
+class DirectoryReader {
+public:
+  DirectoryReader(DirectoryReaderOptions options, std::mt19937_64 random,
+                  TimePoint now);
+
+  /// The read that is due, or nothing before nextAt() and while one is open.
+  std::optional<DirectoryRead> poll(TimePoint now);
+  TimePoint nextAt() const { return NextAt; }
+
+  /// The open read has ended. Returns whether the source had been away.
+  bool onAll(std::uint64_t revision, TimePoint now);
+
+  /// `lastRevision` is that of the last change that was read, or nothing. The
+  /// source's own revision is not used: changes that it has not shown yet would
+  /// be skipped.
+  bool onChanges(std::optional<std::uint64_t> lastRevision, TimePoint now);
+  void onHistoryLost(TimePoint now);
+  void onFailure(TimePoint now);
+
+  /// Reads at once, for example after a reload of settings.
+  void hurry(TimePoint now);
+
+  bool hasRead() const { return Known; }
+  std::uint64_t revision() const { return Revision; }
+  Duration age(TimePoint now) const { return now - ReadAt; }
+
+private:
+  bool succeed(TimePoint now);
+  Duration jittered(Duration d);
+
+  DirectoryReaderOptions Options;
+  std::mt19937_64 Random;
+  bool Open = false;
+  bool Known = false;
+  std::uint64_t Revision = 0;
+  TimePoint ReadAt;
+  TimePoint StartedAt;
+  TimePoint NextAt;
+  Duration Backoff;
+};
+
+} // namespace galenaflow::coordination
+
+#endif
--- /dev/null
+++ b/src/coordination/forward_execution.cc
@@ -0,0 +1,324 @@
+#include "coordination/forward_execution.h"
+
+#include "coordination/record_merge.h"
+
+#include <algorithm>
+#include <utility>
+
+// Each part (the one service, or one shard) is a small race: a primary attempt,
+// perhaps a hedge, and retries after failures. `Runs` counts the attempts that
+// ran or may still run; it never passes the route's limit, whatever the kind of
+// attempt. An attempt that the replica rejected, or that never left, gives its
+// place back.
+//
+// A straggler in any shard delays the whole answer, while earnings fall only
+// with the square of the share of parts. So after PartialAt an answer with the
+// minimum of parts is worth more than a late whole one.
+
+namespace galenaflow::coordination {
+
+namespace {
+
+/// Rejected or unsent attempts of a part beyond the route's attempts. A replica
+/// that is full or has left costs a round trip only, but must not be asked
+/// without end.
+constexpr std::size_t MaxFreeAttempts = 2;
+
+/// A hedge that lacks a token is tried again after this time; tokens are earned
+/// with each request of the service.
+constexpr Duration HedgeTokenWait = std::chrono::milliseconds(10);
+
+} // namespace
+
+std::string_view forwardFaultName(ForwardFault fault) {
+  switch (fault) {
+  case ForwardFault::NoReplica:
+    return "no_replica";
+  case ForwardFault::NoCapacity:
+    return "no_capacity";
+  case ForwardFault::RejectedByServer:
+    return "rejected_by_server";
+  case ForwardFault::BackendFailed:
+    return "backend_failed";
+  case ForwardFault::DeadlineExceeded:
+    return "deadline_exceeded";
+  case ForwardFault::TooFewParts:
+    return "too_few_parts";
+  case ForwardFault::CallerGone:
+    break;
+  }
+  return "caller_gone";
+}
+
+ForwardExecution::ForwardExecution(ForwardOptions options,
+                                   ForwardPolicy &policy)
+    : Options(std::move(options)), Policy(policy),
+      Parts(Options.Services.size()) {
+  Counts.Parts = static_cast<std::uint32_t>(Parts.size());
+}
+
+ForwardActions ForwardExecution::start(TimePoint now) {
+  for (std::uint32_t part = 0; part != Parts.size(); ++part)
+    ask(part, AttemptKind::Primary);
+  return conclude(now);
+}
+
+void ForwardExecution::ask(std::uint32_t part, AttemptKind kind) {
+  const auto number = static_cast<AttemptNumber>(Attempts.size());
+  Attempts.push_back({part, kind, true, false});
+  ++Parts[part].Open;
+  switch (kind) {
+  case AttemptKind::Primary:
+    ++Counts.Primaries;
+    break;
+  case AttemptKind::Hedge:
+    ++Counts.Hedges;
+    break;
+  case AttemptKind::Retry:
+    ++Counts.Retries;
+    break;
+  }
+  Pending.emplace_back(AskReplica{number, part, kind});
+}
+
+ForwardExecution::Attempt *ForwardExecution::openAttempt(AttemptNumber number) {
+  if (Finished || number >= Attempts.size() || !Attempts[number].Open)
+    return nullptr;
+  return &Attempts[number];
+}
+
+ForwardActions ForwardExecution::onSent(AttemptNumber number,
+                                        const state::ReplicaId &replica,
+                                        TimePoint now) {
+  Attempt *attempt = openAttempt(number);
+  if (attempt == nullptr)
+    return {};
+  Part &part = Parts[attempt->Part];
+  attempt->Sent = true;
+  part.Tried.push_back(replica);
+  ++part.Runs;
+  const bool mayHedge = Options.Route->IsIdempotent && Options.HedgeAfter &&
+                        !part.Hedged && attempt->Kind != AttemptKind::Hedge;
+  if (mayHedge)
+    part.HedgeAt = now + *Options.HedgeAfter;
+  return conclude(now);
+}
+
+ForwardActions ForwardExecution::onAnswer(AttemptNumber number,
+                                          BackendAnswer answer, TimePoint now) {
+  // Another replica would answer 3xx and 4xx alike, so they are final, but they
+  // are no part of an answer from several shards.
+  const bool isFinal = answer.isSuccess() ||
+                       (answer.Status < 500 && !Options.Route->isSharded());
+  if (!isFinal)
+    return onFailure(number, {AttemptEnd::Failed, std::move(answer)}, now);
+  Attempt *attempt = openAttempt(number);
+  if (attempt == nullptr)
+    return {};
+  Part &part = Parts[attempt->Part];
+  attempt->Open = false;
+  --part.Open;
+  part.HedgeAt = TimePoint::max();
+  part.Answer = std::move(answer);
+  ++AnsweredParts;
+  for (AttemptNumber other = 0; other != Attempts.size(); ++other)
+    if (Attempts[other].Open && Attempts[other].Part == attempt->Part) {
+      Attempts[other].Open = false;
+      --part.Open;
+      Pending.emplace_back(DropAttempt{other, attempt->Part, false});
+    }
+  settle(now);
+  return conclude(now);
+}
+
+ForwardActions ForwardExecution::onFailure(AttemptNumber number,
+                                           AttemptFailure failure,
+                                           TimePoint now) {
+  Attempt *attempt = openAttempt(number);
+  if (attempt == nullptr)
+    return {};
+  const std::uint32_t index = attempt->Part;
+  Part &part = Parts[index];
+  attempt->Open = false;
+  --part.Open;
+  const bool gaveBack =
+      failure.End == AttemptEnd::Rejected || failure.End == AttemptEnd::NotSent;
+  if (gaveBack && attempt->Sent)
+    --part.Runs;
+  if (failure.End == AttemptEnd::Rejected) {
+    ++Counts.Rejections;
+    ++part.Rejections;
+  }
+  AnyRan |= failure.End == AttemptEnd::Failed;
+  AnyUnknown |= failure.End == AttemptEnd::Unknown;
+  if (failure.Answer)
+    LastFailure = std::move(failure.Answer);
+  if (part.Open == 0 && !resend(index, failure.End)) {
+    ForwardFault fault = ForwardFault::BackendFailed;
+    if (failure.End == AttemptEnd::NotSent)
+      fault = part.Tried.empty() ? ForwardFault::NoReplica
+                                 : ForwardFault::BackendFailed;
+    else if (failure.End == AttemptEnd::Rejected)
+      fault = ForwardFault::RejectedByServer;
+    lose(index, fault);
+  }
+  settle(now);
+  return conclude(now);
+}
+
+bool ForwardExecution::mayRunAgain(const Part &part) const {
+  return Options.Route->IsIdempotent && part.Runs < Options.Route->MaxAttempts;
+}
+
+bool ForwardExecution::resend(std::uint32_t index, AttemptEnd end) {
+  Part &part = Parts[index];
+  const bool isFree = end == AttemptEnd::Rejected || end == AttemptEnd::NotSent;
+  const std::string &service = Options.Services[index];
+  if (isFree &&
+      part.Tried.size() >= Options.Route->MaxAttempts + MaxFreeAttempts)
+    return false;
+  if (!isFree && !mayRunAgain(part))
+    return false;
+  if (!Policy.hasOther(service, part.Tried))
+    return false;
+  // A request that never left is no arrival at the service.
+  if (end != AttemptEnd::NotSent && !Policy.tryTakeExtra(service))
+    return false;
+  part.HedgeAt = TimePoint::max();
+  ask(index, AttemptKind::Retry);
+  return true;
+}
+
+void ForwardExecution::hedge(std::uint32_t index, TimePoint now) {
+  Part &part = Parts[index];
+  part.HedgeAt = TimePoint::max();
+  const std::string &service = Options.Services[index];
+  if (!mayRunAgain(part) || !Policy.hasOther(service, part.Tried))
+    return;
+  if (!Policy.tryTakeExtra(service)) {
+    part.HedgeAt = now + HedgeTokenWait;
+    return;
+  }
+  part.Hedged = true;
+  ask(index, AttemptKind::Hedge);
+}
+
+void ForwardExecution::lose(std::uint32_t index, ForwardFault fault) {
+  Parts[index].Lost = true;
+  Parts[index].HedgeAt = TimePoint::max();
+  ++LostParts;
+  LastFault = fault;
+}
+
+bool ForwardExecution::enoughParts(std::size_t n) const {
+  constexpr double Rounding = 1e-9;
+  return n > 0 && static_cast<double>(n) + Rounding >=
+                      Options.Route->Shards.MinShardRatio *
+                          static_cast<double>(Parts.size());
+}
+
+void ForwardExecution::settle(TimePoint now) {
+  if (Finished)
+    return;
+  if (!Options.Route->isSharded()) {
+    if (AnsweredParts == 1) {
+      Finished = true;
+      Pending.emplace_back(FinishForward{std::move(*Parts[0].Answer)});
+    } else if (LostParts == 1) {
+      fail(LastFault);
+    }
+    return;
+  }
+  const std::size_t total = Parts.size();
+  if (!enoughParts(total - LostParts)) {
+    fail(LostParts == total ? LastFault : ForwardFault::TooFewParts);
+    return;
+  }
+  const bool allEnded = AnsweredParts + LostParts == total;
+  if (allEnded || (now >= Options.PartialAt && enoughParts(AnsweredParts)))
+    finishMerged();
+}
+
+void ForwardExecution::finishMerged() {
+  dropOpen(false);
+  Finished = true;
+  MergedAnswer merged;
+  std::vector<std::string_view> bodies;
+  for (Part &part : Parts) {
+    if (!part.Answer) {
+      ++merged.Missing;
+      continue;
+    }
+    merged.Signatures.push_back(std::move(part.Answer->Signature));
+    bodies.push_back(part.Answer->Body);
+  }
+  Counts.PartsAnswered = static_cast<std::uint32_t>(bodies.size());
+  merged.Records = mergeRecords(bodies, Options.Route->Shards.TopK);
+  Pending.emplace_back(FinishForward{std::move(merged)});
+}
+
+void ForwardExecution::dropOpen(bool callerGone) {
+  for (AttemptNumber number = 0; number != Attempts.size(); ++number) {
+    Attempt &attempt = Attempts[number];
+    if (!attempt.Open)
+      continue;
+    attempt.Open = false;
+    AnyUnknown |= attempt.Sent;
+    Pending.emplace_back(DropAttempt{number, attempt.Part, callerGone});
+  }
+}
+
+void ForwardExecution::fail(ForwardFault fault) {
+  dropOpen(fault == ForwardFault::CallerGone ||
+           fault == ForwardFault::DeadlineExceeded);
+  Finished = true;
+  ForwardFailure failure;
+  failure.Fault = fault;
+  if (AnyRan || AnsweredParts != 0)
+    failure.Ran = RanState::Ran;
+  else if (AnyUnknown)
+    failure.Ran = RanState::Unknown;
+  failure.Answer = std::move(LastFailure);
+  Pending.emplace_back(FinishForward{std::move(failure)});
+}
+
+ForwardActions ForwardExecution::onTimer(TimePoint now) {
+  if (Finished)
+    return {};
+  ArmedFor = TimePoint::max();
+  if (now >= Options.DeadlineAt) {
+    if (Options.Route->isSharded() && enoughParts(AnsweredParts))
+      finishMerged();
+    else
+      fail(ForwardFault::DeadlineExceeded);
+    return conclude(now);
+  }
+  settle(now);
+  for (std::uint32_t part = 0; part != Parts.size() && !Finished; ++part)
+    if (Parts[part].HedgeAt <= now)
+      hedge(part, now);
+  return conclude(now);
+}
+
+ForwardActions ForwardExecution::onCallerGone(TimePoint now) {
+  if (!Finished)
+    fail(ForwardFault::CallerGone);
+  return conclude(now);
+}
+
+ForwardActions ForwardExecution::conclude(TimePoint now) {
+  if (!Finished) {
+    TimePoint next = Options.DeadlineAt;
+    if (Options.PartialAt > now)
+      next = std::min(next, Options.PartialAt);
+    for (const Part &part : Parts)
+      next = std::min(next, part.HedgeAt);
+    if (next != ArmedFor) {
+      ArmedFor = next;
+      Pending.emplace_back(SetTimer{next});
+    }
+  }
+  return std::exchange(Pending, {});
+}
+
+} // namespace galenaflow::coordination
--- /dev/null
+++ b/src/coordination/replica_placement.h
@@ -0,0 +1,119 @@
+#ifndef GALENAFLOW_COORDINATION_REPLICA_PLACEMENT_H
+#define GALENAFLOW_COORDINATION_REPLICA_PLACEMENT_H
+
+#include "coordination/outlier_detector.h"
+#include "state/replica_directory.h"
+
+#include <functional>
+#include <optional>
+#include <random>
+#include <span>
+
+namespace galenaflow::coordination {
+
+/// The load that a replica states in its responses. Other callers share it, and
+/// it is as old as the response.
+struct ServerLoad {
+  std::uint32_t Running = 0;
+  std::uint32_t Waiting = 0;
+  std::uint32_t Slots = 1;
+  double Slowness = 1; ///< time that work takes now, in times of the usual
+};
+
+struct PlacementOptions {
+  /// A load report older than this says nothing about the present: the hosts'
+  /// load changes many times a second.
+  Duration ReportLife = std::chrono::milliseconds(300);
+
+  /// An attempt that is open for this many times its expected duration, plus
+  /// StallSlack, shows that its replica is paused or gone.
+  double StallFactor = 3;
+  Duration StallSlack = std::chrono::milliseconds(10);
+
+  /// Cost factor of a stalled replica: it is used only when the others are far
+  /// behind.
+  double StallPenalty = 20;
+
+  /// Cost factor while a replica is cold after its start.
+  double ColdPenalty = 1.6;
+
+  /// Added to the relative cost of replicas in other data centres: a round trip
+  /// between data centres, and its bytes, against a few milliseconds of work.
+  double RemotePenalty = 0.25;
+
+  /// Weight of a new sample in the mean of relative latencies.
+  double SampleWeight = 0.25;
+
+  /// A mean without new samples loses half its distance from 1 in this time, so
+  /// that a replica that was slow is tried again.
+  Duration ForgetHalfLife = std::chrono::milliseconds(1500);
+
+  OutlierOptions Outliers{3, 5, 20, std::chrono::milliseconds(400),
+                          std::chrono::seconds(3)};
+};
+
+/// Chooses the replica of a service that is expected to answer first, by this
+/// process's own open attempts, relative latencies, and load reports.
+class ReplicaPlacement {
+public:
+  ReplicaPlacement(std::string dataCentre, std::mt19937_64 random,
+                   PlacementOptions options = {});
+
+  /// Draining replicas get no new work and stay known until they are gone.
+  void setReplicas(
+      const std::map<std::string, state::ReplicaRecord, std::less<>> &records,
+      TimePoint now);
+
+  /// `hasRoom` says whether a connection to the replica is free.
+  std::optional<state::ReplicaId>
+  choose(std::string_view service, std::span<const state::ReplicaId> tried,
+         const std::function<bool(std::string_view)> &hasRoom, TimePoint now);
+
+  /// Whether a usable replica besides `tried` exists, with or without room.
+  bool hasOther(std::string_view service,
+                std::span<const state::ReplicaId> tried, TimePoint now) const;
+
+  /// `expected` is the usual duration of such an attempt.
+  void onSent(std::string_view replica, Duration expected, TimePoint now);
+
+  /// Ends the attempt that was sent at `sentAt`.
+  void onEnded(std::string_view replica, TimePoint sentAt, Duration expected,
+               AttemptOutcome outcome, TimePoint now);
+  void onLoad(std::string_view replica, const ServerLoad &load, TimePoint now);
+
+  std::vector<state::ReplicaId> replicasOf(std::string_view service) const;
+  bool isStalled(std::string_view replica, TimePoint now) const;
+
+private:
+  struct OpenAttempt {
+    TimePoint SentAt;
+    TimePoint StalledAt;
+  };
+
+  struct ReplicaState {
+    state::ReplicaRecord Record;
+    bool IsLocal = false;
+    TimePoint ColdUntil = TimePoint::min();
+    double Relative = 1; ///< mean of latency / expected latency
+    TimePoint SampleAt = TimePoint::min();
+    std::vector<OpenAttempt> Open;
+    ServerLoad Load;
+    TimePoint LoadAt = TimePoint::min();
+  };
+
+  bool isUsable(const ReplicaState &replica, TimePoint now) const;
+  bool isStalled(const ReplicaState &replica, TimePoint now) const;
+  double relativeLatency(const ReplicaState &replica, TimePoint now) const;
+  double cost(const ReplicaState &replica, TimePoint now) const;
+
+  std::string DataCentre;
+  std::mt19937_64 Random;
+  PlacementOptions Options;
+  OutlierDetector Outliers;
+  StringMap<ReplicaState> Replicas;
+  StringMap<std::vector<state::ReplicaId>> Services; ///< usable by directory
+};
+
+} // namespace galenaflow::coordination
+
+#endif
--- a/src/coordination/retry_budget.h
+++ b/src/coordination/retry_budget.h
@@ -7,7 +7,8 @@
 
 struct TokenBudgetOptions {
   double Ratio = 0.05; ///< tokens earned by one primary sub-request
-  double Burst = 10;   ///< most tokens kept, and tokens at the start
+  double Burst = 10;   ///< most tokens kept
+  double Initial = -1; ///< tokens at the start; below zero: Burst
 };
 
 /// Bounds extra sub-requests: over any period, at most Ratio times the primary
@@ -15,7 +16,8 @@
 class TokenBudget {
 public:
   explicit TokenBudget(TokenBudgetOptions options = {})
-      : Options(options), Tokens(options.Burst) {}
+      : Options(options),
+        Tokens(options.Initial < 0 ? options.Burst : options.Initial) {}
 
   void onPrimariesSent(std::size_t n);
   bool tryTake();
--- /dev/null
+++ b/src/coordination/weighted_rotation.cc
@@ -0,0 +1,24 @@
+#include "coordination/weighted_rotation.h"
+
+#include <algorithm>
+#include <numeric>
+
+// Smooth weighted round robin: each target earns its weight, the richest is
+// chosen and pays the sum of all weights.
+
+namespace galenaflow::coordination {
+
+std::size_t WeightedRotation::next(std::span<const double> weights) {
+  if (!std::equal(weights.begin(), weights.end(), Weights.begin(),
+                  Weights.end())) {
+    Weights.assign(weights.begin(), weights.end());
+    Credits.assign(weights.size(), 0);
+  }
+  for (std::size_t i = 0; i != Weights.size(); ++i)
+    Credits[i] += Weights[i];
+  const auto richest = std::max_element(Credits.begin(), Credits.end());
+  *richest -= std::accumulate(Weights.begin(), Weights.end(), 0.0);
+  return static_cast<std::size_t>(richest - Credits.begin());
+}
+
+} // namespace galenaflow::coordination
--- /dev/null
+++ b/src/forwarding/directory_task.h
@@ -0,0 +1,90 @@
+#ifndef GALENAFLOW_FORWARDING_DIRECTORY_TASK_H
+#define GALENAFLOW_FORWARDING_DIRECTORY_TASK_H
+
+#include "coordination/directory_reader.h"
+#include "state/metrics.h"
+#include "state/replica_directory.h"
+#include "state/route_table.h"
+#include "transport/event_loop.h"
+
+#include <functional>
+#include <optional>
+#include <tl/expected.hpp>
+
+namespace galenaflow::forwarding {
+
+/// What one read of the operator's directory brought.
+struct DirectoryContent {
+  std::vector<state::DirectoryChange> Changes; ///< a full read removes nothing
+  state::RouteTablePtr Table;                  ///< null when not among them
+
+  /// Of the last change that was read; of the source for a full read.
+  std::optional<std::uint64_t> Revision;
+};
+
+enum class DirectoryFault {
+  Failed,      ///< no usable answer
+  HistoryLost, ///< the changes after the revision are no longer known
+};
+
+using DirectoryResult = tl::expected<DirectoryContent, DirectoryFault>;
+using DirectoryCallback = std::function<void(DirectoryResult)>;
+
+/// Where the operator publishes routes and backend servers register. One read
+/// is open at a time; the callback runs once, after the call has returned.
+class DirectorySource {
+public:
+  virtual ~DirectorySource() = default;
+  virtual void readAll(DirectoryCallback callback) = 0;
+  virtual void readChanges(std::uint64_t after, DirectoryCallback callback) = 0;
+};
+
+struct DirectoryListener {
+  std::function<void(const state::RouteTablePtr &)> Routes;
+  std::function<void(
+      const std::map<std::string, state::ReplicaRecord, std::less<>> &)>
+      Replicas;
+};
+
+/// Keeps this process's view of the directory up to date. The version of the
+/// routes never goes back.
+class DirectoryTask {
+public:
+  DirectoryTask(transport::EventLoop &loop, DirectorySource &source,
+                coordination::DirectoryReaderOptions options,
+                std::mt19937_64 random, DirectoryListener listener,
+                state::MetricRegistry &metrics);
+  ~DirectoryTask();
+  DirectoryTask(const DirectoryTask &) = delete;
+  DirectoryTask &operator=(const DirectoryTask &) = delete;
+
+  void start();
+
+  /// Routes and replicas have been read.
+  bool isReady() const { return Table != nullptr && Reader.hasRead(); }
+  state::Duration age() const { return Reader.age(Loop.now()); }
+
+private:
+  void tick();
+  void onAll(const DirectoryResult &result);
+  void onChanges(const DirectoryResult &result);
+  void onFault(DirectoryFault fault);
+  void take(const DirectoryContent &content, bool isFull, bool afterOutage);
+  void takeTable(const state::RouteTablePtr &table);
+
+  transport::EventLoop &Loop;
+  DirectorySource &Source;
+  coordination::DirectoryReader Reader;
+  state::ReplicaDirectory Directory;
+  state::RouteTablePtr Table;
+  DirectoryListener Listener;
+  transport::TimerId Timer = 0;
+  bool LastReadFailed = false;
+  state::Counter &Reads;
+  state::Counter &Failures;
+  state::Gauge &Version;
+};
+
+} // namespace galenaflow::forwarding
+
+#endif
--- /dev/null
+++ b/src/forwarding/forward_task.cc
@@ -0,0 +1,426 @@
+#include "forwarding/forward_task.h"
+
+#include "state/log.h"
+
+#include <algorithm>
+
+// A request that needs a connection waits at its service, not at a replica: the
+// replica is chosen when a connection is free, so no request waits for a paused
+// replica while another could take it.
+//
+// An attempt whose answer is no longer needed keeps its connection for a short
+// time when it belongs to a shard set, because a new connection costs a replica
+// about as much as the rest of the work. Work for a single replica lasts many
+// times longer than connecting and is cancelled at once.
+
+namespace galenaflow::forwarding {
+
+using coordination::AttemptEnd;
+using coordination::AttemptOutcome;
+using state::Duration;
+using state::ErrorCode;
+using state::TimePoint;
+
+namespace {
+
+/// Expected duration of an attempt before any was measured, as a part of the
+/// latency objective.
+constexpr int UnmeasuredParts = 6;
+
+/// Expected duration without an objective either.
+constexpr Duration UnmeasuredDuration = std::chrono::milliseconds(20);
+
+/// A hedge is sent after this part of the objective at the latest, so that the
+/// second replica has time to answer.
+constexpr double LatestHedge = 0.45;
+
+constexpr Duration EarliestHedge = std::chrono::milliseconds(2);
+
+AttemptOutcome outcomeOf(const ReplicaResult &result, bool cancelled) {
+  if (std::holds_alternative<coordination::BackendAnswer>(result.Ended))
+    return AttemptOutcome::Answered;
+  if (cancelled)
+    return AttemptOutcome::Cancelled;
+  const auto end = std::get<coordination::AttemptFailure>(result.Ended).End;
+  return end == AttemptEnd::Rejected && !result.WrongReplica
+             ? AttemptOutcome::NotRun
+             : AttemptOutcome::Failed;
+}
+
+} // namespace
+
+ForwardTask::ForwardTask(transport::EventLoop &loop, ReplicaProtocol &protocol,
+                         ForwardTaskOptions options,
+                         state::MetricRegistry &metrics)
+    : Loop(loop), Protocol(protocol), Options(std::move(options)),
+      Placement(Options.DataCentre, std::mt19937_64(Options.Seed)),
+      Hedges(metrics.counter("galenaflow_hedges_total",
+                             "Attempts sent beside one that is open")),
+      Retries(metrics.counter("galenaflow_retries_total",
+                              "Attempts sent after a failed one")),
+      BudgetRefusals(
+          metrics.counter("galenaflow_extra_budget_refusals_total",
+                          "Hedges and retries that the budget did not allow")),
+      Rejections(metrics.counter("galenaflow_replica_rejections_total",
+                                 "Attempts that replicas did not run")),
+      BrokenAttempts(metrics.counter("galenaflow_broken_attempts_total",
+                                     "Attempts without a usable response")) {
+  warmAll();
+}
+
+ForwardTask::~ForwardTask() {
+  Loop.cancel(WarmTimer);
+  for (const auto &[id, request] : Requests)
+    Loop.cancel(request->Timer);
+}
+
+void ForwardTask::setRoutes(const state::RouteTablePtr &table) {
+  Table = table;
+  for (const auto &[id, replica] : Replicas)
+    applyLimit(*replica);
+}
+
+void ForwardTask::applyLimit(Replica &replica) {
+  std::uint32_t share = 1;
+  if (Table) {
+    const auto it = Table->services().find(replica.Record.Service);
+    if (it != Table->services().end())
+      share = it->second.ConnectionLimit / Options.ExpectedDaemons;
+  }
+  replica.Pool.setLimit(std::clamp(share, 1U, Options.MaxConnections));
+}
+
+void ForwardTask::setReplicas(
+    const std::map<std::string, state::ReplicaRecord, std::less<>> &records) {
+  Placement.setReplicas(records, Loop.now());
+  for (auto it = Replicas.begin(); it != Replicas.end();) {
+    const auto record = records.find(it->first);
+    const Replica &known = *it->second;
+    if (record != records.end() &&
+        record->second.Address == known.Record.Address &&
+        record->second.Incarnation == known.Record.Incarnation) {
+      ++it;
+      continue;
+    }
+    // Open attempts keep the replica alive until they have ended.
+    Loop.post([gone = std::move(it->second)] {});
+    it = Replicas.erase(it);
+  }
+  for (const auto &[id, record] : records) {
+    const auto it = Replicas.find(id);
+    if (it != Replicas.end()) {
+      it->second->Record = record;
+      continue;
+    }
+    const auto address = transport::parseSocketAddress(record.Address);
+    if (!address) {
+      state::log::warning("replica_address_invalid",
+                          {{"replica", id}, {"address", record.Address}});
+      continue;
+    }
+    auto replica =
+        std::make_shared<Replica>(Loop, record, *address, Options.Pool);
+    replica->Pool.onFree(
+        [this, service = record.Service] { dispatchLater(service); });
+    applyLimit(*replica);
+    if (!record.Draining)
+      replica->Pool.warm(Options.WarmConnections);
+    Replicas.emplace(id, std::move(replica));
+  }
+  std::vector<std::string> waiting;
+  for (const auto &[service, queue] : Waiting)
+    if (!queue.empty())
+      waiting.push_back(service);
+  for (const std::string &service : waiting)
+    dispatchLater(service);
+}
+
+void ForwardTask::warmAll() {
+  for (const auto &[id, replica] : Replicas)
+    if (!replica->Record.Draining)
+      replica->Pool.warm(Options.WarmConnections);
+  WarmTimer = Loop.schedule(Options.WarmInterval, [this] { warmAll(); });
+}
+
+ForwardTask::Kind &ForwardTask::kindOf(const KindKey &key) {
+  auto &kind = Kinds[key];
+  if (!kind)
+    kind = std::make_unique<Kind>(Options.HedgeQuantile);
+  return *kind;
+}
+
+Duration ForwardTask::expectedOf(const KindKey &key) {
+  if (const auto median = kindOf(key).Median.value())
+    return *median;
+  const Duration objective = std::get<Duration>(key);
+  return objective.count() == 0 ? UnmeasuredDuration
+                                : objective / UnmeasuredParts;
+}
+
+coordination::ForwardOptions ForwardTask::optionsFor(
+    const state::RouteTablePtr &table, const state::Route &route,
+    std::vector<std::string> services, Duration left, Kind &kind) {
+  const TimePoint now = Loop.now();
+  coordination::ForwardOptions options;
+  options.Table = table;
+  options.Route = &route;
+  options.Services = std::move(services);
+  // Half of a very short time is used, so that there is an answer at all.
+  const Duration margin = std::min(Options.DeadlineMargin, left / 2);
+  options.DeadlineAt = now + std::min(left - margin, route.Timeout);
+  const Duration objective = route.LatencyObjective;
+  if (objective.count() == 0)
+    return options;
+  // The objective counts from the caller's first attempt. A shorter deadline
+  // than that of first attempts shows how long ago that was.
+  kind.LongestDeadline = std::max(kind.LongestDeadline, left);
+  const Duration before = kind.LongestDeadline - left;
+  if (route.isSharded())
+    options.PartialAt =
+        now + std::max(objective - before - Options.PartialMargin, Duration(0));
+  const Duration latest(static_cast<std::int64_t>(
+      LatestHedge * static_cast<double>(objective.count())));
+  options.HedgeAfter =
+      std::clamp(kind.Late.value().value_or(latest), EarliestHedge, latest);
+  return options;
+}
+
+ForwardId ForwardTask::forward(Operation operation,
+                               const state::RouteTablePtr &table,
+                               const state::Route &route,
+                               std::vector<std::string> services, Duration left,
+                               ForwardCallback callback) {
+  const KindKey key{route.isSharded(), route.LatencyObjective,
+                    route.Shards.TopK};
+  for (const std::string &service : services)
+    Budgets.try_emplace(service, Options.ExtraBudget)
+        .first->second.onPrimariesSent(1);
+  const ForwardId id = ++LastRequest;
+  coordination::ForwardPolicy &policy = *this;
+  auto created = std::make_unique<Request>(
+      std::move(operation),
+      optionsFor(table, route, std::move(services), left, kindOf(key)), policy);
+  Request &request = *created;
+  request.KindOf = key;
+  request.Callback = std::move(callback);
+  request.ArrivedAt = Loop.now();
+  request.CallerDeadline = Loop.now() + left;
+  Requests.emplace(id, std::move(created));
+  carryOut(id, request.Execution.start(Loop.now()));
+  return id;
+}
+
+void ForwardTask::cancel(ForwardId id) {
+  const auto it = Requests.find(id);
+  if (it == Requests.end())
+    return;
+  it->second->Callback = nullptr;
+  carryOut(id, it->second->Execution.onCallerGone(Loop.now()));
+}
+
+bool ForwardTask::tryTakeExtra(std::string_view service) {
+  const auto it = Budgets.find(service);
+  const bool taken = it != Budgets.end() && it->second.tryTake();
+  if (!taken)
+    BudgetRefusals.add();
+  return taken;
+}
+
+bool ForwardTask::hasOther(std::string_view service,
+                           std::span<const state::ReplicaId> tried) {
+  return Placement.hasOther(service, tried, Loop.now());
+}
+
+void ForwardTask::carryOut(ForwardId id, coordination::ForwardActions actions) {
+  for (auto &action : actions) {
+    const auto it = Requests.find(id);
+    if (it == Requests.end())
+      return;
+    Request &request = *it->second;
+    if (const auto *asked = std::get_if<coordination::AskReplica>(&action))
+      ask(id, request, *asked);
+    else if (const auto *dropped =
+                 std::get_if<coordination::DropAttempt>(&action))
+      drop(id, request, *dropped);
+    else if (const auto *timer = std::get_if<coordination::SetTimer>(&action))
+      armTimer(id, request, timer->At);
+    else
+      finish(id, std::move(std::get<coordination::FinishForward>(action)));
+  }
+}
+
+void ForwardTask::armTimer(ForwardId id, Request &request, TimePoint at) {
+  Loop.cancel(request.Timer);
+  request.Timer = Loop.schedule(at - Loop.now(), [this, id] {
+    const auto it = Requests.find(id);
+    if (it != Requests.end())
+      carryOut(id, it->second->Execution.onTimer(Loop.now()));
+  });
+}
+
+void ForwardTask::ask(ForwardId id, Request &request,
+                      const coordination::AskReplica &action) {
+  if (action.Kind == coordination::AttemptKind::Hedge)
+    Hedges.add();
+  if (action.Kind == coordination::AttemptKind::Retry)
+    Retries.add();
+  const auto &options = request.Execution.options();
+  const std::string &service = request.Execution.service(action.Part);
+  Waiting[service].insert({options.Route->Priority, options.DeadlineAt, id,
+                           action.Number, action.Part});
+  dispatchLater(service);
+}
+
+void ForwardTask::drop(ForwardId id, Request &request,
+                       const coordination::DropAttempt &action) {
+  const auto &options = request.Execution.options();
+  const auto sent = request.Attempts.find(action.Number);
+  if (sent == request.Attempts.end()) {
+    Waiting[request.Execution.service(action.Part)].erase(
+        {options.Route->Priority, options.DeadlineAt, id, action.Number,
+         action.Part});
+    return;
+  }
+  const auto it = Attempts.find(sent->second);
+  request.Attempts.erase(sent);
+  if (it == Attempts.end())
+    return;
+  it->second.Request = 0;
+  const ReplicaPtr target = it->second.Target;
+  if (options.Route->isSharded()) {
+    target->Pool.abandon(it->second.Exchange);
+    return;
+  }
+  it->second.CancelledAtOnce = true;
+  target->Pool.cancel(it->second.Exchange);
+}
+
+void ForwardTask::finish(ForwardId id, coordination::FinishForward action) {
+  const auto it = Requests.find(id);
+  const std::shared_ptr<Request> request = std::move(it->second);
+  Requests.erase(it);
+  Loop.cancel(request->Timer);
+  if (!request->Callback)
+    return;
+  ForwardResult result;
+  result.Ended = std::move(action.Result);
+  result.Counts = request->Execution.counts();
+  result.Elapsed = Loop.now() - request->ArrivedAt;
+  result.Left = request->CallerDeadline - Loop.now();
+  Loop.post([request, result = std::move(result)]() mutable {
+    request->Callback(std::move(result));
+  });
+}
+
+void ForwardTask::dispatchLater(const std::string &service) {
+  if (!DispatchPending.insert(service).second)
+    return;
+  Loop.post([this, service] {
+    DispatchPending.erase(service);
+    dispatch(service);
+  });
+}
+
+void ForwardTask::dispatch(const std::string &service) {
+  std::set<WaitKey> &queue = Waiting[service];
+  for (auto it = queue.begin(); it != queue.end();) {
+    const WaitKey key = *it;
+    // Attempts can be added or removed while one is sent.
+    if (dispatchOne(service, key))
+      queue.erase(key);
+    it = queue.upper_bound(key);
+  }
+}
+
+bool ForwardTask::dispatchOne(const std::string &service, const WaitKey &key) {
+  const auto it = Requests.find(key.Request);
+  if (it == Requests.end())
+    return true;
+  Request &request = *it->second;
+  const auto tried = request.Execution.triedReplicas(key.Part);
+  const auto hasRoom = [this](std::string_view id) {
+    const auto replica = Replicas.find(id);
+    return replica != Replicas.end() && replica->second->Pool.hasFree();
+  };
+  const auto chosen = Placement.choose(service, tried, hasRoom, Loop.now());
+  if (chosen)
+    return send(request, key, Replicas.at(*chosen));
+  if (Placement.hasOther(service, tried, Loop.now()))
+    return false;
+  carryOut(key.Request, request.Execution.onFailure(
+                            key.Number, {AttemptEnd::NotSent, {}}, Loop.now()));
+  return true;
+}
+
+bool ForwardTask::send(Request &request, const WaitKey &key,
+                       const ReplicaPtr &target) {
+  const TimePoint now = Loop.now();
+  const Duration left = key.DeadlineAt - now;
+  const AttemptId id = ++LastAttempt;
+  Attempt attempt;
+  attempt.Request = key.Request;
+  attempt.Number = key.Number;
+  attempt.Part = key.Part;
+  attempt.Target = target;
+  attempt.SentAt = now;
+  attempt.KindOf = request.KindOf;
+  attempt.Op = request.Op;
+  attempt.Expected = expectedOf(request.KindOf);
+  attempt.Exchange =
+      target->Pool.send(Protocol.encode(*request.Op, target->Record.Id, left),
+                        left, [this, id, target](transport::HttpResult result) {
+                          onEnded(id, std::move(result));
+                          // The pool must not be destroyed inside its own
+                          // callback.
+                          Loop.post([target] {});
+                        });
+  // The pool replaces a suspect connection and reports when it is ready.
+  if (attempt.Exchange == 0)
+    return false;
+  request.Attempts.emplace(key.Number, id);
+  Placement.onSent(target->Record.Id, attempt.Expected, now);
+  Attempts.emplace(id, std::move(attempt));
+  carryOut(key.Request,
+           request.Execution.onSent(key.Number, target->Record.Id, now));
+  return true;
+}
+
+void ForwardTask::onEnded(AttemptId id, transport::HttpResult result) {
+  const auto node = Attempts.extract(id);
+  if (node.empty())
+    return;
+  const Attempt &attempt = node.mapped();
+  const TimePoint now = Loop.now();
+  const auto request = Requests.find(attempt.Request);
+  ReplicaResult decoded = Protocol.decode(*attempt.Op, std::move(result));
+  const AttemptOutcome outcome = outcomeOf(decoded, attempt.CancelledAtOnce);
+  if (outcome == AttemptOutcome::Answered) {
+    Kind &kind = kindOf(attempt.KindOf);
+    kind.Median.add(now - attempt.SentAt);
+    kind.Late.add(now - attempt.SentAt);
+  } else if (outcome == AttemptOutcome::NotRun) {
+    Rejections.add();
+  } else if (outcome == AttemptOutcome::Failed) {
+    BrokenAttempts.add();
+  }
+  Placement.onEnded(attempt.Target->Record.Id, attempt.SentAt, attempt.Expected,
+                    outcome, now);
+  if (decoded.Load)
+    Placement.onLoad(attempt.Target->Record.Id, *decoded.Load, now);
+  if (request == Requests.end())
+    return;
+  request->second->Attempts.erase(attempt.Number);
+  auto &execution = request->second->Execution;
+  if (auto *answer = std::get_if<coordination::BackendAnswer>(&decoded.Ended))
+    carryOut(attempt.Request,
+             execution.onAnswer(attempt.Number, std::move(*answer), now));
+  else
+    carryOut(
+        attempt.Request,
+        execution.onFailure(
+            attempt.Number,
+            std::move(std::get<coordination::AttemptFailure>(decoded.Ended)),
+            now));
+}
+
+} // namespace galenaflow::forwarding
--- /dev/null
+++ b/src/forwarding/forward_task.h
@@ -0,0 +1,208 @@
+#ifndef GALENAFLOW_FORWARDING_FORWARD_TASK_H
+#define GALENAFLOW_FORWARDING_FORWARD_TASK_H
+
+#include "coordination/hedge_policy.h"
+#include "coordination/retry_budget.h"
+#include "forwarding/forward_protocol.h"
+#include "state/metrics.h"
+#include "transport/backend_pool.h"
+
+#include <compare>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+
+namespace galenaflow::forwarding {
+
+struct ForwardTaskOptions {
+  std::string DataCentre; ///< of this process
+
+  /// Daemons among which a replica's connection limit is divided. The platform
+  /// lists no daemons, so this is an upper bound of today's fleet with spares.
+  std::uint32_t ExpectedDaemons = 12;
+
+  /// Most connections to one replica, whatever its limit allows.
+  std::uint32_t MaxConnections = 8;
+
+  /// Connections opened to each replica ahead of need.
+  std::size_t WarmConnections = 1;
+
+  /// Interval at which missing warm connections are opened again.
+  state::Duration WarmInterval = std::chrono::seconds(1);
+
+  /// Arrivals beyond the first of each request. The operator allows 0.2 of the
+  /// requests over all daemons, and a slack that is left unused but for the
+  /// burst, because the number of daemons is not known.
+  coordination::TokenBudgetOptions ExtraBudget{0.18, 2, 0};
+
+  /// Quantile of attempt latencies after which another replica is asked.
+  double HedgeQuantile = 0.9;
+
+  /// Time before the caller's latency objective at which a partial answer goes
+  /// out: the way to the caller and back, and the merge.
+  state::Duration PartialMargin = std::chrono::milliseconds(9);
+
+  /// Time before the deadline at which the final answer goes out.
+  state::Duration DeadlineMargin = std::chrono::milliseconds(8);
+
+  transport::BackendPoolOptions Pool;
+  std::uint64_t Seed = 1;
+};
+
+/// How a request has ended.
+struct ForwardResult {
+  std::variant<coordination::BackendAnswer, coordination::MergedAnswer,
+               coordination::ForwardFailure>
+      Ended;
+  coordination::ForwardCounts Counts;
+  state::Duration Elapsed{0};
+  state::Duration Left{0}; ///< until the caller's deadline
+};
+
+using ForwardCallback = std::function<void(ForwardResult)>;
+
+/// Identifies an open request. Zero names none.
+using ForwardId = std::uint64_t;
+
+/// Owns the connections to all replicas and the open requests.
+class ForwardTask final : private coordination::ForwardPolicy {
+public:
+  ForwardTask(transport::EventLoop &loop, ReplicaProtocol &protocol,
+              ForwardTaskOptions options, state::MetricRegistry &metrics);
+  ~ForwardTask() override;
+  ForwardTask(const ForwardTask &) = delete;
+  ForwardTask &operator=(const ForwardTask &) = delete;
+
+  void setRoutes(const state::RouteTablePtr &table);
+  void setReplicas(
+      const std::map<std::string, state::ReplicaRecord, std::less<>> &records);
+
+  /// Forwards a request on `route` of `table` to `services`: one, or the shard
+  /// set. `left` is the time until the caller's deadline. The callback runs
+  /// once, unless the request is cancelled, and not before this returns.
+  ForwardId forward(Operation operation, const state::RouteTablePtr &table,
+                    const state::Route &route,
+                    std::vector<std::string> services, state::Duration left,
+                    ForwardCallback callback);
+
+  /// The caller has left: its work at replicas ends.
+  void cancel(ForwardId id);
+
+  std::size_t openRequests() const { return Requests.size(); }
+
+private:
+  /// Requests of one kind take a similar time; a kind outlives the versions of
+  /// its route.
+  using KindKey = std::tuple<bool, state::Duration, std::uint32_t>;
+
+  struct Kind {
+    explicit Kind(double hedgeQuantile) : Late(hedgeQuantile) {}
+    coordination::LatencyQuantile Median{0.5, 400};
+    coordination::LatencyQuantile Late;
+    /// Time that callers give their first attempt.
+    state::Duration LongestDeadline{0};
+  };
+
+  struct Replica {
+    Replica(transport::EventLoop &loop, const state::ReplicaRecord &record,
+            const transport::SocketAddress &address,
+            const transport::BackendPoolOptions &pool)
+        : Record(record), Pool(loop, address, pool) {}
+    state::ReplicaRecord Record;
+    transport::BackendPool Pool;
+  };
+  using ReplicaPtr = std::shared_ptr<Replica>;
+
+  using AttemptId = std::uint64_t;
+
+  struct Attempt {
+    ForwardId Request = 0; ///< zero once dropped
+    coordination::AttemptNumber Number = 0;
+    std::uint32_t Part = 0;
+    ReplicaPtr Target;
+    transport::ExchangeId Exchange = 0;
+    state::TimePoint SentAt;
+    state::Duration Expected{0};
+    KindKey KindOf;
+    std::shared_ptr<const Operation> Op;
+    bool CancelledAtOnce = false;
+  };
+
+  struct Request {
+    Request(Operation operation, coordination::ForwardOptions options,
+            coordination::ForwardPolicy &policy)
+        : Op(std::make_shared<const Operation>(std::move(operation))),
+          Execution(std::move(options), policy) {}
+    std::shared_ptr<const Operation> Op;
+    coordination::ForwardExecution Execution;
+    KindKey KindOf;
+    ForwardCallback Callback;
+    state::TimePoint ArrivedAt;
+    state::TimePoint CallerDeadline;
+    transport::TimerId Timer = 0;
+    std::map<coordination::AttemptNumber, AttemptId> Attempts; ///< sent
+  };
+
+  /// Attempts that wait for a connection: urgent first, then by deadline.
+  struct WaitKey {
+    int Priority = 0;
+    state::TimePoint DeadlineAt;
+    ForwardId Request = 0;
+    coordination::AttemptNumber Number = 0;
+    std::uint32_t Part = 0;
+    auto operator<=>(const WaitKey &) const = default;
+  };
+
+  bool tryTakeExtra(std::string_view service) override;
+  bool hasOther(std::string_view service,
+                std::span<const state::ReplicaId> tried) override;
+
+  Kind &kindOf(const KindKey &key);
+  state::Duration expectedOf(const KindKey &key);
+  coordination::ForwardOptions optionsFor(const state::RouteTablePtr &table,
+                                          const state::Route &route,
+                                          std::vector<std::string> services,
+                                          state::Duration left, Kind &kind);
+  void carryOut(ForwardId id, coordination::ForwardActions actions);
+  void ask(ForwardId id, Request &request,
+           const coordination::AskReplica &action);
+  void drop(ForwardId id, Request &request,
+            const coordination::DropAttempt &action);
+  void finish(ForwardId id, coordination::FinishForward action);
+  void armTimer(ForwardId id, Request &request, state::TimePoint at);
+  void dispatch(const std::string &service);
+  void dispatchLater(const std::string &service);
+  bool dispatchOne(const std::string &service, const WaitKey &key);
+  bool send(Request &request, const WaitKey &key, const ReplicaPtr &target);
+  void onEnded(AttemptId id, transport::HttpResult result);
+  void applyLimit(Replica &replica);
+  void warmAll();
+
+  transport::EventLoop &Loop;
+  ReplicaProtocol &Protocol;
+  ForwardTaskOptions Options;
+  coordination::ReplicaPlacement Placement;
+  state::RouteTablePtr Table;
+  std::map<std::string, ReplicaPtr, std::less<>> Replicas;
+  std::map<std::string, coordination::TokenBudget, std::less<>> Budgets;
+  std::map<std::string, std::set<WaitKey>, std::less<>> Waiting;
+  std::set<std::string, std::less<>> DispatchPending;
+  std::map<KindKey, std::unique_ptr<Kind>> Kinds;
+  std::unordered_map<ForwardId, std::unique_ptr<Request>> Requests;
+  std::unordered_map<AttemptId, Attempt> Attempts;
+  ForwardId LastRequest = 0;
+  AttemptId LastAttempt = 0;
+  transport::TimerId WarmTimer = 0;
+  state::Counter &Hedges;
+  state::Counter &Retries;
+  state::Counter &BudgetRefusals;
+  state::Counter &Rejections;
+  state::Counter &BrokenAttempts;
+};
+
+} // namespace galenaflow::forwarding
+
+#endif
--- /dev/null
+++ b/src/state/replica_directory.cc
@@ -0,0 +1,79 @@
+#include "state/replica_directory.h"
+
+#include <algorithm>
+#include <set>
+
+// After an outage of the source, removals are believed only when the grace time
+// has passed without a new registration. Removals that arrive within the grace
+// time are held as well, since the changes of the outage can come in parts.
+
+namespace galenaflow::state {
+
+bool ReplicaDirectory::put(const ReplicaRecord &record) {
+  Lapsing.erase(record.Id);
+  const auto [it, added] = Records.try_emplace(record.Id, record);
+  if (added)
+    return true;
+  const bool changed = !it->second.isSameFor(record);
+  it->second = record;
+  return changed;
+}
+
+bool ReplicaDirectory::remove(std::string_view id, bool afterOutage,
+                              TimePoint now) {
+  const auto it = Records.find(id);
+  if (it == Records.end())
+    return false;
+  if (!afterOutage && now >= GraceUntil) {
+    Lapsing.erase(it->first);
+    Records.erase(it);
+    return true;
+  }
+  Lapsing.try_emplace(it->first, GraceUntil);
+  return false;
+}
+
+bool ReplicaDirectory::replaceAll(const std::vector<ReplicaRecord> &records,
+                                  bool afterOutage, TimePoint now) {
+  if (afterOutage)
+    GraceUntil = now + Options.LapseGrace;
+  bool changed = false;
+  std::set<std::string_view> listed;
+  for (const ReplicaRecord &record : records) {
+    listed.insert(record.Id);
+    changed |= put(record);
+  }
+  std::vector<std::string> missing;
+  for (const auto &[id, record] : Records)
+    if (!listed.contains(id))
+      missing.push_back(id);
+  for (const std::string &id : missing)
+    changed |= remove(id, afterOutage, now);
+  return changed;
+}
+
+bool ReplicaDirectory::apply(const std::vector<DirectoryChange> &changes,
+                             bool afterOutage, TimePoint now) {
+  if (afterOutage)
+    GraceUntil = now + Options.LapseGrace;
+  bool changed = false;
+  for (const DirectoryChange &change : changes)
+    changed |= change.Removed ? remove(change.Id, afterOutage, now)
+                              : put(change.Record);
+  return changed;
+}
+
+bool ReplicaDirectory::expire(TimePoint now) {
+  bool changed = false;
+  for (auto it = Lapsing.begin(); it != Lapsing.end();) {
+    if (it->second > now) {
+      ++it;
+      continue;
+    }
+    changed |= Records.erase(it->first) != 0;
+    it = Lapsing.erase(it);
+  }
+  return changed;
+}
+
+} // namespace galenaflow::state
--- /dev/null
+++ b/src/state/route_table.cc
@@ -0,0 +1,54 @@
+#include "state/route_table.h"
+
+#include <algorithm>
+
+// A path is looked up by its own prefixes, longest first, each of which ends
+// with a slash. The cost depends on the depth of the path and not on the number
+// of routes, which a configuration change can raise by hundreds.
+
+namespace galenaflow::state {
+
+namespace {
+
+std::string hostKey(std::string_view host) {
+  if (const auto colon = host.rfind(':');
+      colon != std::string_view::npos && host.back() != ']')
+    host = host.substr(0, colon);
+  std::string key(host);
+  std::transform(key.begin(), key.end(), key.begin(), [](unsigned char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A'))
+                                : static_cast<char>(c);
+  });
+  return key;
+}
+
+} // namespace
+
+RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes,
+                       std::vector<RoutedService> services, CallerLimits limits)
+    : Version(version), Routes(std::move(routes)), Limits(limits) {
+  for (RoutedService &service : services) {
+    std::string name = service.Name;
+    Services.emplace(std::move(name), std::move(service));
+  }
+  for (const Route &route : Routes)
+    ByHost[hostKey(route.Host)].emplace(route.Prefix, &route);
+}
+
+const Route *RouteTable::match(std::string_view host,
+                               std::string_view path) const {
+  const auto routes = ByHost.find(hostKey(host));
+  if (routes == ByHost.end())
+    return nullptr;
+  path = path.substr(0, path.find('?'));
+  for (auto slash = path.rfind('/'); slash != std::string_view::npos;
+       slash = slash == 0 ? std::string_view::npos
+                          : path.rfind('/', slash - 1)) {
+    const auto it = routes->second.find(path.substr(0, slash + 1));
+    if (it != routes->second.end())
+      return it->second;
+  }
+  return nullptr;
+}
+
+} // namespace galenaflow::state
--- /dev/null
+++ b/src/state/route_table.h
@@ -0,0 +1,98 @@
+#ifndef GALENAFLOW_STATE_ROUTE_TABLE_H
+#define GALENAFLOW_STATE_ROUTE_TABLE_H
+
+#include "state/clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Where requests of a published configuration go.
+namespace galenaflow::state {
+
+/// A service with its part of a route's requests.
+struct WeightedTarget {
+  std::string Service;
+  double Weight = 1;
+};
+
+/// Asks one replica of every service and merges the parts.
+struct ShardSet {
+  std::vector<std::string> Services;
+  std::uint32_t TopK = 0;   ///< records in the answer
+  double MinShardRatio = 1; ///< an answer with fewer parts is a failure
+};
+
+struct Route {
+  std::string Name;
+  std::string Host;
+  std::string Prefix; ///< begins and ends with a slash
+
+  /// Whether a request may run more than once.
+  bool IsIdempotent = false;
+
+  /// Replicas that may run one request, for a shard set in each shard.
+  std::uint32_t MaxAttempts = 1;
+
+  Duration Timeout{0};          ///< longest time without a final answer
+  Duration LatencyObjective{0}; ///< zero: none
+  int Priority = 0;             ///< 0 is the most urgent
+
+  /// One of the two is empty.
+  std::vector<WeightedTarget> Targets;
+  ShardSet Shards;
+
+  bool isSharded() const { return !Shards.Services.empty(); }
+};
+
+struct RoutedService {
+  std::string Name;
+  std::uint32_t ConnectionLimit = 1; ///< of each replica, over all callers
+};
+
+/// Bounds on what callers may send.
+struct CallerLimits {
+  std::size_t MaxHeaderBytes = std::size_t{16} << 10;
+  std::size_t MaxBodyBytes = std::size_t{256} << 10;
+  Duration HeaderTimeout = std::chrono::seconds(3);
+  Duration IdleTimeout = std::chrono::seconds(15);
+};
+
+/// All routes of one version. Immutable once published.
+class RouteTable {
+public:
+  RouteTable(std::uint64_t version, std::vector<Route> routes,
+             std::vector<RoutedService> services, CallerLimits limits);
+
+  std::uint64_t version() const { return Version; }
+  const CallerLimits &limits() const { return Limits; }
+  const std::vector<Route> &routes() const { return Routes; }
+  const std::map<std::string, RoutedService, std::less<>> &services() const {
+    return Services;
+  }
+
+  /// The route of `host` with the longest prefix of `path`; a port in `host`
+  /// and a query in `path` are ignored. Null when there is none.
+  const Route *match(std::string_view host, std::string_view path) const;
+
+private:
+  std::uint64_t Version;
+  std::vector<Route> Routes;
+  std::map<std::string, RoutedService, std::less<>> Services;
+  CallerLimits Limits;
+
+  /// Routes of each host in lower case, by prefix.
+  std::map<std::string, std::map<std::string, const Route *, std::less<>>,
+           std::less<>>
+      ByHost;
+};
+
+using RouteTablePtr = std::shared_ptr<const RouteTable>;
+
+} // namespace galenaflow::state
+
+#endif
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -8,7 +8,7 @@
   python3 catch2 flatbuffers-compiler libabsl-dev libboost-dev
   libclang-rt-14-dev libexpected-dev
   libflatbuffers-dev libh2o-evloop-dev librapidcheck-dev libspdlog-dev
-  libssl-dev libxxhash-dev nlohmann-json3-dev zlib1g-dev
+  libssl-dev libxxhash-dev libyaml-cpp-dev nlohmann-json3-dev zlib1g-dev
 )
 
 missing=()
