Test the platform path without the bench, and retry misdirected requests

Cause: the whole path had no tests that need no bench.

Ruled out: tokens at the start, which add up over restarts of a large fleet.

--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -24,6 +24,12 @@
 /// without end.
 constexpr std::size_t MaxFreeAttempts = 2;
 
+/// Whether an attempt that ended so left no work at its service.
+bool leftNoWork(AttemptEnd end) {
+  return end == AttemptEnd::Rejected || end == AttemptEnd::Misdirected ||
+         end == AttemptEnd::NotSent;
+}
+
 /// A hedge that lacks a token is tried again after this time; tokens are earned
 /// with each request of the service.
 constexpr Duration HedgeTokenWait = std::chrono::milliseconds(10);
@@ -141,9 +147,7 @@
   Part &part = Parts[index];
   attempt->Open = false;
   --part.Open;
-  const bool gaveBack =
-      failure.End == AttemptEnd::Rejected || failure.End == AttemptEnd::NotSent;
-  if (gaveBack && attempt->Sent)
+  if (leftNoWork(failure.End) && attempt->Sent)
     --part.Runs;
   if (failure.End == AttemptEnd::Rejected) {
     ++Counts.Rejections;
@@ -172,7 +176,7 @@
 
 bool ForwardExecution::resend(std::uint32_t index, AttemptEnd end) {
   Part &part = Parts[index];
-  const bool isFree = end == AttemptEnd::Rejected || end == AttemptEnd::NotSent;
+  const bool isFree = leftNoWork(end);
   const std::string &service = Options.Services[index];
   if (isFree &&
       part.Tried.size() >= Options.Route->MaxAttempts + MaxFreeAttempts)
@@ -181,8 +185,11 @@
     return false;
   if (!Policy.hasOther(service, part.Tried))
     return false;
-  // A request that never left is no arrival at the service.
-  if (end != AttemptEnd::NotSent && !Policy.tryTakeExtra(service))
+  // A request that never left, or that reached another service, is no arrival
+  // at this one. A replica's address is lost only once, so this is bounded.
+  const bool hasArrived =
+      end != AttemptEnd::NotSent && end != AttemptEnd::Misdirected;
+  if (hasArrived && !Policy.tryTakeExtra(service))
     return false;
   part.HedgeAt = TimePoint::max();
   ask(index, AttemptKind::Retry);
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -26,10 +26,11 @@
 
 /// What is known of an attempt that brought no success.
 enum class AttemptEnd {
-  Rejected, ///< arrived; the replica says that it did not run
-  NotSent,  ///< certainly no byte reached the replica
-  Failed,   ///< ran, and the replica answered with a failure
-  Unknown,  ///< sent; may have run
+  Rejected,    ///< arrived; the replica says that it did not run
+  Misdirected, ///< another replica has the address, and did not run it
+  NotSent,     ///< certainly no byte reached the replica
+  Failed,      ///< ran, and the replica answered with a failure
+  Unknown,     ///< sent; may have run
 };
 
 struct AttemptFailure {
--- a/src/coordination/replica_placement.cc
+++ b/src/coordination/replica_placement.cc
@@ -74,7 +74,8 @@
 
 bool ReplicaPlacement::isUsable(const ReplicaState &replica,
                                 TimePoint now) const {
-  return !replica.Record.Draining && Outliers.mayUse(replica.Record.Id, now);
+  return !replica.Record.Draining && !replica.IsMisdirected &&
+         Outliers.mayUse(replica.Record.Id, now);
 }
 
 bool ReplicaPlacement::isStalled(const ReplicaState &replica,
@@ -203,6 +204,12 @@
   it->second.LoadAt = now;
 }
 
+void ReplicaPlacement::onMisdirected(std::string_view replica) {
+  const auto it = Replicas.find(replica);
+  if (it != Replicas.end())
+    it->second.IsMisdirected = true;
+}
+
 std::vector<state::ReplicaId>
 ReplicaPlacement::replicasOf(std::string_view service) const {
   const auto it = Services.find(service);
--- a/src/coordination/replica_placement.h
+++ b/src/coordination/replica_placement.h
@@ -81,6 +81,10 @@
                AttemptOutcome outcome, TimePoint now);
   void onLoad(std::string_view replica, const ServerLoad &load, TimePoint now);
 
+  /// Another replica answers at the address. The replica is not used again
+  /// before the directory says that it has started anew or elsewhere.
+  void onMisdirected(std::string_view replica);
+
   std::vector<state::ReplicaId> replicasOf(std::string_view service) const;
   bool isStalled(std::string_view replica, TimePoint now) const;
 
@@ -93,6 +97,7 @@
   struct ReplicaState {
     state::ReplicaRecord Record;
     bool IsLocal = false;
+    bool IsMisdirected = false;
     TimePoint ColdUntil = TimePoint::min();
     double Relative = 1; ///< mean of latency / expected latency
     TimePoint SampleAt = TimePoint::min();
--- a/src/forwarding/forward_protocol.h
+++ b/src/forwarding/forward_protocol.h
@@ -25,9 +25,6 @@
 struct ReplicaResult {
   std::variant<coordination::BackendAnswer, coordination::AttemptFailure> Ended;
   std::optional<coordination::ServerLoad> Load;
-
-  /// Another replica has the address.
-  bool WrongReplica = false;
 };
 
 /// How replicas are spoken to.
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -42,11 +42,17 @@
   if (cancelled)
     return AttemptOutcome::Cancelled;
   const auto end = std::get<coordination::AttemptFailure>(result.Ended).End;
-  return end == AttemptEnd::Rejected && !result.WrongReplica
+  return end == AttemptEnd::Rejected || end == AttemptEnd::Misdirected
              ? AttemptOutcome::NotRun
              : AttemptOutcome::Failed;
 }
 
+bool isMisdirected(const ReplicaResult &result) {
+  const auto *failure =
+      std::get_if<coordination::AttemptFailure>(&result.Ended);
+  return failure != nullptr && failure->End == AttemptEnd::Misdirected;
+}
+
 } // namespace
 
 ForwardTask::ForwardTask(transport::EventLoop &loop, ReplicaProtocol &protocol,
@@ -405,7 +411,12 @@
   }
   Placement.onEnded(attempt.Target->Record.Id, attempt.SentAt, attempt.Expected,
                     outcome, now);
-  if (decoded.Load)
+  if (isMisdirected(decoded)) {
+    state::log::info("replica_misdirected",
+                     {{"replica", attempt.Target->Record.Id},
+                      {"address", attempt.Target->Record.Address}});
+    Placement.onMisdirected(attempt.Target->Record.Id);
+  } else if (decoded.Load)
     Placement.onLoad(attempt.Target->Record.Id, *decoded.Load, now);
   if (request == Requests.end())
     return;
--- /dev/null
+++ b/tests/directory_reader_test.cc
@@ -0,0 +1,100 @@
+#include "coordination/directory_reader.h"
+
+#include <catch2/catch.hpp>
+
+using namespace galenaflow::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture {
+  TimePoint Now{1h};
+  DirectoryReaderOptions Options;
+  DirectoryReader Reader{Options, std::mt19937_64(1), Now};
+
+  /// Advances to the next read and returns it.
+  DirectoryRead next() {
+    Now = std::max(Now, Reader.nextAt());
+    const auto read = Reader.poll(Now);
+    REQUIRE(read);
+    return *read;
+  }
+};
+
+} // namespace
+
+TEST_CASE("all is read first and then changes, at the period") {
+  Fixture it;
+  CHECK(it.next() == DirectoryRead::All);
+  CHECK_FALSE(it.Reader.poll(it.Now));
+  CHECK_FALSE(it.Reader.onAll(40, it.Now));
+  const TimePoint start = it.Now;
+  CHECK(it.next() == DirectoryRead::Changes);
+  CHECK(it.Now - start == it.Options.Period);
+  it.Now += 300ms;
+  CHECK_FALSE(it.Reader.onChanges(45, it.Now));
+  CHECK(it.Reader.revision() == 45);
+  it.next();
+  CHECK(it.Now - start == 2 * it.Options.Period);
+}
+
+// Guards against changes that a source hides for a while: its own revision may
+// be ahead of the last change that it has shown.
+TEST_CASE("an answer without changes leaves the revision") {
+  Fixture it;
+  it.next();
+  it.Reader.onAll(40, it.Now);
+  it.next();
+  it.Reader.onChanges(std::nullopt, it.Now);
+  CHECK(it.Reader.revision() == 40);
+}
+
+TEST_CASE("lost history leads to a full read at once") {
+  Fixture it;
+  it.next();
+  it.Reader.onAll(40, it.Now);
+  it.next();
+  it.Reader.onHistoryLost(it.Now);
+  CHECK(it.Reader.nextAt() == it.Now);
+  CHECK(it.next() == DirectoryRead::All);
+  CHECK_FALSE(it.Reader.onAll(90, it.Now));
+  CHECK(it.Reader.revision() == 90);
+}
+
+TEST_CASE("failed reads are repeated with a growing, bounded wait, and a "
+          "success after a long gap is reported") {
+  Fixture it;
+  it.next();
+  it.Reader.onAll(40, it.Now);
+  const TimePoint success = it.Now;
+  int failures = 0;
+  while (it.Now < success + 10s) {
+    it.next();
+    it.Reader.onFailure(it.Now);
+    const Duration wait = it.Reader.nextAt() - it.Now;
+    CHECK(wait >= it.Options.MinBackoff / 2);
+    CHECK(wait <= it.Options.MaxBackoff);
+    ++failures;
+  }
+  // Nine seconds with waits between one half and all of a second.
+  CHECK(failures <= 24);
+  it.next();
+  CHECK(it.Reader.onChanges(41, it.Now));
+  it.next();
+  CHECK_FALSE(it.Reader.onChanges(42, it.Now));
+}
+
+// The operator's bound is 3 s; a lost read must leave time for another.
+TEST_CASE("a single lost read does not make the view older than 2.5 s") {
+  Fixture it;
+  it.next();
+  it.Reader.onAll(40, it.Now);
+  const TimePoint success = it.Now;
+  it.next();
+  it.Now += 700ms;
+  it.Reader.onFailure(it.Now);
+  it.next();
+  it.Now += 50ms;
+  it.Reader.onChanges(41, it.Now);
+  CHECK(it.Now - success < 2500ms);
+}
--- /dev/null
+++ b/tests/platform/codec_test.cc
@@ -0,0 +1,239 @@
+#include "platform/caller_codec.h"
+#include "platform/metadata_store.h"
+#include "platform/replica_codec.h"
+#include "platform/store_codec.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace galenaflow;
+using namespace galenaflow::platform;
+using coordination::AttemptEnd;
+using coordination::AttemptFailure;
+using coordination::BackendAnswer;
+
+namespace {
+
+constexpr std::string_view Config = R"({"version":7,"routes":[
+ {"name":"r1","host":"h","prefix":"/a/","route_type":"safe","timeout_ms":250,
+  "target_latency_ms":40,"priority":2,"fanout":["s1","s2"],"max_attempts":2,
+  "top_k":5,"min_shard_ratio":0.75},
+ {"name":"r2","host":"h","prefix":"/b/","route_type":"unsafe",
+  "timeout_ms":1500,"service":"s1"},
+ {"name":"r3","host":"h","prefix":"/c/","route_type":"safe",
+  "timeout_ms":1500,"traffic_split":[{"service":"s1","weight":3},
+  {"service":"s2","weight":1.5}]}],
+ "services":[{"name":"s1","health_path":"/health","max_conns":26}],
+ "limits":{"max_header_bytes":100,"max_body_bytes":200,
+ "header_timeout_ms":3000,"idle_timeout_ms":15000},"future":1})";
+
+transport::HttpResponse
+response(int status, std::vector<std::pair<std::string, std::string>> headers) {
+  transport::HttpResponse it;
+  it.Status = status;
+  for (const auto &[name, value] : headers)
+    it.Headers.add(name, value);
+  return it;
+}
+
+AttemptEnd endOf(transport::HttpResult result) {
+  const auto decoded = ReplicaCodec().decode({}, std::move(result));
+  return std::get<AttemptFailure>(decoded.Ended).End;
+}
+
+} // namespace
+
+TEST_CASE("a configuration becomes routes, services and limits") {
+  const auto table = decodeRoutes(Config);
+  REQUIRE(table);
+  CHECK((*table)->version() == 7);
+  const state::Route *sharded = (*table)->match("h", "/a/x");
+  REQUIRE(sharded);
+  CHECK(sharded->IsIdempotent);
+  CHECK(sharded->Shards.Services == std::vector<std::string>{"s1", "s2"});
+  CHECK(sharded->Shards.TopK == 5);
+  CHECK(sharded->Shards.MinShardRatio == Approx(0.75));
+  CHECK(sharded->LatencyObjective == std::chrono::milliseconds(40));
+  CHECK_FALSE((*table)->match("h", "/b/x")->IsIdempotent);
+  CHECK((*table)->match("h", "/b/x")->MaxAttempts == 1);
+  const state::Route *split = (*table)->match("h", "/c/x");
+  REQUIRE(split->Targets.size() == 2);
+  CHECK(split->Targets[1].Weight == Approx(1.5));
+  CHECK((*table)->services().at("s1").ConnectionLimit == 26);
+  CHECK((*table)->limits().MaxBodyBytes == 200);
+}
+
+TEST_CASE("a faulty configuration is refused with all findings") {
+  const auto table = decodeRoutes(
+      R"({"routes":[{"host":"h","prefix":"/a/","route_type":"maybe",
+          "timeout_ms":"x"}]})");
+  REQUIRE_FALSE(table);
+  std::vector<std::string> places;
+  for (const state::Finding &finding : table.error().items())
+    places.push_back(finding.Place);
+  CHECK(places == std::vector<std::string>{"/version", "/routes/0/route_type",
+                                           "/routes/0/timeout_ms",
+                                           "/routes/0/service"});
+}
+
+TEST_CASE("an entry of another writer names no replica") {
+  constexpr std::string_view Good =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":2,
+          "state":"draining","cold_left_ms":5,"seq":1,"born":12})";
+  const auto record = decodeReplica("i-1", Good);
+  REQUIRE(record);
+  CHECK(record->Draining);
+  CHECK(record->Incarnation == 12);
+  CHECK(record->ColdLeft == std::chrono::milliseconds(5));
+  for (
+      const std::string_view bad :
+      {"", "[]", "{}", "\xff\xfe",
+       R"({"service":"s","address":"x","zone":"z","slots":2,"state":"ready"})",
+       R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":"2","state":"ready"})",
+       R"({"service":7,"address":"1.1.1.1:1","zone":"z","slots":2,"state":"ready"})",
+       R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":2,"state":"gone"})",
+       R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":2,"state":"ready","born":"x"})"}) {
+    INFO(bad);
+    CHECK_FALSE(decodeReplica("i-1", bad));
+  }
+}
+
+TEST_CASE("changes keep the revision of the last one and unreadable values "
+          "remove") {
+  const std::string value = standin::encodeBase64(
+      R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":1,"state":"ready"})");
+  const auto content = decodeChanges(
+      R"({"events":[{"key":"servers/a","value":")" + value +
+      R"(","rev":5},{"key":"servers/b","rev":6,"removed":true},)" +
+      R"({"key":"servers/c","value":"!!!!","rev":7},)" +
+      R"({"key":"other/x","value":"","rev":8},{"rev":9},3],)" +
+      R"("store_revision":20})");
+  REQUIRE(content);
+  CHECK(content->Revision == 9U);
+  REQUIRE(content->Changes.size() == 3);
+  CHECK_FALSE(content->Changes[0].Removed);
+  CHECK(content->Changes[1].Removed);
+  CHECK(content->Changes[2].Removed);
+  CHECK_FALSE(decodeChanges("{}"));
+  CHECK_FALSE(decodePage(R"({"items":[]})"));
+}
+
+TEST_CASE("no bytes of the store make a decoder throw") {
+  rc::check([](std::uint16_t at, char byte) {
+    std::string text(Config);
+    text[at % text.size()] = byte;
+    static_cast<void>(decodeRoutes(text));
+    static_cast<void>(decodePage(text));
+    static_cast<void>(decodeChanges(text));
+    static_cast<void>(decodeReplica("i", text));
+    static_cast<void>(decodeLoad(text));
+  });
+}
+
+TEST_CASE("a replica's load report has three or four numbers") {
+  const auto load = decodeLoad("3, 0,8,250");
+  REQUIRE(load);
+  CHECK(load->Running == 3);
+  CHECK(load->Slots == 8);
+  CHECK(load->Slowness == Approx(2.5));
+  CHECK(decodeLoad("1,2,2")->Slowness == Approx(1));
+  for (const std::string_view bad : {"", "1,2", "1,2,0", "a,b,c", "1;2;3"})
+    CHECK_FALSE(decodeLoad(bad));
+}
+
+// What a response says of its request decides whether it may run again.
+TEST_CASE("responses are classed as run, not run or unknown") {
+  CHECK(endOf(response(503, {{"X-Not-Executed", "1"}})) ==
+        AttemptEnd::Rejected);
+  CHECK(endOf(response(421, {})) == AttemptEnd::Misdirected);
+  CHECK(endOf(response(503, {})) == AttemptEnd::Failed);
+  CHECK(endOf(response(500, {{"X-Response-Seal", "s"}})) == AttemptEnd::Failed);
+  CHECK(endOf(response(200, {})) == AttemptEnd::Unknown);
+  CHECK(endOf(response(
+            200, {{"X-Response-Seal", "s"}, {"Content-Encoding", "gzip"}})) ==
+        AttemptEnd::Unknown);
+  const state::Error cause{state::ErrorCode::Unavailable, ""};
+  CHECK(endOf(tl::unexpected(transport::HttpFailure{cause, false})) ==
+        AttemptEnd::NotSent);
+  CHECK(endOf(tl::unexpected(transport::HttpFailure{cause, true})) ==
+        AttemptEnd::Unknown);
+  const auto good = ReplicaCodec().decode(
+      {},
+      response(200, {{"X-Response-Seal", "s"}, {"X-Server-Load", "1,0,2"}}));
+  CHECK(std::get<BackendAnswer>(good.Ended).Signature == "s");
+  CHECK(good.Load);
+}
+
+TEST_CASE("a request goes to its replica unchanged but for its own headers") {
+  transport::HttpRequest incoming;
+  incoming.Method = "POST";
+  incoming.Path = "/a/1?q=2";
+  incoming.Host = "shop.example";
+  incoming.Body = "body";
+  for (const auto &[name, value] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"X-Request-Id", "id"},
+           {"X-Deadline-Ms", "400"},
+           {"x-target-instance", "forged"},
+           {"Connection", "keep-alive, X-Hop"},
+           {"X-Hop", "1"},
+           {"Accept", "a"}})
+    incoming.Headers.add(name, value);
+  const auto call = CallerCodec().decode(incoming);
+  REQUIRE(call);
+  CHECK(call->Left == std::chrono::milliseconds(400));
+  const auto sent =
+      ReplicaCodec().encode(call->Op, "i-1", std::chrono::microseconds(250700));
+  CHECK(sent.Method == "POST");
+  CHECK(sent.Path == "/a/1?q=2");
+  CHECK(sent.Host == "shop.example");
+  CHECK(sent.Body == "body");
+  const std::vector<std::pair<std::string, std::string>> expected{
+      {"X-Request-Id", "id"},
+      {"Accept", "a"},
+      {"X-Deadline-Ms", "250"},
+      {"X-Target-Instance", "i-1"}};
+  CHECK(sent.Headers.items() == expected);
+}
+
+TEST_CASE("a request without an id is refused, and a bad deadline ignored") {
+  transport::HttpRequest incoming{"GET", "/", {}, ""};
+  CHECK(CallerCodec().decode(incoming).error().Status == 400);
+  incoming.Headers.add("X-Request-Id", "id");
+  incoming.Headers.add("X-Deadline-Ms", "soon");
+  CHECK_FALSE(CallerCodec().decode(incoming)->Left);
+}
+
+// 408, 421, 429 and 503 promise that the request has not run.
+TEST_CASE("a promise is made only for requests that have not run") {
+  const CallerCodec codec;
+  for (const int status : {408, 421, 429, 503})
+    CHECK(codec.encode(BackendAnswer{status, {}, "", "s"}).Status == 502);
+  using coordination::ForwardFailure;
+  using coordination::ForwardFault;
+  using coordination::RanState;
+  const auto refuse = [&](ForwardFault fault, RanState ran, auto retryAfter) {
+    return codec.refuse(forwarding::Refusal::Failed,
+                        ForwardFailure{fault, ran, {}}, retryAfter);
+  };
+  const std::optional<state::Duration> never;
+  CHECK(
+      refuse(ForwardFault::DeadlineExceeded, RanState::Unknown, never).Status ==
+      504);
+  CHECK(refuse(ForwardFault::BackendFailed, RanState::Ran, never).Status ==
+        502);
+  const auto promise =
+      refuse(ForwardFault::NoCapacity, RanState::NotRun,
+             std::optional<state::Duration>(std::chrono::milliseconds(45)));
+  CHECK(promise.Status == 503);
+  CHECK(promise.Headers.find("Retry-After") == "0.045");
+}
+
+TEST_CASE("a merged answer names its parts") {
+  const auto encoded = CallerCodec().encode(
+      coordination::MergedAnswer{{"a", "b"}, 3, "records"});
+  CHECK(encoded.Status == 200);
+  CHECK(encoded.Headers.find("X-Part-Seals") == "a, b");
+  CHECK(encoded.Headers.find("X-Missing-Parts") == "3");
+  CHECK(encoded.Body == "records");
+}
--- /dev/null
+++ b/tests/platform/metadata_store.cc
@@ -0,0 +1,154 @@
+#include "platform/metadata_store.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace galenaflow::standin {
+
+using nlohmann::json;
+using transport::HttpResponse;
+
+namespace {
+
+std::string decodePercent(std::string_view text) {
+  std::string out;
+  for (std::size_t i = 0; i != text.size(); ++i) {
+    unsigned byte = 0;
+    if (text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(&text[i + 1], &text[i + 3], byte, 16).ec ==
+            std::errc()) {
+      out += static_cast<char>(byte);
+      i += 2;
+    } else {
+      out += text[i];
+    }
+  }
+  return out;
+}
+
+std::map<std::string, std::string> queryOf(std::string_view path) {
+  std::map<std::string, std::string> query;
+  const auto start = path.find('?');
+  if (start == std::string_view::npos)
+    return query;
+  std::string_view rest = path.substr(start + 1);
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    const auto equals = pair.find('=');
+    if (equals != std::string_view::npos)
+      query[std::string(pair.substr(0, equals))] =
+          decodePercent(pair.substr(equals + 1));
+    rest.remove_prefix(std::min(pair.size() + 1, rest.size()));
+  }
+  return query;
+}
+
+} // namespace
+
+std::string encodeBase64(std::string_view bytes) {
+  std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+  const int n =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                      reinterpret_cast<const unsigned char *>(bytes.data()),
+                      static_cast<int>(bytes.size()));
+  text.resize(static_cast<std::size_t>(n));
+  return text;
+}
+
+MetadataStore::MetadataStore(transport::EventLoop &loop)
+    : Server(loop, [this](const transport::HttpRequest &request,
+                          const RawConnectionPtr &connection) {
+        onRequest(request, connection);
+      }) {}
+
+transport::SocketAddress MetadataStore::listen() {
+  return *Server.listen(*transport::parseSocketAddress("127.0.0.1:0"));
+}
+
+void MetadataStore::put(const std::string &key, const std::string &value) {
+  ++Revision;
+  Items[key] = {encodeBase64(value), Revision};
+  History.push_back(
+      {Revision,
+       json{{"key", key}, {"value", Items[key].Value}, {"rev", Revision}}
+           .dump()});
+}
+
+void MetadataStore::remove(const std::string &key) {
+  if (Items.erase(key) == 0)
+    return;
+  ++Revision;
+  History.push_back(
+      {Revision,
+       json{{"key", key}, {"rev", Revision}, {"removed", true}}.dump()});
+}
+
+void MetadataStore::dropHistory() {
+  History.clear();
+  FirstRevision = Revision;
+}
+
+void MetadataStore::onRequest(const transport::HttpRequest &request,
+                              const RawConnectionPtr &connection) {
+  ++Calls;
+  if (Faults.Silent)
+    return;
+  if (Faults.LoseNext > 0) {
+    --Faults.LoseNext;
+    return;
+  }
+  if (Faults.Reset) {
+    connection->reset();
+    return;
+  }
+  if (Faults.Refuse || Faults.Throttle) {
+    connection->respond(
+        transport::jsonResponse(Faults.Refuse ? 503 : 429, "{}"));
+    return;
+  }
+  auto query = queryOf(request.Path);
+  if (request.Path.starts_with("/galenaflow/kv-range?"))
+    connection->respond(range(query["prefix"], query["after"]));
+  else if (request.Path.starts_with("/galenaflow/kv-watch?"))
+    connection->respond(watch(
+        query["prefix"], std::strtoull(query["after"].c_str(), nullptr, 10)));
+  else
+    connection->respond(transport::jsonResponse(404, "{}"));
+}
+
+HttpResponse MetadataStore::range(const std::string &prefix,
+                                  const std::string &after) const {
+  json page{{"items", json::array()},
+            {"has_more", false},
+            {"store_revision", Revision}};
+  for (auto it = Items.upper_bound(after); it != Items.end(); ++it) {
+    if (!it->first.starts_with(prefix))
+      continue;
+    if (page["items"].size() == pageSize) {
+      page["has_more"] = true;
+      break;
+    }
+    page["items"].push_back({{"key", it->first},
+                             {"value", it->second.Value},
+                             {"rev", it->second.Revision}});
+  }
+  return transport::jsonResponse(200, page.dump());
+}
+
+HttpResponse MetadataStore::watch(const std::string &prefix,
+                                  std::uint64_t after) const {
+  if (after < FirstRevision)
+    return transport::jsonResponse(410, "{}");
+  json answer{{"events", json::array()}, {"store_revision", Revision}};
+  if (!Faults.HideChanges)
+    for (const Event &event : History) {
+      const json decoded = json::parse(event.Json);
+      if (event.Revision > after &&
+          decoded["key"].get<std::string>().starts_with(prefix))
+        answer["events"].push_back(decoded);
+    }
+  return transport::jsonResponse(200, answer.dump());
+}
+
+} // namespace galenaflow::standin
--- /dev/null
+++ b/tests/platform/replica_standin.cc
@@ -0,0 +1,72 @@
+#include "platform/replica_standin.h"
+
+#include <cstdlib>
+
+namespace galenaflow::standin {
+
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+ReplicaStandin::ReplicaStandin(transport::EventLoop &loop, std::string id,
+                               std::string service)
+    : Loop(loop), Id(std::move(id)), Service(std::move(service)),
+      Server(loop, [this](const HttpRequest &request,
+                          const RawConnectionPtr &connection) {
+        onRequest(request, connection);
+      }) {
+  Address = *Server.listen(*transport::parseSocketAddress("127.0.0.1:0"));
+}
+
+std::string ReplicaStandin::entry(const std::string &state) const {
+  return R"({"service":")" + Service + R"(","address":")" + Address.toText() +
+         R"(","zone":"z1","version":"v1","slots":2,"state":")" + state +
+         R"(","cold_left_ms":0,"seq":1,"born":1700000000000})";
+}
+
+void ReplicaStandin::onRequest(const HttpRequest &request,
+                               const RawConnectionPtr &connection) {
+  ++Arrivals;
+  const auto header = [&request](std::string_view name) {
+    return std::string(request.Headers.find(name).value_or(""));
+  };
+  HttpResponse response;
+  response.Headers.add("X-Request-Id", header("X-Request-Id"));
+  response.Headers.add("X-Server-Load", "0,0,2,100");
+  if (header("X-Target-Instance") != Id) {
+    response.Status = 421;
+    connection->respond(response);
+    return;
+  }
+  if (Behaviour.Shed) {
+    response.Status = 503;
+    response.Headers.add("X-Not-Executed", "1");
+    connection->respond(response);
+    return;
+  }
+  Runs.push_back({header("X-Request-Id"), request.Path, header("Host"),
+                  request.Body,
+                  std::strtoll(header("X-Deadline-Ms").c_str(), nullptr, 10)});
+  if (Behaviour.Silent)
+    return;
+  if (Behaviour.LoseAnswer) {
+    connection->reset();
+    return;
+  }
+  response.Status = Behaviour.FailStatus != 0 ? Behaviour.FailStatus : 200;
+  response.Headers.add("X-Response-Seal", Id + "." + header("X-Request-Id"));
+  // Two records of 16 bytes that begin with the replica's id.
+  for (const char rank : {'1', '2'}) {
+    std::string record = std::string(1, rank) + Id;
+    record.resize(16, '.');
+    response.Body += record;
+  }
+  const bool truncate = Behaviour.Truncate;
+  Loop.schedule(Behaviour.Work, [connection, response, truncate] {
+    if (truncate)
+      connection->respondTruncated(response, response.Body.size() / 2);
+    else
+      connection->respond(response);
+  });
+}
+
+} // namespace galenaflow::standin
--- /dev/null
+++ b/tests/platform/settings_test.cc
@@ -0,0 +1,70 @@
+#include "platform/settings.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace galenaflow;
+using namespace galenaflow::platform;
+
+namespace {
+
+constexpr const char *Whole = R"(
+node_name: "front-1"
+zone: "z1"
+unknown_field: [1, 2]
+listen:
+  front: "10.1.0.9:8104"
+  ready: "10.1.0.9:8108"
+bounds:
+  grace_s: 6
+  retry_ratio: 0.2
+platform:
+  address: "10.200.1.7:8102"
+)";
+
+} // namespace
+
+TEST_CASE("settings are read and unknown fields ignored") {
+  const auto settings = parseSettings(Whole);
+  REQUIRE(settings);
+  CHECK(settings->NodeName == "front-1");
+  CHECK(settings->DataCentre == "z1");
+  CHECK(settings->CallerListener.toText() == "10.1.0.9:8104");
+  CHECK(settings->ReadinessListener.toText() == "10.1.0.9:8108");
+  CHECK(settings->Store.toText() == "10.200.1.7:8102");
+  CHECK(settings->StopGrace == std::chrono::seconds(6));
+  CHECK(settings->ExtraArrivalRatio == Approx(0.2));
+}
+
+TEST_CASE("every missing or malformed field is reported with its place") {
+  const auto settings = parseSettings(R"(
+node_name: [1]
+listen:
+  front: "10.1.0.9"
+bounds:
+  grace_s: soon
+)");
+  REQUIRE_FALSE(settings);
+  std::vector<std::string> places;
+  for (const state::Finding &finding : settings.error().items())
+    places.push_back(finding.Place);
+  CHECK(places == std::vector<std::string>{"node_name", "zone", "listen.front",
+                                           "listen.ready", "platform.address",
+                                           "bounds.grace_s",
+                                           "bounds.retry_ratio"});
+}
+
+TEST_CASE("a file that is no map or cannot be read is a finding") {
+  CHECK_FALSE(parseSettings("- 1"));
+  CHECK_FALSE(parseSettings("a: [1"));
+  CHECK_FALSE(readSettings("/nonexistent/node.yaml"));
+}
+
+TEST_CASE("no text makes the reader throw") {
+  rc::check([](std::uint16_t at, char byte, std::uint8_t cut) {
+    std::string text(Whole);
+    text[at % text.size()] = byte;
+    text.resize(text.size() - cut % text.size());
+    static_cast<void>(parseSettings(text));
+  });
+}
--- /dev/null
+++ b/tests/record_merge_test.cc
@@ -0,0 +1,51 @@
+#include "coordination/record_merge.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace galenaflow::coordination;
+
+namespace {
+
+/// Slow reference: copies and sorts everything.
+std::string mergeBySorting(const std::vector<std::string> &parts,
+                           std::size_t limit) {
+  std::vector<std::string> records;
+  for (const std::string &part : parts)
+    for (std::size_t at = 0; at + RecordBytes <= part.size(); at += RecordBytes)
+      records.push_back(part.substr(at, RecordBytes));
+  std::sort(records.rbegin(), records.rend());
+  std::string merged;
+  for (std::size_t i = 0; i != std::min(limit, records.size()); ++i)
+    merged += records[i];
+  return merged;
+}
+
+} // namespace
+
+TEST_CASE("records compare by unsigned bytes and equal ones all count") {
+  const std::string low(RecordBytes, '\x01');
+  const std::string high(RecordBytes, '\xff');
+  const std::string first = low + high + "rest";
+  const std::string second = high;
+  const std::vector<std::string_view> parts{first, second};
+  CHECK(mergeRecords(parts, 3) == high + high + low);
+  CHECK(mergeRecords(parts, 1) == high);
+  CHECK(mergeRecords(parts, 9) == high + high + low);
+  CHECK(mergeRecords({}, 9).empty());
+}
+
+TEST_CASE("a merge is the same as that of a full sort") {
+  rc::check([](std::vector<std::string> parts, std::uint8_t limit) {
+    // Short alphabets make equal records and equal prefixes likely.
+    for (std::string &part : parts) {
+      std::string longer;
+      for (int i = 0; i != 8; ++i)
+        longer += part;
+      part = longer;
+    }
+    const std::vector<std::string_view> views(parts.begin(), parts.end());
+    RC_ASSERT(mergeRecords(views, limit) == mergeBySorting(parts, limit));
+  });
+}
--- /dev/null
+++ b/tests/replica_directory_test.cc
@@ -0,0 +1,67 @@
+#include "state/replica_directory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace galenaflow::state;
+using namespace std::chrono_literals;
+
+namespace {
+
+ReplicaRecord record(std::string id, std::uint64_t incarnation = 1) {
+  ReplicaRecord it;
+  it.Id = std::move(id);
+  it.Service = "s";
+  it.Address = "10.0.0.1:80";
+  it.Incarnation = incarnation;
+  return it;
+}
+
+DirectoryChange removal(std::string id) { return {std::move(id), true, {}}; }
+DirectoryChange update(ReplicaRecord it) { return {it.Id, false, it}; }
+
+} // namespace
+
+TEST_CASE("heartbeats are no change, and a restart under the same id is one") {
+  const TimePoint now{1h};
+  ReplicaDirectory directory;
+  CHECK(directory.replaceAll({record("a")}, false, now));
+  ReplicaRecord beat = record("a");
+  beat.ColdLeft = 5s;
+  CHECK_FALSE(directory.apply({update(beat)}, false, now));
+  CHECK(directory.apply({update(record("a", 2))}, false, now));
+  ReplicaRecord draining = record("a", 2);
+  draining.Draining = true;
+  CHECK(directory.apply({update(draining)}, false, now));
+}
+
+TEST_CASE("a record that is removed while the source works is gone at once") {
+  const TimePoint now{1h};
+  ReplicaDirectory directory;
+  directory.replaceAll({record("a"), record("b")}, false, now);
+  CHECK(directory.apply({removal("a")}, false, now));
+  CHECK(directory.records().size() == 1);
+  CHECK(directory.replaceAll({}, false, now));
+  CHECK(directory.records().empty());
+}
+
+// Guards against a tier without replicas when the source returns from an outage
+// in which all records have lapsed.
+TEST_CASE("records that lapsed in an outage are kept until the grace is over") {
+  TimePoint now{1h};
+  ReplicaDirectory directory;
+  directory.replaceAll({record("a"), record("b")}, false, now);
+  SECTION("by a full read") {
+    CHECK_FALSE(directory.replaceAll({}, true, now));
+  }
+  SECTION("by changes that come in parts") {
+    CHECK_FALSE(directory.apply({removal("a")}, true, now));
+    now += 500ms;
+    CHECK_FALSE(directory.apply({removal("b")}, false, now));
+  }
+  CHECK(directory.records().size() == 2);
+  CHECK_FALSE(directory.apply({update(record("a"))}, false, now + 1s));
+  CHECK_FALSE(directory.expire(now + 1s));
+  CHECK(directory.expire(now + 3s));
+  CHECK(directory.records().size() == 1);
+  CHECK(directory.records().contains("a"));
+}
--- /dev/null
+++ b/tests/replica_placement_test.cc
@@ -0,0 +1,155 @@
+#include "coordination/replica_placement.h"
+
+#include <catch2/catch.hpp>
+
+using namespace galenaflow;
+using namespace galenaflow::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture {
+  TimePoint Now{1h};
+  std::map<std::string, state::ReplicaRecord, std::less<>> Records;
+  ReplicaPlacement Placement{"here", std::mt19937_64(1)};
+
+  explicit Fixture(std::vector<std::string> dataCentres) {
+    for (std::size_t i = 0; i != dataCentres.size(); ++i) {
+      state::ReplicaRecord it;
+      it.Id = std::string(1, static_cast<char>('a' + i));
+      it.Service = "s";
+      it.Address = "10.0.0.1:" + std::to_string(80 + i);
+      it.DataCentre = dataCentres[i];
+      it.Slots = 2;
+      Records.emplace(it.Id, it);
+    }
+    apply();
+  }
+
+  void apply() { Placement.setReplicas(Records, Now); }
+  std::optional<std::string> choose(std::vector<std::string> tried = {}) {
+    return Placement.choose(
+        "s", tried, [](std::string_view) { return true; }, Now);
+  }
+  int countOf(const std::string &id, int n = 200) {
+    int count = 0;
+    for (int i = 0; i != n; ++i)
+      count += choose() == id ? 1 : 0;
+    return count;
+  }
+  /// One attempt that takes `elapsed`.
+  void attempt(const std::string &id, Duration elapsed,
+               AttemptOutcome outcome = AttemptOutcome::Answered) {
+    const TimePoint sent = Now;
+    Placement.onSent(id, 10ms, Now);
+    Now += elapsed;
+    Placement.onEnded(id, sent, 10ms, outcome, Now);
+  }
+};
+
+} // namespace
+
+TEST_CASE("equal replicas share the work, and the own data centre is first") {
+  Fixture equal({"here", "here"});
+  CHECK(equal.countOf("a") > 50);
+  CHECK(equal.countOf("b") > 50);
+  Fixture apart({"there", "here"});
+  CHECK(apart.countOf("b") == 200);
+}
+
+TEST_CASE("draining, tried and unlisted replicas are not chosen") {
+  Fixture it({"here", "here"});
+  CHECK(it.choose({"a"}) == "b");
+  CHECK_FALSE(it.choose({"a", "b"}));
+  it.Records.at("b").Draining = true;
+  it.apply();
+  CHECK(it.countOf("a") == 200);
+  CHECK_FALSE(
+      it.Placement.hasOther("s", std::vector<std::string>{"a"}, it.Now));
+  it.Records.erase("a");
+  it.apply();
+  CHECK_FALSE(it.choose());
+}
+
+// Guards against requests that wait behind a paused replica while another is
+// idle: no answer has come yet that could tell.
+TEST_CASE(
+    "a replica whose attempt is open too long is avoided until it answers") {
+  Fixture it({"here", "there"});
+  const TimePoint sent = it.Now;
+  it.Placement.onSent("a", 10ms, sent);
+  it.Now += 39ms;
+  CHECK_FALSE(it.Placement.isStalled("a", it.Now));
+  CHECK(it.countOf("a") == 200);
+  it.Now += 2ms;
+  CHECK(it.Placement.isStalled("a", it.Now));
+  CHECK(it.countOf("a") == 0);
+  it.Placement.onEnded("a", sent, 10ms, AttemptOutcome::Answered, it.Now);
+  CHECK_FALSE(it.Placement.isStalled("a", it.Now));
+}
+
+TEST_CASE("a slow replica is avoided and tried again after a while") {
+  Fixture it({"here", "here"});
+  it.attempt("a", 80ms);
+  it.attempt("b", 10ms);
+  CHECK(it.countOf("a") == 0);
+  it.Now += 15s;
+  CHECK(it.countOf("a") > 20);
+}
+
+TEST_CASE("a fresh load report moves work away, and an old one does not") {
+  Fixture it({"here", "here"});
+  it.Placement.onLoad("a", {2, 6, 2, 1}, it.Now);
+  CHECK(it.countOf("a") == 0);
+  it.Now += 1s;
+  CHECK(it.countOf("a") > 50);
+  it.Placement.onLoad("b", {0, 0, 2, 3}, it.Now);
+  CHECK(it.countOf("b") == 0);
+}
+
+TEST_CASE("own open attempts spread a burst over the replicas") {
+  Fixture it({"here", "here"});
+  std::map<std::string, int> counts;
+  for (int i = 0; i != 20; ++i) {
+    const std::string id = *it.choose();
+    ++counts[id];
+    it.Placement.onSent(id, 10ms, it.Now);
+  }
+  CHECK(counts["a"] >= 8);
+  CHECK(counts["b"] >= 8);
+}
+
+TEST_CASE("a replica that fails again and again is taken out, but never both") {
+  Fixture it({"here", "here"});
+  for (int i = 0; i != 3; ++i)
+    it.attempt("a", 1ms, AttemptOutcome::Failed);
+  CHECK(it.countOf("a") == 0);
+  CHECK_FALSE(it.choose({"b"}));
+  for (int i = 0; i != 3; ++i)
+    it.attempt("b", 1ms, AttemptOutcome::Failed);
+  CHECK(it.choose() == "b");
+  it.Now += 500ms;
+  CHECK(it.choose({"b"}) == "a");
+}
+
+TEST_CASE("a restart under the same id starts with a clean state") {
+  Fixture it({"here", "here"});
+  for (int i = 0; i != 3; ++i)
+    it.attempt("a", 90ms);
+  CHECK(it.countOf("a") == 0);
+  it.Records.at("a").Incarnation = 2;
+  it.apply();
+  CHECK(it.countOf("a") > 50);
+}
+
+TEST_CASE("a replica that lost its address is not asked again before it starts "
+          "anew") {
+  Fixture it({"here", "here"});
+  it.Placement.onMisdirected("a");
+  it.Now += 1h;
+  it.apply();
+  CHECK(it.countOf("a") == 0);
+  it.Records.at("a").Incarnation = 2;
+  it.apply();
+  CHECK(it.countOf("a") > 50);
+}
--- /dev/null
+++ b/tests/route_table_test.cc
@@ -0,0 +1,67 @@
+#include "state/route_table.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace galenaflow::state;
+
+namespace {
+
+Route route(std::string host, std::string prefix) {
+  Route it;
+  it.Name = prefix;
+  it.Host = std::move(host);
+  it.Prefix = std::move(prefix);
+  it.Targets = {{"service", 1}};
+  return it;
+}
+
+/// Slow reference: every route is compared.
+const Route *matchByScan(const RouteTable &table, std::string_view host,
+                         std::string_view path) {
+  const Route *best = nullptr;
+  for (const Route &it : table.routes())
+    if (it.Host == host && path.starts_with(it.Prefix) &&
+        (best == nullptr || it.Prefix.size() > best->Prefix.size()))
+      best = &it;
+  return best;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host's routes wins") {
+  const RouteTable table(7,
+                         {route("a.example", "/"), route("a.example", "/x/"),
+                          route("a.example", "/x/y/"),
+                          route("b.example", "/x/y/z/")},
+                         {}, {});
+  CHECK(table.match("a.example", "/x/y/z/1")->Prefix == "/x/y/");
+  CHECK(table.match("a.example", "/x/1?q=/y/")->Prefix == "/x/");
+  CHECK(table.match("a.example", "/xy/1")->Prefix == "/");
+  CHECK(table.match("A.Example:8080", "/x/1")->Prefix == "/x/");
+  CHECK(table.match("b.example", "/x/y/") == nullptr);
+  CHECK(table.match("c.example", "/") == nullptr);
+  CHECK(table.match("a.example", "x") == nullptr);
+}
+
+TEST_CASE("a match is the same as that of a scan over all routes") {
+  rc::check([] {
+    const auto segment = rc::gen::element<std::string>("a", "b", "ab");
+    const auto path =
+        rc::gen::map(rc::gen::container<std::vector<std::string>>(segment),
+                     [](const std::vector<std::string> &parts) {
+                       std::string text = "/";
+                       for (std::size_t i = 0;
+                            i != std::min<std::size_t>(4, parts.size()); ++i)
+                         text += parts[i] + "/";
+                       return text;
+                     });
+    std::vector<Route> routes;
+    for (const std::string &prefix :
+         *rc::gen::container<std::set<std::string>>(path))
+      routes.push_back(route("h", prefix));
+    const RouteTable table(1, routes, {}, {});
+    const std::string asked = *path + *rc::gen::element<std::string>("", "a");
+    RC_ASSERT(table.match("h", asked) == matchByScan(table, "h", asked));
+  });
+}
--- /dev/null
+++ b/tests/weighted_rotation_test.cc
@@ -0,0 +1,37 @@
+#include "coordination/weighted_rotation.h"
+
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <numeric>
+#include <rapidcheck.h>
+
+using galenaflow::coordination::WeightedRotation;
+
+// Guards against shares that are off by chance: a few hundred requests per
+// daemon must keep the operator's weights.
+TEST_CASE("every target's count stays within one of its share per target") {
+  rc::check([] {
+    const auto weights = *rc::gen::suchThat(
+        rc::gen::container<std::vector<double>>(rc::gen::map(
+            rc::gen::inRange(0, 100), [](int n) { return n / 10.0; })),
+        [](const std::vector<double> &w) {
+          return std::accumulate(w.begin(), w.end(), 0.0) > 0;
+        });
+    const double sum = std::accumulate(weights.begin(), weights.end(), 0.0);
+    WeightedRotation rotation;
+    std::vector<int> counts(weights.size());
+    for (int n = 1; n <= 300; ++n) {
+      ++counts[rotation.next(weights)];
+      for (std::size_t i = 0; i != counts.size(); ++i)
+        RC_ASSERT(std::abs(counts[i] - n * weights[i] / sum) <=
+                  static_cast<double>(counts.size()));
+    }
+  });
+}
+
+TEST_CASE("new weights start a new rotation") {
+  WeightedRotation rotation;
+  CHECK(rotation.next(std::vector<double>{1, 0}) == 0);
+  CHECK(rotation.next(std::vector<double>{0, 1}) == 1);
+  CHECK(rotation.next(std::vector<double>{0, 1, 0}) == 1);
+}
