--- /dev/null
+++ b/src/coordination/connection_plan.cc
@@ -0,0 +1,48 @@
+#include "coordination/connection_plan.h"
+
+#include "state/hash.h"
+
+#include <algorithm>
+#include <numeric>
+#include <string>
+
+// With 78 daemons and 61 connections for each of three replicas, there are 2.3
+// connections for each daemon and shard. Two of them carry a primary attempt
+// and its hedge. The remainder absorbs the uneven spread of the hash.
+
+namespace galenaflow::coordination {
+
+std::vector<std::uint32_t>
+planConnections(std::span<const PlannedReplica> replicas,
+                std::uint32_t limitPerReplica, std::uint32_t daemons,
+                std::string_view self, ConnectionPlanOptions options) {
+  std::vector<std::uint32_t> limits(replicas.size(), 0);
+  const std::uint32_t share = limitPerReplica / std::max(1U, daemons);
+  if (share >= 1) {
+    std::fill(limits.begin(), limits.end(),
+              std::min(share, options.MaxPerReplica));
+    return limits;
+  }
+  const std::uint64_t all =
+      std::uint64_t{limitPerReplica} * replicas.size() / std::max(1U, daemons);
+  const std::size_t kept =
+      std::min<std::size_t>(replicas.size(), std::max<std::uint64_t>(1, all));
+  struct Rank {
+    bool Avoided;
+    bool Remote;
+    std::uint64_t Hash;
+    std::size_t Index;
+    auto operator<=>(const Rank &) const = default;
+  };
+  std::vector<Rank> ranks;
+  for (std::size_t i = 0; i != replicas.size(); ++i)
+    ranks.push_back({replicas[i].IsAvoided, !replicas[i].IsLocal,
+                     state::hash64(std::string(replicas[i].Id).append(self)),
+                     i});
+  std::sort(ranks.begin(), ranks.end());
+  for (std::size_t i = 0; i != kept; ++i)
+    limits[ranks[i].Index] = 1;
+  return limits;
+}
+
+} // namespace galenaflow::coordination
--- /dev/null
+++ b/src/coordination/connection_plan.h
@@ -0,0 +1,41 @@
+#ifndef GALENAFLOW_COORDINATION_CONNECTION_PLAN_H
+#define GALENAFLOW_COORDINATION_CONNECTION_PLAN_H
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace galenaflow::coordination {
+
+struct ConnectionPlanOptions {
+  /// Most connections to one replica. A request that finds it in use waits at
+  /// the daemon, where it goes to whichever replica is free first, instead of
+  /// in the queue of a replica that may be paused. With 6 to 8 daemons, one
+  /// each still fills the two slots of a replica.
+  std::uint32_t MaxPerReplica = 1;
+};
+
+/// A replica of one service, as seen by this daemon.
+struct PlannedReplica {
+  std::string_view Id;
+  bool IsLocal = false;
+
+  /// It recently refused or lost a new connection, so others are tried first.
+  bool IsAvoided = false;
+};
+
+/// Divides the connections that the replicas of a service accept between all
+/// daemons. Returns the limit for each replica, in the given order. While there
+/// is at least one connection for each daemon and replica, all get the same
+/// share. Otherwise each daemon keeps one connection to some of the replicas:
+/// those of its data centre first, then by a hash of both, so that the daemons
+/// spread evenly without a message between them.
+std::vector<std::uint32_t>
+planConnections(std::span<const PlannedReplica> replicas,
+                std::uint32_t limitPerReplica, std::uint32_t daemons,
+                std::string_view self, ConnectionPlanOptions options = {});
+
+} // namespace galenaflow::coordination
+
+#endif
--- a/src/coordination/directory_reader.cc
+++ b/src/coordination/directory_reader.cc
@@ -22,26 +22,27 @@
   return Known ? DirectoryRead::Changes : DirectoryRead::All;
 }
 
-bool DirectoryReader::succeed(TimePoint now) {
+bool DirectoryReader::succeed(TimePoint readAt, TimePoint now) {
   const bool wasAway = ReadAt + Options.OutageAfter < now;
   Open = false;
-  ReadAt = now;
+  ReadAt = std::max(ReadAt, readAt);
   Backoff = Options.MinBackoff;
   NextAt = std::max(now, StartedAt + Options.Period);
   return wasAway;
 }
 
-bool DirectoryReader::onAll(std::uint64_t revision, TimePoint now) {
+bool DirectoryReader::onAll(std::uint64_t revision, TimePoint readAt,
+                            TimePoint now) {
   const bool wasKnown = Known || Revision != 0;
   Known = true;
   Revision = revision;
-  return succeed(now) && wasKnown;
+  return succeed(readAt, now) && wasKnown;
 }
 
 bool DirectoryReader::onChanges(std::optional<std::uint64_t> lastRevision,
-                                TimePoint now) {
+                                TimePoint readAt, TimePoint now) {
   Revision = std::max(Revision, lastRevision.value_or(0));
-  return succeed(now);
+  return succeed(readAt, now);
 }
 
 void DirectoryReader::onHistoryLost(TimePoint now) {
--- a/src/coordination/directory_reader.h
+++ b/src/coordination/directory_reader.h
@@ -22,7 +22,7 @@
   /// a random factor between 0.5 and 1, so that the daemons do not return
   /// together to a source that has just come back.
   Duration MinBackoff = std::chrono::milliseconds(150);
-  Duration MaxBackoff = std::chrono::milliseconds(1000);
+  Duration MaxBackoff = std::chrono::milliseconds(2000);
 
   /// Without a successful read for this long, the source counts as away.
   /// Backend servers' records lapse after three heartbeats of about 1.2 s.
@@ -46,13 +46,15 @@
   std::optional<DirectoryRead> poll(TimePoint now);
   TimePoint nextAt() const { return NextAt; }
 
-  /// The open read has ended. Returns whether the source had been away.
-  bool onAll(std::uint64_t revision, TimePoint now);
+  /// The open read has ended; the content was read at the source at `readAt`.
+  /// Returns whether the source had been away.
+  bool onAll(std::uint64_t revision, TimePoint readAt, TimePoint now);
 
   /// `lastRevision` is that of the last change that was read, or nothing. The
   /// source's own revision is not used: changes that it has not shown yet would
   /// be skipped.
-  bool onChanges(std::optional<std::uint64_t> lastRevision, TimePoint now);
+  bool onChanges(std::optional<std::uint64_t> lastRevision, TimePoint readAt,
+                 TimePoint now);
   void onHistoryLost(TimePoint now);
   void onFailure(TimePoint now);
 
@@ -64,7 +66,7 @@
   Duration age(TimePoint now) const { return now - ReadAt; }
 
 private:
-  bool succeed(TimePoint now);
+  bool succeed(TimePoint readAt, TimePoint now);
   Duration jittered(Duration d);
 
   DirectoryReaderOptions Options;
--- /dev/null
+++ b/src/coordination/directory_relay.cc
@@ -0,0 +1,103 @@
+#include "coordination/directory_relay.h"
+
+#include "state/hash.h"
+
+#include <algorithm>
+
+// A log position is only meaningful in the log that gave it, so a daemon that
+// changes its relay, or whose relay has restarted, gets everything once. The
+// view changes far less often than the source, where every replica writes its
+// heartbeat, so most answers are empty.
+
+namespace galenaflow::coordination {
+
+void DirectoryLog::update(
+    const std::map<std::string, state::ReplicaRecord, std::less<>> &records) {
+  const auto add = [this](state::DirectoryChange change) {
+    Entries.push_back(std::move(change));
+    ++Last;
+    if (Entries.size() > MaxEntries)
+      Entries.pop_front();
+  };
+  for (const auto &[id, record] : records) {
+    const auto it = View.find(id);
+    if (it == View.end() || !it->second.isSameFor(record))
+      add({id, false, record});
+  }
+  for (const auto &[id, record] : View)
+    if (!records.contains(id))
+      add({id, true, {}});
+  View = records;
+}
+
+void DirectoryLog::setRoutes(std::uint64_t version, std::string document) {
+  RouteVersion = version;
+  Routes = std::move(document);
+}
+
+protocol::DirectoryReply
+DirectoryLog::answer(const protocol::DirectoryRequest &request) const {
+  protocol::DirectoryReply reply;
+  reply.Sequence = request.Sequence;
+  reply.Log = Id;
+  reply.Index = Last;
+  if (RouteVersion > request.RouteVersion)
+    reply.Routes = Routes;
+  const bool isKnown = request.Log == Id && request.Index <= Last &&
+                       Last - request.Index <= Entries.size();
+  if (isKnown) {
+    const auto missing = static_cast<std::ptrdiff_t>(Last - request.Index);
+    reply.Changes.assign(Entries.end() - missing, Entries.end());
+    return reply;
+  }
+  reply.IsFull = true;
+  for (const auto &[id, record] : View)
+    reply.Changes.push_back({id, false, record});
+  return reply;
+}
+
+void RelayChoice::setRelays(std::vector<std::string> addresses) {
+  std::sort(addresses.begin(), addresses.end());
+  addresses.erase(std::unique(addresses.begin(), addresses.end()),
+                  addresses.end());
+  const auto self = std::find(addresses.begin(), addresses.end(), Self);
+  if (self != addresses.end()) {
+    addresses.erase(self, addresses.end());
+  } else {
+    std::sort(addresses.begin(), addresses.end(),
+              [this](const std::string &a, const std::string &b) {
+                return state::hash64(a + Self) < state::hash64(b + Self);
+              });
+  }
+  Preferred = std::move(addresses);
+}
+
+std::optional<std::string> RelayChoice::choose(TimePoint now) const {
+  for (const std::string &address : Preferred) {
+    const auto it = AvoidUntil.find(address);
+    if (it == AvoidUntil.end() || it->second <= now)
+      return address;
+  }
+  return std::nullopt;
+}
+
+void RelayChoice::onFailure(const std::string &address, TimePoint now) {
+  AvoidUntil[address] = now + Options.Penalty;
+}
+
+void FleetCount::onRequest(const std::string &id, std::uint32_t daemons,
+                           TimePoint now) {
+  Askers[id] = {daemons, now};
+}
+
+std::uint32_t FleetCount::subtree(TimePoint now) {
+  std::erase_if(Askers, [now](const auto &entry) {
+    return entry.second.At + Memory < now;
+  });
+  std::uint32_t total = 1;
+  for (const auto &[id, entry] : Askers)
+    total += entry.Daemons;
+  return total;
+}
+
+} // namespace galenaflow::coordination
--- /dev/null
+++ b/src/coordination/directory_relay.h
@@ -0,0 +1,101 @@
+#ifndef GALENAFLOW_COORDINATION_DIRECTORY_RELAY_H
+#define GALENAFLOW_COORDINATION_DIRECTORY_RELAY_H
+
+#include "protocol/directory_messages.h"
+#include "state/clock.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace galenaflow::coordination {
+
+using state::Duration;
+using state::TimePoint;
+
+/// The changes of this daemon's view of the directory, for daemons that read it
+/// here instead of at the source.
+class DirectoryLog {
+public:
+  /// `id` differs between daemons and between starts.
+  explicit DirectoryLog(std::uint64_t id) : Id(id) {}
+
+  /// Records what has changed in the view.
+  void update(
+      const std::map<std::string, state::ReplicaRecord, std::less<>> &records);
+  void setRoutes(std::uint64_t version, std::string document);
+
+  /// The answer to a request, without its revision, age and count of daemons.
+  protocol::DirectoryReply
+  answer(const protocol::DirectoryRequest &request) const;
+
+  /// Changes that are kept; an older position gets everything.
+  static constexpr std::size_t MaxEntries = 4096;
+
+private:
+  std::uint64_t Id;
+  std::uint64_t Last = 0; ///< index of the newest entry
+  std::deque<state::DirectoryChange> Entries;
+  std::map<std::string, state::ReplicaRecord, std::less<>> View;
+  std::uint64_t RouteVersion = 0;
+  std::string Routes;
+};
+
+struct RelayChoiceOptions {
+  /// A daemon that gave no good answer is not asked again for this long.
+  Duration Penalty = std::chrono::seconds(3);
+};
+
+/// Chooses the daemon from which this one reads the directory. The first of the
+/// relays in the order of their addresses reads at the source, the other relays
+/// prefer the earlier ones, and every other daemon prefers a relay by its own
+/// hash, so that the load spreads. When no relay is left, the daemon reads at
+/// the source itself; nothing but the number of reads depends on the choice.
+class RelayChoice {
+public:
+  RelayChoice(RelayChoiceOptions options, std::string self)
+      : Options(options), Self(std::move(self)) {}
+
+  /// Addresses (IP:PORT) of daemons that others may ask.
+  void setRelays(std::vector<std::string> addresses);
+
+  /// Whom to ask now, or nothing for the source.
+  std::optional<std::string> choose(TimePoint now) const;
+  void onFailure(const std::string &address, TimePoint now);
+
+  /// Relays that this daemon may ask, best first.
+  const std::vector<std::string> &preferred() const { return Preferred; }
+
+private:
+  RelayChoiceOptions Options;
+  std::string Self;
+  std::vector<std::string> Preferred;
+  std::map<std::string, TimePoint> AvoidUntil;
+};
+
+/// Counts the daemons that read the directory here, and those behind them.
+class FleetCount {
+public:
+  /// `daemons` as stated in the request of the daemon `id`.
+  void onRequest(const std::string &id, std::uint32_t daemons, TimePoint now);
+
+  /// This daemon and all behind it.
+  std::uint32_t subtree(TimePoint now);
+
+private:
+  /// A daemon that has not asked for this long is gone.
+  static constexpr Duration Memory = std::chrono::seconds(4);
+
+  struct Entry {
+    std::uint32_t Daemons = 1;
+    TimePoint At;
+  };
+  std::map<std::string, Entry> Askers;
+};
+
+} // namespace galenaflow::coordination
+
+#endif
--- a/src/forwarding/directory_task.cc
+++ b/src/forwarding/directory_task.cc
@@ -38,15 +38,19 @@
 
 void DirectoryTask::tick() {
   const state::TimePoint now = Loop.now();
-  if (Directory.expire(now))
+  if (Directory.expire(now)) {
     Listener.Replicas(Directory.records());
+    reportView();
+  }
   if (const auto read = Reader.poll(now)) {
     Reads.add();
+    const auto callback = [this, what = *read](const DirectoryResult &result) {
+      onRead(what, result);
+    };
     if (*read == DirectoryRead::All)
-      Source.readAll([this](const DirectoryResult &r) { onAll(r); });
+      Source.readAll(callback);
     else
-      Source.readChanges(Reader.revision(),
-                         [this](const DirectoryResult &r) { onChanges(r); });
+      Source.readChanges(Reader.revision(), callback);
   }
   const state::Duration wait = std::clamp(Reader.nextAt() - Loop.now(),
                                           state::Duration(1000), ExpiryPeriod);
@@ -70,34 +74,27 @@
   tick();
 }
 
-void DirectoryTask::onAll(const DirectoryResult &result) {
+void DirectoryTask::onRead(DirectoryRead read, const DirectoryResult &result) {
   if (!result) {
     onFault(result.error());
     return;
   }
-  const bool afterOutage =
-      Reader.onAll(result->Revision.value_or(0), Loop.now());
-  take(*result, true, afterOutage);
+  const state::TimePoint readAt = Loop.now() - result->Age;
+  const bool wasAway =
+      read == DirectoryRead::All
+          ? Reader.onAll(result->Revision.value_or(0), readAt, Loop.now())
+          : Reader.onChanges(result->Revision, readAt, Loop.now());
+  take(*result, wasAway);
 }
 
-void DirectoryTask::onChanges(const DirectoryResult &result) {
-  if (!result) {
-    onFault(result.error());
-    return;
-  }
-  const bool afterOutage = Reader.onChanges(result->Revision, Loop.now());
-  take(*result, false, afterOutage);
-}
-
-void DirectoryTask::take(const DirectoryContent &content, bool isFull,
-                         bool afterOutage) {
+void DirectoryTask::take(const DirectoryContent &content, bool afterOutage) {
   if (LastReadFailed)
     state::log::info("directory_regained", {{"revision", Reader.revision()},
                                             {"after_outage", afterOutage}});
   LastReadFailed = false;
   const state::TimePoint now = Loop.now();
   bool changed = false;
-  if (isFull) {
+  if (content.IsFull) {
     std::vector<state::ReplicaRecord> records;
     for (const state::DirectoryChange &change : content.Changes)
       if (!change.Removed)
@@ -107,20 +104,29 @@
     changed = Directory.apply(content.Changes, afterOutage, now);
   }
   if (content.Table)
-    takeTable(content.Table);
+    takeTable(content);
   if (changed)
     Listener.Replicas(Directory.records());
+  reportView();
   tick();
 }
 
-void DirectoryTask::takeTable(const state::RouteTablePtr &table) {
+void DirectoryTask::reportView() const {
+  Listener.Read(
+      {Table, Document, &Directory, Reader.revision(), Reader.age(Loop.now())});
+}
+
+void DirectoryTask::takeTable(const DirectoryContent &content) {
+  const state::RouteTablePtr &table = content.Table;
   if (Table && table->version() <= Table->version())
     return;
   state::log::info("routes_in_force",
                    {{"version", table->version()},
                     {"previous", Table ? Table->version() : 0},
-                    {"routes", table->routes().size()}});
+                    {"routes", table->routes().size()},
+                    {"age_ms", content.Age.count() / 1000}});
   Table = table;
+  Document = content.Document;
   Version.set(static_cast<double>(table->version()));
   Listener.Routes(Table);
 }
--- a/src/forwarding/directory_task.h
+++ b/src/forwarding/directory_task.h
@@ -15,11 +15,16 @@
 
 /// What one read of the operator's directory brought.
 struct DirectoryContent {
-  std::vector<state::DirectoryChange> Changes; ///< a full read removes nothing
-  state::RouteTablePtr Table;                  ///< null when not among them
+  std::vector<state::DirectoryChange> Changes;
+  bool IsFull = false;        ///< what is not among the changes is gone
+  state::RouteTablePtr Table; ///< null when not among them
+  std::string Document;       ///< the published form of the table
 
-  /// Of the last change that was read; of the source for a full read.
+  /// Of the last change that was read; for a full read and from another
+  /// daemon, that of the source.
   std::optional<std::uint64_t> Revision;
+
+  state::Duration Age{0}; ///< since it was read at the source
 };
 
 enum class DirectoryFault {
@@ -37,6 +42,19 @@
   virtual ~DirectorySource() = default;
   virtual void readAll(DirectoryCallback callback) = 0;
   virtual void readChanges(std::uint64_t after, DirectoryCallback callback) = 0;
+
+  /// Decodes a published document of routes; null when it is malformed.
+  virtual state::RouteTablePtr
+  decodeRoutes(std::string_view document) const = 0;
+};
+
+/// What this process knows of the directory.
+struct DirectoryView {
+  state::RouteTablePtr Table;
+  std::string_view Document;
+  const state::ReplicaDirectory *Replicas = nullptr;
+  std::uint64_t Revision = 0;
+  state::Duration Age{0};
 };
 
 struct DirectoryListener {
@@ -44,6 +62,9 @@
   std::function<void(
       const std::map<std::string, state::ReplicaRecord, std::less<>> &)>
       Replicas;
+
+  /// After every read, and after changes without one.
+  std::function<void(const DirectoryView &)> Read;
 };
 
 /// Keeps this process's view of the directory up to date. The version of the
@@ -66,17 +87,18 @@
 
 private:
   void tick();
-  void onAll(const DirectoryResult &result);
-  void onChanges(const DirectoryResult &result);
+  void onRead(coordination::DirectoryRead read, const DirectoryResult &result);
   void onFault(DirectoryFault fault);
-  void take(const DirectoryContent &content, bool isFull, bool afterOutage);
-  void takeTable(const state::RouteTablePtr &table);
+  void take(const DirectoryContent &content, bool afterOutage);
+  void takeTable(const DirectoryContent &content);
+  void reportView() const;
 
   transport::EventLoop &Loop;
   DirectorySource &Source;
   coordination::DirectoryReader Reader;
   state::ReplicaDirectory Directory;
   state::RouteTablePtr Table;
+  std::string Document;
   DirectoryListener Listener;
   transport::TimerId Timer = 0;
   bool LastReadFailed = false;
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -60,6 +60,7 @@
                          state::MetricRegistry &metrics)
     : Loop(loop), Protocol(protocol), Options(std::move(options)),
       Placement(Options.DataCentre, std::mt19937_64(Options.Seed)),
+      StartedAt(loop.now()),
       Hedges(metrics.counter("galenaflow_hedges_total",
                              "Attempts sent beside one that is open")),
       Retries(metrics.counter("galenaflow_retries_total",
@@ -82,18 +83,49 @@
 
 void ForwardTask::setRoutes(const state::RouteTablePtr &table) {
   Table = table;
-  for (const auto &[id, replica] : Replicas)
-    applyLimit(*replica);
+  planConnections();
+}
+
+void ForwardTask::setDaemons(std::uint32_t n) {
+  if (Daemons == n)
+    return;
+  state::log::info("fleet_counted", {{"daemons", n}, {"before", Daemons}});
+  Daemons = n;
+  planConnections();
+}
+
+double ForwardTask::slackShare() const {
+  return Daemons == 0 ? 0 : Options.ExtraSlack / Daemons;
 }
 
-void ForwardTask::applyLimit(Replica &replica) {
-  std::uint32_t share = 1;
+void ForwardTask::planConnections() {
+  for (const auto &[service, replicas] : ByService)
+    planConnections(service, replicas);
+}
+
+void ForwardTask::planConnections(std::string_view service,
+                                  const std::vector<ReplicaPtr> &replicas) {
+  std::uint32_t limit = 1;
   if (Table) {
-    const auto it = Table->services().find(replica.Record.Service);
+    const auto it = Table->services().find(service);
     if (it != Table->services().end())
-      share = it->second.ConnectionLimit / Options.ExpectedDaemons;
+      limit = it->second.ConnectionLimit;
+  }
+  std::vector<coordination::PlannedReplica> planned;
+  std::vector<Replica *> usable;
+  for (const ReplicaPtr &replica : replicas) {
+    if (replica->Record.Draining)
+      continue;
+    usable.push_back(replica.get());
+    planned.push_back({replica->Record.Id,
+                       replica->Record.DataCentre == Options.DataCentre,
+                       replica->AvoidUntil > Loop.now()});
   }
-  replica.Pool.setLimit(std::clamp(share, 1U, Options.MaxConnections));
+  const auto limits = coordination::planConnections(
+      planned, limit, Daemons == 0 ? Options.UnknownDaemons : Daemons,
+      Options.Name, Options.Connections);
+  for (std::size_t i = 0; i != usable.size(); ++i)
+    usable[i]->Pool.setLimit(limits[i]);
 }
 
 void ForwardTask::setReplicas(
@@ -128,11 +160,14 @@
         std::make_shared<Replica>(Loop, record, *address, Options.Pool);
     replica->Pool.onFree(
         [this, service = record.Service] { dispatchLater(service); });
-    applyLimit(*replica);
-    if (!record.Draining)
-      replica->Pool.warm(Options.WarmConnections);
     Replicas.emplace(id, std::move(replica));
   }
+  ByService.clear();
+  for (const auto &[id, replica] : Replicas)
+    ByService[replica->Record.Service].push_back(replica);
+  planConnections();
+  for (const auto &[id, replica] : Replicas)
+    warm(*replica);
   std::vector<std::string> waiting;
   for (const auto &[service, queue] : Waiting)
     if (!queue.empty())
@@ -141,10 +176,24 @@
     dispatchLater(service);
 }
 
+void ForwardTask::warm(Replica &replica) {
+  if (replica.Record.Draining || Loop.now() - StartedAt < Options.WarmDelay)
+    return;
+  replica.Pool.warm(Options.WarmConnections);
+  replica.WasWarmed = replica.Pool.limit() != 0;
+}
+
 void ForwardTask::warmAll() {
-  for (const auto &[id, replica] : Replicas)
-    if (!replica->Record.Draining)
-      replica->Pool.warm(Options.WarmConnections);
+  for (const auto &[service, replicas] : ByService) {
+    const bool isRouted = Table && Table->services().contains(service);
+    for (const ReplicaPtr &replica : replicas)
+      if (replica->WasWarmed && replica->Pool.connected() == 0)
+        replica->AvoidUntil = Loop.now() + Options.AvoidTime;
+    planConnections(service, replicas);
+    for (const ReplicaPtr &replica : replicas)
+      if (isRouted)
+        warm(*replica);
+  }
   WarmTimer = Loop.schedule(Options.WarmInterval, [this] { warmAll(); });
 }
 
@@ -199,8 +248,8 @@
   const KindKey key{route.isSharded(), route.LatencyObjective,
                     route.Shards.TopK};
   for (const std::string &service : services)
-    Budgets.try_emplace(service, Options.ExtraBudget)
-        .first->second.onPrimariesSent(1);
+    Budgets.try_emplace(service, Options.ExtraBudget, StartedAt)
+        .first->second.onRequest(Loop.now());
   const ForwardId id = ++LastRequest;
   coordination::ForwardPolicy &policy = *this;
   auto created = std::make_unique<Request>(
@@ -226,7 +275,8 @@
 
 bool ForwardTask::tryTakeExtra(std::string_view service) {
   const auto it = Budgets.find(service);
-  const bool taken = it != Budgets.end() && it->second.tryTake();
+  const bool taken =
+      it != Budgets.end() && it->second.tryTake(slackShare(), Loop.now());
   if (!taken)
     BudgetRefusals.add();
   return taken;
@@ -351,13 +401,35 @@
   const auto chosen = Placement.choose(service, tried, hasRoom, Loop.now());
   if (chosen)
     return send(request, key, Replicas.at(*chosen));
-  if (Placement.hasOther(service, tried, Loop.now()))
+  if (Placement.hasOther(service, tried, Loop.now())) {
+    if (borrowConnection(service, tried))
+      dispatchLater(service);
     return false;
+  }
   carryOut(key.Request, request.Execution.onFailure(
                             key.Number, {AttemptEnd::NotSent, {}}, Loop.now()));
   return true;
 }
 
+// The replicas to which this daemon keeps no connection are used when the
+// others are busy or do not answer. The next plan takes the connection back.
+bool ForwardTask::borrowConnection(const std::string &service,
+                                   std::span<const state::ReplicaId> tried) {
+  const auto replicas = ByService.find(service);
+  if (replicas == ByService.end())
+    return false;
+  for (const ReplicaPtr &replica : replicas->second) {
+    const bool wasTried = std::find(tried.begin(), tried.end(),
+                                    replica->Record.Id) != tried.end();
+    if (wasTried || replica->Record.Draining || replica->Pool.limit() != 0 ||
+        replica->AvoidUntil > Loop.now())
+      continue;
+    replica->Pool.setLimit(1);
+    return true;
+  }
+  return false;
+}
+
 bool ForwardTask::send(Request &request, const WaitKey &key,
                        const ReplicaPtr &target) {
   const TimePoint now = Loop.now();
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -1,8 +1,9 @@
 #ifndef GALENAFLOW_FORWARDING_FORWARD_TASK_H
 #define GALENAFLOW_FORWARDING_FORWARD_TASK_H
 
+#include "coordination/connection_plan.h"
 #include "coordination/hedge_policy.h"
-#include "coordination/retry_budget.h"
+#include "coordination/window_budget.h"
 #include "forwarding/forward_protocol.h"
 #include "state/metrics.h"
 #include "transport/backend_pool.h"
@@ -20,12 +21,13 @@
 struct ForwardTaskOptions {
   std::string DataCentre; ///< of this process
 
-  /// Daemons among which a replica's connection limit is divided. The platform
-  /// lists no daemons, so this is an upper bound of today's fleet with spares.
-  std::uint32_t ExpectedDaemons = 12;
+  std::string Name; ///< of this daemon, unique in the fleet
 
-  /// Most connections to one replica, whatever its limit allows.
-  std::uint32_t MaxConnections = 8;
+  /// Daemons among which connection limits are divided while their number is
+  /// not known: an upper bound of a small fleet with spares.
+  std::uint32_t UnknownDaemons = 12;
+
+  coordination::ConnectionPlanOptions Connections;
 
   /// Connections opened to each replica ahead of need.
   std::size_t WarmConnections = 1;
@@ -33,10 +35,20 @@
   /// Interval at which missing warm connections are opened again.
   state::Duration WarmInterval = std::chrono::seconds(1);
 
-  /// Arrivals beyond the first of each request. The operator allows 0.2 of the
-  /// requests over all daemons, and a slack that is left unused but for the
-  /// burst, because the number of daemons is not known.
-  coordination::TokenBudgetOptions ExtraBudget{0.18, 2, 0};
+  /// Connections are not opened ahead of need in this time after the start,
+  /// while the number of daemons is still being counted.
+  state::Duration WarmDelay = std::chrono::milliseconds(1500);
+
+  /// A replica that refused or lost a new connection is avoided for this time,
+  /// when connections are too few for every replica.
+  state::Duration AvoidTime = std::chrono::seconds(6);
+
+  /// Arrivals beyond the first of each request.
+  coordination::WindowBudgetOptions ExtraBudget;
+
+  /// Further ones in each window, over all daemons. Used when the number of
+  /// daemons is known.
+  double ExtraSlack = 0;
 
   /// Quantile of attempt latencies after which another replica is asked.
   double HedgeQuantile = 0.9;
@@ -80,6 +92,9 @@
   void setReplicas(
       const std::map<std::string, state::ReplicaRecord, std::less<>> &records);
 
+  /// The number of daemons in the fleet; zero while not known.
+  void setDaemons(std::uint32_t n);
+
   /// Forwards a request on `route` of `table` to `services`: one, or the shard
   /// set. `left` is the time until the caller's deadline. The callback runs
   /// once, unless the request is cancelled, and not before this returns.
@@ -113,6 +128,8 @@
         : Record(record), Pool(loop, address, pool) {}
     state::ReplicaRecord Record;
     transport::BackendPool Pool;
+    bool WasWarmed = false; ///< a connection was due at the last check
+    state::TimePoint AvoidUntil = state::TimePoint::min();
   };
   using ReplicaPtr = std::shared_ptr<Replica>;
 
@@ -178,16 +195,25 @@
   bool dispatchOne(const std::string &service, const WaitKey &key);
   bool send(Request &request, const WaitKey &key, const ReplicaPtr &target);
   void onEnded(AttemptId id, transport::HttpResult result);
-  void applyLimit(Replica &replica);
+  double slackShare() const;
+  void planConnections();
+  void planConnections(std::string_view service,
+                       const std::vector<ReplicaPtr> &replicas);
   void warmAll();
+  void warm(Replica &replica);
+  bool borrowConnection(const std::string &service,
+                        std::span<const state::ReplicaId> tried);
 
   transport::EventLoop &Loop;
   ReplicaProtocol &Protocol;
   ForwardTaskOptions Options;
   coordination::ReplicaPlacement Placement;
   state::RouteTablePtr Table;
+  std::uint32_t Daemons = 0;
+  state::TimePoint StartedAt;
   std::map<std::string, ReplicaPtr, std::less<>> Replicas;
-  std::map<std::string, coordination::TokenBudget, std::less<>> Budgets;
+  std::map<std::string, std::vector<ReplicaPtr>, std::less<>> ByService;
+  std::map<std::string, coordination::WindowBudget, std::less<>> Budgets;
   std::map<std::string, std::set<WaitKey>, std::less<>> Waiting;
   std::set<std::string, std::less<>> DispatchPending;
   std::map<KindKey, std::unique_ptr<Kind>> Kinds;
--- /dev/null
+++ b/src/forwarding/relay_task.cc
@@ -0,0 +1,287 @@
+#include "forwarding/relay_task.h"
+
+#include "state/log.h"
+
+#include <algorithm>
+#include <utility>
+
+// A request waits at the relay until the relay itself has read, so the answer
+// is fresh and requests need no pace of their own. Whatever goes wrong with a
+// relay ends in a read at the source within the same turn, so no bound depends
+// on another daemon.
+//
+// A relay's answer is taken only when it is complete up to the revision that is
+// known here: a relay that lags behind must not undo newer changes.
+
+namespace galenaflow::forwarding {
+
+using protocol::DirectoryMessageType;
+using protocol::DirectoryReply;
+using protocol::DirectoryRequest;
+using state::Duration;
+using transport::PeerIdentity;
+
+namespace {
+
+constexpr Duration TickPeriod = std::chrono::milliseconds(100);
+
+} // namespace
+
+RelayTask::RelayTask(transport::EventLoop &loop, DirectorySource &source,
+                     RelayTaskOptions options, state::MetricRegistry &metrics)
+    : Loop(loop), Source(source), Options(options),
+      Network(loop, options.Network,
+              {[](const PeerIdentity &) {},
+               [](const PeerIdentity &peer, transport::LinkClose reason) {
+                 state::log::info(
+                     "peer_lost",
+                     {{"peer", peer.VmId}, {"reason", linkCloseName(reason)}});
+               },
+               [this](const PeerIdentity &peer, std::uint16_t type,
+                      std::string_view payload) {
+                 onMessage(peer, type, payload);
+               }}),
+      Choice(options.Choice, options.Network.Session.Self.Address),
+      Log(options.Network.Seed | 1), StartedAt(loop.now()),
+      RelayReads(metrics.counter("galenaflow_relay_reads_total",
+                                 "Reads of the directory at other daemons")),
+      SourceReads(metrics.counter("galenaflow_source_reads_total",
+                                  "Reads of the directory at its source")) {
+  tick();
+}
+
+RelayTask::~RelayTask() {
+  Loop.cancel(Timer);
+  if (Pending)
+    Loop.cancel(Pending->Timer);
+}
+
+state::Result<transport::SocketAddress>
+RelayTask::listen(transport::SocketAddress address) {
+  return Network.listen(address);
+}
+
+void RelayTask::setRelays(const std::vector<std::string> &addresses) {
+  Relays = addresses;
+  Choice.setRelays(addresses);
+  Network.setWanted(Choice.preferred());
+}
+
+state::RouteTablePtr RelayTask::decodeRoutes(std::string_view document) const {
+  return Source.decodeRoutes(document);
+}
+
+void RelayTask::readAll(DirectoryCallback callback) {
+  PeerLog = 0;
+  read(std::nullopt, std::move(callback));
+}
+
+void RelayTask::readChanges(std::uint64_t after, DirectoryCallback callback) {
+  read(after, std::move(callback));
+}
+
+void RelayTask::read(std::optional<std::uint64_t> after,
+                     DirectoryCallback callback) {
+  // A daemon that knows nothing asks the source first, and a relay when that
+  // has failed: after a stop of the whole fleet no relay knows more.
+  const bool isFirst = View.Table == nullptr && !std::exchange(HasRead, true);
+  const auto relay = Choice.choose(Loop.now());
+  if (!relay || isFirst) {
+    readSource(after, std::move(callback));
+    return;
+  }
+  const std::uint64_t sequence = ++LastSequence;
+  Pending = PendingRead{sequence, *relay, after, std::move(callback), 0};
+  if (ask(*relay)) {
+    Pending->Timer = Loop.schedule(Options.ReplyTimeout,
+                                   [this] { giveUp("no answer in time"); });
+    return;
+  }
+  if (Loop.now() - StartedAt < Options.LinkGrace) {
+    // The links are being set up; the reader asks again soon.
+    Loop.post([callback = std::move(Pending->Callback)] {
+      callback(tl::unexpected(DirectoryFault::Failed));
+    });
+    Pending.reset();
+    return;
+  }
+  giveUp("no link");
+}
+
+void RelayTask::onLinkLost(const PeerIdentity &peer,
+                           transport::LinkClose reason) {
+  state::log::info("peer_lost",
+                   {{"peer", peer.VmId}, {"reason", linkCloseName(reason)}});
+  if (!Pending || Pending->Relay != peer.Address)
+    return;
+  // Posted, because the link can be lost while a request is written to it.
+  Loop.post([this, sequence = Pending->Sequence] {
+    if (Pending && Pending->Sequence == sequence)
+      giveUp("link lost");
+  });
+}
+
+bool RelayTask::ask(const std::string &relay) {
+  DirectoryRequest request;
+  request.Sequence = Pending->Sequence;
+  request.Log = PeerLog;
+  request.Index = PeerIndex;
+  request.RouteVersion = View.Table ? View.Table->version() : 0;
+  request.Daemons = Fleet.subtree(Loop.now());
+  for (const PeerIdentity &peer : Network.connected())
+    if (peer.Address == relay)
+      return Network.send(
+          peer, static_cast<std::uint16_t>(DirectoryMessageType::Request),
+          protocol::encodeDirectoryRequest(request));
+  return false;
+}
+
+void RelayTask::giveUp(const char *reason) {
+  PendingRead read = std::move(*Pending);
+  Pending.reset();
+  Loop.cancel(read.Timer);
+  if (ReadsAtRelay || View.Table == nullptr)
+    state::log::info("relay_lost", {{"relay", read.Relay}, {"reason", reason}});
+  Choice.onFailure(read.Relay, Loop.now());
+  readSource(read.After, std::move(read.Callback));
+}
+
+void RelayTask::readSource(std::optional<std::uint64_t> after,
+                           DirectoryCallback callback) {
+  SourceReads.add();
+  ReadsAtRelay = false;
+  PeerLog = 0;
+  UpstreamDaemons = 0;
+  if (after)
+    Source.readChanges(*after, std::move(callback));
+  else
+    Source.readAll(std::move(callback));
+}
+
+void RelayTask::onMessage(const PeerIdentity &peer, std::uint16_t type,
+                          std::string_view payload) {
+  if (type == static_cast<std::uint16_t>(DirectoryMessageType::Request)) {
+    if (const auto request = protocol::decodeDirectoryRequest(payload)) {
+      onRequest(peer, *request);
+      return;
+    }
+  } else if (type == static_cast<std::uint16_t>(DirectoryMessageType::Reply)) {
+    if (auto reply = protocol::decodeDirectoryReply(payload)) {
+      onReply(std::move(*reply));
+      return;
+    }
+  }
+  state::log::warning("peer_message_malformed",
+                      {{"peer", peer.VmId}, {"type", type}});
+}
+
+void RelayTask::onRequest(const PeerIdentity &peer,
+                          const DirectoryRequest &request) {
+  Fleet.onRequest(peer.VmId, request.Daemons, Loop.now());
+  const Waiter waiter{peer, request, Loop.now()};
+  const bool isNew = request.Log == 0 && View.Table != nullptr &&
+                     Loop.now() - ViewAt < Options.MaxAge;
+  if (isNew)
+    answer(waiter);
+  else
+    Waiters.push_back(waiter);
+}
+
+void RelayTask::answer(const Waiter &waiter) {
+  DirectoryReply reply = Log.answer(waiter.Request);
+  reply.HasContent = View.Table != nullptr;
+  reply.Revision = View.Revision;
+  reply.Age = Loop.now() - ViewAt;
+  reply.Daemons =
+      UpstreamDaemons != 0 ? UpstreamDaemons : Fleet.subtree(Loop.now());
+  Network.send(waiter.Peer,
+               static_cast<std::uint16_t>(DirectoryMessageType::Reply),
+               protocol::encodeDirectoryReply(reply));
+}
+
+void RelayTask::answerAll() {
+  const std::deque<Waiter> waiting = std::move(Waiters);
+  Waiters.clear();
+  for (const Waiter &waiter : waiting)
+    answer(waiter);
+}
+
+void RelayTask::tick() {
+  while (!Waiters.empty() &&
+         Loop.now() - Waiters.front().ArrivedAt >= Options.MaxHold) {
+    const Waiter waiter = std::move(Waiters.front());
+    Waiters.pop_front();
+    answer(waiter);
+  }
+  Timer = Loop.schedule(TickPeriod, [this] { tick(); });
+}
+
+void RelayTask::onReply(DirectoryReply reply) {
+  if (!Pending || Pending->Sequence != reply.Sequence)
+    return;
+  if (!reply.HasContent || reply.Age > Options.MaxAge) {
+    giveUp("its view is old");
+    return;
+  }
+  if (reply.Revision < Pending->After.value_or(0)) {
+    giveUp("its view is behind");
+    return;
+  }
+  DirectoryContent content;
+  if (!reply.Routes.empty()) {
+    content.Table = Source.decodeRoutes(reply.Routes);
+    content.Document = std::move(reply.Routes);
+    if (!content.Table) {
+      giveUp("its routes are malformed");
+      return;
+    }
+  }
+  RelayReads.add();
+  if (!ReadsAtRelay)
+    state::log::info("relay_in_use",
+                     {{"relay", Pending->Relay}, {"revision", reply.Revision}});
+  ReadsAtRelay = true;
+  PeerLog = reply.Log;
+  PeerIndex = reply.Index;
+  UpstreamDaemons = reply.Daemons;
+  noteDaemons(reply.Daemons);
+  content.Changes = std::move(reply.Changes);
+  content.Revision = reply.Revision;
+  content.IsFull = reply.IsFull;
+  content.Age = reply.Age;
+  PendingRead read = std::move(*Pending);
+  Pending.reset();
+  Loop.cancel(read.Timer);
+  read.Callback(std::move(content));
+}
+
+void RelayTask::onView(const DirectoryView &view) {
+  if (view.Table && (!View.Table || view.Table != View.Table))
+    Log.setRoutes(view.Table->version(), std::string(view.Document));
+  View = view;
+  ViewAt = Loop.now() - view.Age;
+  if (view.Replicas->listedVersion() != ListedVersion) {
+    ListedVersion = view.Replicas->listedVersion();
+    Log.update(view.Replicas->listed());
+  }
+  if (!ReadsAtRelay)
+    noteDaemons(Fleet.subtree(Loop.now()));
+  answerAll();
+}
+
+void RelayTask::noteDaemons(std::uint32_t n) {
+  const state::TimePoint now = Loop.now();
+  while (!Counts.empty() && Counts.front().first + Options.CountMemory < now)
+    Counts.pop_front();
+  while (!Counts.empty() && Counts.back().second <= n)
+    Counts.pop_back();
+  Counts.emplace_back(now, n);
+}
+
+std::uint32_t RelayTask::daemons() const {
+  // A single daemon cannot tell whether it is alone or cut off.
+  const std::uint32_t most = Counts.empty() ? 0 : Counts.front().second;
+  return most > 1 ? most : 0;
+}
+
+} // namespace galenaflow::forwarding
--- /dev/null
+++ b/src/forwarding/relay_task.h
@@ -0,0 +1,121 @@
+#ifndef GALENAFLOW_FORWARDING_RELAY_TASK_H
+#define GALENAFLOW_FORWARDING_RELAY_TASK_H
+
+#include "coordination/directory_relay.h"
+#include "forwarding/directory_task.h"
+#include "transport/peer_link.h"
+
+#include <deque>
+
+namespace galenaflow::forwarding {
+
+struct RelayTaskOptions {
+  transport::PeerNetworkOptions Network;
+  coordination::RelayChoiceOptions Choice;
+
+  /// A relay answers when it has read the source itself, which it does about
+  /// once a second. Without an answer in this time, the source is read here.
+  state::Duration ReplyTimeout = std::chrono::milliseconds(1500);
+
+  /// A request is answered after this time even without a read.
+  state::Duration MaxHold = std::chrono::milliseconds(1200);
+
+  /// A view that is older is not taken over. Together with the timeout and a
+  /// read here, the view stays within the operator's bound of 3 s.
+  state::Duration MaxAge = std::chrono::milliseconds(1200);
+
+  /// Time after the start in which a missing link is waited for.
+  state::Duration LinkGrace = std::chrono::milliseconds(600);
+
+  /// The largest fleet that was counted within this time is believed, because a
+  /// count is too small while links are being set up.
+  state::Duration CountMemory = std::chrono::seconds(30);
+};
+
+/// Reads the directory from another daemon while one gives good answers, and
+/// from its source otherwise. Answers the requests of other daemons. The number
+/// of reads at the source is thus nearly independent of that of the daemons.
+class RelayTask final : public DirectorySource {
+public:
+  RelayTask(transport::EventLoop &loop, DirectorySource &source,
+            RelayTaskOptions options, state::MetricRegistry &metrics);
+  ~RelayTask() override;
+
+  /// Accepts other daemons. Error: Unavailable.
+  state::Result<transport::SocketAddress>
+  listen(transport::SocketAddress address);
+
+  /// Addresses (IP:PORT) of daemons that may be asked.
+  void setRelays(const std::vector<std::string> &addresses);
+
+  void readAll(DirectoryCallback callback) override;
+  void readChanges(std::uint64_t after, DirectoryCallback callback) override;
+  state::RouteTablePtr decodeRoutes(std::string_view document) const override;
+
+  /// This daemon's view has been read, or has changed.
+  void onView(const DirectoryView &view);
+
+  /// Daemons of the fleet; zero while not known.
+  std::uint32_t daemons() const;
+
+private:
+  struct PendingRead {
+    std::uint64_t Sequence = 0;
+    std::string Relay;
+    std::optional<std::uint64_t> After;
+    DirectoryCallback Callback;
+    transport::TimerId Timer = 0;
+  };
+
+  struct Waiter {
+    transport::PeerIdentity Peer;
+    protocol::DirectoryRequest Request;
+    state::TimePoint ArrivedAt;
+  };
+
+  void read(std::optional<std::uint64_t> after, DirectoryCallback callback);
+  void readSource(std::optional<std::uint64_t> after,
+                  DirectoryCallback callback);
+  bool ask(const std::string &relay);
+  void giveUp(const char *reason);
+  void onLinkLost(const transport::PeerIdentity &peer,
+                  transport::LinkClose reason);
+  void onMessage(const transport::PeerIdentity &peer, std::uint16_t type,
+                 std::string_view payload);
+  void onRequest(const transport::PeerIdentity &peer,
+                 const protocol::DirectoryRequest &request);
+  void onReply(protocol::DirectoryReply reply);
+  void answer(const Waiter &waiter);
+  void answerAll();
+  void tick();
+  void noteDaemons(std::uint32_t n);
+
+  transport::EventLoop &Loop;
+  DirectorySource &Source;
+  RelayTaskOptions Options;
+  transport::PeerNetwork Network;
+  coordination::RelayChoice Choice;
+  coordination::DirectoryLog Log;
+  coordination::FleetCount Fleet;
+  std::vector<std::string> Relays;
+  std::optional<PendingRead> Pending;
+  std::deque<Waiter> Waiters;
+  DirectoryView View;
+  state::TimePoint ViewAt;
+  std::uint64_t ListedVersion = 0; ///< of the directory that the log shows
+  state::TimePoint StartedAt;
+  std::uint64_t LastSequence = 0;
+  std::uint64_t PeerLog = 0; ///< position in the relay's log
+  std::uint64_t PeerIndex = 0;
+  bool HasRead = false;
+  bool ReadsAtRelay = false;
+  std::uint32_t UpstreamDaemons = 0;
+  std::deque<std::pair<state::TimePoint, std::uint32_t>> Counts;
+  transport::TimerId Timer = 0;
+  state::Counter &RelayReads;
+  state::Counter &SourceReads;
+};
+
+} // namespace galenaflow::forwarding
+
+#endif
--- /dev/null
+++ b/src/protocol/directory_messages.h
@@ -0,0 +1,57 @@
+#ifndef GALENAFLOW_PROTOCOL_DIRECTORY_MESSAGES_H
+#define GALENAFLOW_PROTOCOL_DIRECTORY_MESSAGES_H
+
+#include "state/error.h"
+#include "state/replica_directory.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Messages by which daemons pass the operator's directory on to each other.
+namespace galenaflow::protocol {
+
+/// Frame types of a peer link.
+enum class DirectoryMessageType : std::uint16_t {
+  Request = 80,
+  Reply = 81,
+};
+
+/// Asks for what has changed since a position in the peer's log.
+struct DirectoryRequest {
+  std::uint64_t Sequence = 0; ///< copied into the reply
+  std::uint64_t Log = 0;      ///< names the log; 0: everything is wanted
+  std::uint64_t Index = 0;    ///< the last change of the log that is known
+  std::uint64_t RouteVersion = 0;
+  std::uint32_t Daemons = 1; ///< the asking daemon and those that ask it
+
+  bool operator==(const DirectoryRequest &) const = default;
+};
+
+struct DirectoryReply {
+  std::uint64_t Sequence = 0;
+  bool HasContent = false; ///< false: the peer has read nothing itself yet
+  std::uint64_t Log = 0;
+  std::uint64_t Index = 0;
+  std::uint64_t Revision = 0; ///< of the source, up to which this is complete
+  state::Duration Age{0};     ///< since the peer knows that nothing is newer
+  std::uint32_t Daemons = 0;  ///< in the whole fleet; 0: not known
+  bool IsFull = false;
+  std::vector<state::DirectoryChange> Changes;
+  std::string Routes; ///< the published document, empty when not newer
+};
+
+/// Limits on what a peer may send.
+constexpr std::size_t MaxDirectoryChanges = 100'000;
+
+std::string encodeDirectoryRequest(const DirectoryRequest &request);
+std::string encodeDirectoryReply(const DirectoryReply &reply);
+
+/// Error: InvalidArgument for bytes that are no such message.
+state::Result<DirectoryRequest> decodeDirectoryRequest(std::string_view bytes);
+state::Result<DirectoryReply> decodeDirectoryReply(std::string_view bytes);
+
+} // namespace galenaflow::protocol
+
+#endif
--- a/src/state/replica_directory.cc
+++ b/src/state/replica_directory.cc
@@ -10,12 +10,12 @@
 namespace galenaflow::state {
 
 bool ReplicaDirectory::put(const ReplicaRecord &record) {
-  Lapsing.erase(record.Id);
+  const bool wasLapsing = Lapsing.erase(record.Id) != 0;
   const auto [it, added] = Records.try_emplace(record.Id, record);
-  if (added)
-    return true;
-  const bool changed = !it->second.isSameFor(record);
+  const bool changed = added || !it->second.isSameFor(record);
   it->second = record;
+  if (changed || wasLapsing)
+    ++ListedVersion;
   return changed;
 }
 
@@ -25,11 +25,13 @@
   if (it == Records.end())
     return false;
   if (!afterOutage && now >= GraceUntil) {
-    Lapsing.erase(it->first);
+    if (Lapsing.erase(it->first) == 0)
+      ++ListedVersion;
     Records.erase(it);
     return true;
   }
-  Lapsing.try_emplace(it->first, GraceUntil);
+  if (Lapsing.try_emplace(it->first, GraceUntil).second)
+    ++ListedVersion;
   return false;
 }
 
@@ -63,6 +65,14 @@
   return changed;
 }
 
+std::map<std::string, ReplicaRecord, std::less<>>
+ReplicaDirectory::listed() const {
+  auto records = Records;
+  for (const auto &[id, until] : Lapsing)
+    records.erase(id);
+  return records;
+}
+
 bool ReplicaDirectory::expire(TimePoint now) {
   bool changed = false;
   for (auto it = Lapsing.begin(); it != Lapsing.end();) {
--- a/src/state/replica_directory.h
+++ b/src/state/replica_directory.h
@@ -73,6 +73,14 @@
     return Records;
   }
 
+  /// The records without those that are only kept for their grace time. Each
+  /// user of the directory waits by itself, since an outage here says nothing
+  /// about other daemons.
+  std::map<std::string, ReplicaRecord, std::less<>> listed() const;
+
+  /// Changes whenever listed() does.
+  std::uint64_t listedVersion() const { return ListedVersion; }
+
 private:
   bool put(const ReplicaRecord &record);
   bool remove(std::string_view id, bool afterOutage, TimePoint now);
@@ -81,6 +89,7 @@
   std::map<std::string, ReplicaRecord, std::less<>> Records;
   std::map<std::string, TimePoint, std::less<>> Lapsing; ///< id, end of grace
   TimePoint GraceUntil = TimePoint::min();
+  std::uint64_t ListedVersion = 0;
 };
 
 } // namespace galenaflow::state
--- a/src/transport/backend_pool.cc
+++ b/src/transport/backend_pool.cc
@@ -121,6 +121,13 @@
       }));
 }
 
+std::size_t BackendPool::connected() const {
+  return static_cast<std::size_t>(
+      std::count_if(Members.begin(), Members.end(), [](const auto &member) {
+        return member->Connection.isBusy() || member->Connection.isConnected();
+      }));
+}
+
 BackendPool::Member *BackendPool::findUsable() {
   if (Members.size() > Limit)
     return nullptr;
--- a/src/transport/backend_pool.h
+++ b/src/transport/backend_pool.h
@@ -78,6 +78,10 @@
   bool hasFree() const;
   std::size_t busy() const;
   std::size_t size() const { return Members.size(); }
+  std::size_t limit() const { return Limit; }
+
+  /// Connections that are open, idle or in use.
+  std::size_t connected() const;
   const BackendPoolCounters &counters() const { return Counters; }
 
 private:
--- /dev/null
+++ b/tests/connection_plan_test.cc
@@ -0,0 +1,62 @@
+#include "coordination/connection_plan.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <numeric>
+#include <string>
+
+using namespace galenaflow::coordination;
+
+namespace {
+
+std::vector<PlannedReplica> three() {
+  return {{"a", true, false}, {"b", false, false}, {"c", false, false}};
+}
+
+} // namespace
+
+TEST_CASE("every daemon gets the same share while there is one for each") {
+  ConnectionPlanOptions options;
+  options.MaxPerReplica = 8;
+  CHECK(planConnections(three(), 26, 8, "x", options) ==
+        std::vector<std::uint32_t>{3, 3, 3});
+  CHECK(planConnections(three(), 530, 8, "x", options) ==
+        std::vector<std::uint32_t>{8, 8, 8});
+  CHECK(planConnections({}, 26, 8, "x").empty());
+}
+
+TEST_CASE("with less than one for each, some replicas are kept, the own data "
+          "centre first") {
+  for (const std::string self : {"p", "q", "r", "s"}) {
+    const auto limits = planConnections(three(), 61, 78, self);
+    CHECK(limits[0] == 1);
+    CHECK(std::accumulate(limits.begin(), limits.end(), 0U) == 2);
+  }
+  auto replicas = three();
+  replicas[0].IsAvoided = true;
+  CHECK(planConnections(replicas, 61, 78, "p") ==
+        std::vector<std::uint32_t>{0, 1, 1});
+  const auto least = planConnections(three(), 1, 1300, "p");
+  CHECK(std::accumulate(least.begin(), least.end(), 0U) == 1);
+}
+
+// Guards against replicas that reset connections because too many daemons have
+// chosen them.
+TEST_CASE("daemons spread over the replicas within their limits") {
+  // 78 daemons in three data centres with one replica each, as the grown site.
+  std::map<std::string, std::uint32_t> total;
+  for (int daemon = 0; daemon != 78; ++daemon) {
+    auto replicas = three();
+    for (int i = 0; i != 3; ++i)
+      replicas[static_cast<std::size_t>(i)].IsLocal = daemon % 3 == i;
+    const auto limits =
+        planConnections(replicas, 61, 78, "vm-" + std::to_string(daemon));
+    for (std::size_t i = 0; i != 3; ++i)
+      total[std::string(replicas[i].Id)] += limits[i];
+  }
+  for (const auto &[id, n] : total) {
+    INFO(id);
+    CHECK(n <= 61);
+    CHECK(n >= 40);
+  }
+}
--- /dev/null
+++ b/tests/relay_task_test.cc
@@ -0,0 +1,239 @@
+#include "forwarding/relay_task.h"
+#include "support/process.h"
+
+#include <catch2/catch.hpp>
+
+using namespace galenaflow;
+using namespace galenaflow::forwarding;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto TestLimit = 10s;
+
+state::RouteTablePtr tableOf(std::uint64_t version) {
+  return std::make_shared<const state::RouteTable>(
+      version, std::vector<state::Route>(), std::vector<state::RoutedService>(),
+      state::CallerLimits());
+}
+
+/// A source of a directory that counts its reads and can be away.
+class FakeSource final : public DirectorySource {
+public:
+  /// One that follows `shared` is the path of one daemon to it.
+  explicit FakeSource(transport::EventLoop &loop, FakeSource *shared = nullptr)
+      : Loop(loop), Shared(shared) {}
+
+  std::map<std::string, state::ReplicaRecord, std::less<>> Records;
+  std::uint64_t Revision = 10;
+  std::uint64_t Version = 1;
+  bool Away = false;
+  int Reads = 0;
+
+  void readAll(DirectoryCallback callback) override {
+    ++Reads;
+    if (Shared != nullptr && !Away) {
+      Shared->readAll(std::move(callback));
+      return;
+    }
+    Loop.post([this, callback] {
+      if (Away) {
+        callback(tl::unexpected(DirectoryFault::Failed));
+        return;
+      }
+      DirectoryContent content;
+      content.IsFull = true;
+      for (const auto &[id, record] : Records)
+        content.Changes.push_back({id, false, record});
+      content.Document = std::to_string(Version);
+      content.Table = tableOf(Version);
+      content.Revision = Revision;
+      callback(std::move(content));
+    });
+  }
+  void readChanges(std::uint64_t, DirectoryCallback callback) override {
+    readAll(std::move(callback));
+  }
+  state::RouteTablePtr decodeRoutes(std::string_view document) const override {
+    const auto version =
+        std::strtoull(std::string(document).c_str(), nullptr, 10);
+    return version == 0 ? nullptr : tableOf(version);
+  }
+
+  void put(const std::string &id, bool draining = false) {
+    state::ReplicaRecord record;
+    record.Id = id;
+    record.Service = "s";
+    record.Address = "10.0.0.1:80";
+    record.Draining = draining;
+    Records[id] = record;
+    ++Revision;
+  }
+
+private:
+  transport::EventLoop &Loop;
+  FakeSource *Shared;
+};
+
+/// A daemon as far as the directory goes.
+struct Daemon {
+  Daemon(transport::EventLoop &loop, FakeSource &shared,
+         const std::string &address, std::uint64_t seed)
+      : Source(loop, &shared),
+        Relay(loop, Source, optionsFor(address, seed), Metrics),
+        Directory(loop, Relay, {}, std::mt19937_64(seed),
+                  {[this](const auto &table) { Version = table->version(); },
+                   [this](const auto &records) { Records = records; },
+                   [this](const DirectoryView &view) {
+                     Relay.onView(view);
+                     Age = view.Age;
+                   }},
+                  Metrics) {
+    REQUIRE(Relay.listen(*transport::parseSocketAddress(address)));
+  }
+
+  static RelayTaskOptions optionsFor(const std::string &address,
+                                     std::uint64_t seed) {
+    RelayTaskOptions options;
+    options.Network.Session.Self = {"vm" + std::to_string(seed), "1", "dc",
+                                    address};
+    options.Network.Session.Keys = {"a key of the deployment, long enough"};
+    options.Network.Seed = seed;
+    return options;
+  }
+
+  FakeSource Source;
+  state::MetricRegistry Metrics;
+  std::uint64_t Version = 0;
+  std::map<std::string, state::ReplicaRecord, std::less<>> Records;
+  state::Duration Age{0};
+  RelayTask Relay;
+  DirectoryTask Directory;
+};
+
+struct Fleet {
+  transport::EventLoop Loop;
+  FakeSource Source{Loop};
+  std::vector<std::string> Addresses;
+  std::vector<std::unique_ptr<Daemon>> Daemons;
+
+  explicit Fleet(std::size_t n, std::size_t relays = 3) {
+    Source.put("a");
+    Source.put("b");
+    for (std::size_t i = 0; i != n; ++i)
+      Addresses.push_back(support::reserveAddress());
+    std::sort(Addresses.begin(), Addresses.end());
+    for (std::size_t i = 0; i != n; ++i)
+      add(i);
+    for (std::size_t i = 0; i != n; ++i)
+      start(i, relays);
+  }
+  void add(std::size_t i) {
+    Daemons.push_back(
+        std::make_unique<Daemon>(Loop, Source, Addresses[i], i + 1));
+  }
+  void start(std::size_t i, std::size_t relays) {
+    Daemons[i]->Relay.setRelays(
+        {Addresses.begin(),
+         Addresses.begin() + static_cast<std::ptrdiff_t>(relays)});
+    Daemons[i]->Directory.start();
+  }
+  bool all(const std::function<bool(const Daemon &)> &check,
+           state::Duration limit = TestLimit) {
+    return Loop.runUntil(
+        [&] {
+          return std::all_of(
+              Daemons.begin(), Daemons.end(),
+              [&](const auto &it) { return it == nullptr || check(*it); });
+        },
+        limit);
+  }
+  void run(state::Duration d) {
+    Loop.runUntil([] { return false; }, d);
+  }
+};
+
+} // namespace
+
+// The platform prices every read at the source.
+TEST_CASE("the reads at the source do not grow with the daemons") {
+  Fleet fleet(8);
+  REQUIRE(fleet.all([](const Daemon &it) { return it.Version == 1; }));
+  fleet.run(1500ms);
+  const int before = fleet.Source.Reads;
+  fleet.run(4s);
+  CHECK(fleet.Source.Reads - before <= 6);
+  CHECK(fleet.all([](const Daemon &it) { return it.Relay.daemons() == 8; }));
+}
+
+TEST_CASE("a change reaches every daemon within the bound") {
+  Fleet fleet(6);
+  REQUIRE(fleet.all([](const Daemon &it) { return it.Version == 1; }));
+  fleet.run(1500ms);
+  fleet.Source.put("a", true);
+  fleet.Source.Records.erase("b");
+  fleet.Source.put("c");
+  ++fleet.Source.Version;
+  CHECK(fleet.all(
+      [](const Daemon &it) {
+        return it.Version == 2 && it.Records.size() == 2 &&
+               it.Records.contains("c") && it.Records.at("a").Draining;
+      },
+      1500ms));
+}
+
+TEST_CASE("without the relays every daemon reads at the source in time") {
+  Fleet fleet(5);
+  REQUIRE(fleet.all([](const Daemon &it) { return it.Version == 1; }));
+  fleet.run(1500ms);
+  for (std::size_t i = 0; i != 3; ++i)
+    fleet.Daemons[i].reset();
+  fleet.Source.put("c");
+  CHECK(fleet.all([](const Daemon &it) { return it.Records.size() == 3; },
+                  2800ms));
+  CHECK(fleet.all([](const Daemon &it) { return it.Age < 3s; }, 1ms));
+}
+
+TEST_CASE("a daemon that starts while the source is away learns from a relay") {
+  Fleet fleet(3, 1);
+  REQUIRE(fleet.all([](const Daemon &it) { return it.Version == 1; }));
+  fleet.run(1200ms);
+  fleet.Source.Away = true;
+  fleet.Addresses.push_back(support::reserveAddress());
+  fleet.add(3);
+  fleet.start(3, 1);
+  CHECK(fleet.Loop.runUntil(
+      [&] { return fleet.Daemons[3]->Records.size() == 2; }, 3s));
+}
+
+TEST_CASE("an outage of the source empties no view, and its end is noticed") {
+  Fleet fleet(4);
+  REQUIRE(fleet.all([](const Daemon &it) { return it.Version == 1; }));
+  fleet.Source.Away = true;
+  fleet.run(4s);
+  CHECK(fleet.all([](const Daemon &it) { return it.Records.size() == 2; }));
+  fleet.Source.Away = false;
+  fleet.Source.put("c");
+  CHECK(fleet.all([](const Daemon &it) { return it.Records.size() == 3; }, 4s));
+}
+
+// Guards against a relay whose own outage delays a removal elsewhere: it keeps
+// lapsed records for a grace time, other daemons must not.
+TEST_CASE(
+    "a removal during a relay's outage is in force at the others in time") {
+  Fleet fleet(4, 1);
+  REQUIRE(fleet.all([](const Daemon &it) { return it.Version == 1; }));
+  fleet.run(1200ms);
+  fleet.Daemons[0]->Source.Away = true;
+  fleet.run(4s);
+  fleet.Source.Records.erase("b");
+  ++fleet.Source.Revision;
+  fleet.Daemons[0]->Source.Away = false;
+  CHECK(fleet.Loop.runUntil(
+      [&] {
+        return std::all_of(
+            fleet.Daemons.begin() + 1, fleet.Daemons.end(),
+            [](const auto &it) { return it->Records.size() == 1; });
+      },
+      2200ms));
+}
--- a/tests/replica_directory_test.cc
+++ b/tests/replica_directory_test.cc
@@ -65,3 +65,19 @@
   CHECK(directory.records().size() == 1);
   CHECK(directory.records().contains("a"));
 }
+
+// Guards against a daemon whose own outage delays the removal of replicas in
+// all daemons that read the directory from it.
+TEST_CASE("lapsing records are kept for use and not listed for others") {
+  const TimePoint now{1h};
+  ReplicaDirectory directory;
+  directory.replaceAll({record("a"), record("b")}, false, now);
+  const std::uint64_t before = directory.listedVersion();
+  directory.apply({removal("a")}, true, now);
+  CHECK(directory.records().contains("a"));
+  CHECK_FALSE(directory.listed().contains("a"));
+  CHECK(directory.listed().contains("b"));
+  CHECK(directory.listedVersion() != before);
+  directory.apply({update(record("a"))}, false, now);
+  CHECK(directory.listed().contains("a"));
+}
