Log every decision within a bound, expose metrics, and answer in time on slow VMs

Cause: a failed request could not be explained afterwards: no line said which replica was asked, what came back and why it ended. On the grown site, where a VM has an eighth of a core, partial answers went out 9 ms before the objective and reached the caller after it (median 42 ms for an objective of 40 ms).

Change: one line for each failed or partial request and failed attempt, with the id and the inputs; a sample of the others; bounded by kind of event and never waiting for the reader. The margin of partial answers is 8 ms and the measured lag of the process.

--- a/src/coordination/directory_reader.h
+++ b/src/coordination/directory_reader.h
@@ -45,6 +45,7 @@
   /// The read that is due, or nothing before nextAt() and while one is open.
   std::optional<DirectoryRead> poll(TimePoint now);
   TimePoint nextAt() const { return NextAt; }
+  bool isReading() const { return Open; }
 
   /// The open read has ended; the content was read at the source at `readAt`.
   /// Returns whether the source had been away.
--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -24,6 +24,9 @@
 /// without end.
 constexpr std::size_t MaxFreeAttempts = 2;
 
+/// Services that a log line names at most.
+constexpr std::size_t MaxNamedServices = 5;
+
 /// Whether an attempt that ended so left no work at its service.
 bool leftNoWork(AttemptEnd end) {
   return end == AttemptEnd::Rejected || end == AttemptEnd::Misdirected ||
@@ -36,6 +39,22 @@
 
 } // namespace
 
+std::string_view attemptEndName(AttemptEnd end) {
+  switch (end) {
+  case AttemptEnd::Rejected:
+    return "rejected";
+  case AttemptEnd::Misdirected:
+    return "misdirected";
+  case AttemptEnd::NotSent:
+    return "not_sent";
+  case AttemptEnd::Failed:
+    return "failed";
+  case AttemptEnd::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
 std::string_view forwardFaultName(ForwardFault fault) {
   switch (fault) {
   case ForwardFault::NoReplica:
@@ -117,7 +136,7 @@
   const bool isFinal = answer.isSuccess() ||
                        (answer.Status < 500 && !Options.Route->isSharded());
   if (!isFinal)
-    return onFailure(number, {AttemptEnd::Failed, std::move(answer)}, now);
+    return onFailure(number, {AttemptEnd::Failed, std::move(answer), {}}, now);
   Attempt *attempt = openAttempt(number);
   if (attempt == nullptr)
     return {};
@@ -247,6 +266,7 @@
 }
 
 void ForwardExecution::finishMerged() {
+  nameMissing();
   dropOpen(false);
   Finished = true;
   MergedAnswer merged;
@@ -264,6 +284,17 @@
   Pending.emplace_back(FinishForward{std::move(merged)});
 }
 
+void ForwardExecution::nameMissing() {
+  for (std::size_t i = 0; i != Parts.size(); ++i) {
+    if (Parts[i].Answer || Counts.Missing.size() == MaxNamedServices)
+      continue;
+    std::string name = Options.Services[i];
+    for (const state::ReplicaId &replica : Parts[i].Tried)
+      name.append(":").append(replica);
+    Counts.Missing.push_back(std::move(name));
+  }
+}
+
 void ForwardExecution::dropOpen(bool callerGone) {
   for (AttemptNumber number = 0; number != Attempts.size(); ++number) {
     Attempt &attempt = Attempts[number];
@@ -278,6 +309,7 @@
 void ForwardExecution::fail(ForwardFault fault) {
   dropOpen(fault == ForwardFault::CallerGone ||
            fault == ForwardFault::DeadlineExceeded);
+  nameMissing();
   Finished = true;
   ForwardFailure failure;
   failure.Fault = fault;
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -33,9 +33,13 @@
   Unknown,     ///< sent; may have run
 };
 
+/// The end in snake_case.
+std::string_view attemptEndName(AttemptEnd end);
+
 struct AttemptFailure {
   AttemptEnd End = AttemptEnd::Unknown;
   std::optional<BackendAnswer> Answer; ///< the failure that the replica gave
+  std::string Reason{};                ///< for people, may be empty
 };
 
 using AttemptNumber = std::uint32_t;
@@ -88,6 +92,9 @@
   std::uint32_t Rejections = 0;
   std::uint32_t Parts = 0;         ///< asked
   std::uint32_t PartsAnswered = 0; ///< in the answer
+  /// Some services without an answer, as "service:replica:replica" with the
+  /// replicas that were asked.
+  std::vector<std::string> Missing;
 };
 
 /// Action: the request has ended. No further action follows.
@@ -185,6 +192,7 @@
   void lose(std::uint32_t part, ForwardFault fault);
   void settle(TimePoint now);
   bool enoughParts(std::size_t n) const;
+  void nameMissing();
   void dropOpen(bool callerGone);
   void finishMerged();
   void fail(ForwardFault fault);
--- a/src/forwarding/directory_task.cc
+++ b/src/forwarding/directory_task.cc
@@ -52,8 +52,13 @@
     else
       Source.readChanges(Reader.revision(), callback);
   }
-  const state::Duration wait = std::clamp(Reader.nextAt() - Loop.now(),
-                                          state::Duration(1000), ExpiryPeriod);
+  // An open read ends with a call of its own.
+  const state::Duration wait =
+      Reader.isReading()
+          ? ExpiryPeriod
+          : std::clamp(Reader.nextAt() - Loop.now(),
+                       state::Duration(std::chrono::milliseconds(1)),
+                       ExpiryPeriod);
   Loop.cancel(Timer);
   Timer = Loop.schedule(wait, [this] { tick(); });
 }
--- a/src/forwarding/entry_service.cc
+++ b/src/forwarding/entry_service.cc
@@ -1,5 +1,6 @@
 #include "forwarding/entry_service.h"
 
+#include "state/hash.h"
 #include "state/log.h"
 
 // Every request is handled by the routes that are in force when it arrives, and
@@ -54,6 +55,9 @@
   }
   if (!Table) {
     const ForwardFailure failure{coordination::ForwardFault::NoReplica, {}, {}};
+    state::log::info("request_refused",
+                     {{"id", call->Op.RequestId}, {"reason", "no_routes"}});
+    count("not_ready", nullptr, Duration(0));
     responder->send(
         Protocol.refuse(Refusal::NotReady, failure, retryAfter(failure)));
     return;
@@ -62,6 +66,7 @@
   if (route == nullptr || (!route->isSharded() && route->Targets.empty())) {
     state::log::info("request_without_route", {{"id", call->Op.RequestId},
                                                {"version", Table->version()}});
+    count("no_route", nullptr, Duration(0));
     responder->send(Protocol.refuse(Refusal::NoSuchRoute, {}, {}));
     return;
   }
@@ -73,7 +78,8 @@
         onResult(responder, id, table, *route, std::move(result));
       });
   responder->onDisconnect([this, forwarded, id] {
-    state::log::debug("caller_left", {{"id", id}});
+    state::log::info("caller_left", {{"id", id}});
+    count("caller_left", nullptr, Duration(0));
     Forwarding.cancel(forwarded);
   });
 }
@@ -82,6 +88,7 @@
                             const std::string &requestId,
                             const state::RouteTablePtr &table,
                             const state::Route &route, ForwardResult result) {
+  logResult(requestId, *table, route, result);
   if (const auto *answer =
           std::get_if<coordination::BackendAnswer>(&result.Ended)) {
     responder->send(Protocol.encode(*answer));
@@ -93,20 +100,61 @@
     return;
   }
   const auto &failure = std::get<ForwardFailure>(result.Ended);
-  const auto after = retryAfter(failure);
-  state::log::info("request_failed",
-                   {{"id", requestId},
-                    {"route", route.Name},
-                    {"version", table->version()},
-                    {"reason", coordination::forwardFaultName(failure.Fault)},
-                    {"ran", state::ranName(failure.Ran)},
-                    {"elapsed_ms", result.Elapsed.count() / 1000},
-                    {"left_ms", result.Left.count() / 1000},
-                    {"retries", result.Counts.Retries},
-                    {"hedges", result.Counts.Hedges},
-                    {"rejections", result.Counts.Rejections},
-                    {"parts", result.Counts.Parts}});
-  responder->send(Protocol.refuse(Refusal::Failed, failure, after));
+  responder->send(
+      Protocol.refuse(Refusal::Failed, failure, retryAfter(failure)));
+}
+
+void EntryService::logResult(const std::string &requestId,
+                             const state::RouteTable &table,
+                             const state::Route &route,
+                             const ForwardResult &result) {
+  const auto *failure = std::get_if<ForwardFailure>(&result.Ended);
+  const auto *merged = std::get_if<coordination::MergedAnswer>(&result.Ended);
+  const bool isPartial = merged != nullptr && merged->Missing != 0;
+  std::string_view event = "request_answered";
+  if (failure != nullptr)
+    event = "request_failed";
+  else if (isPartial)
+    event = "request_partial";
+  count(event.substr(std::string_view("request_").size()), &route,
+        result.Elapsed);
+  const bool isSampled = state::hash64(requestId) % Options.SuccessSample == 0;
+  if (failure == nullptr && !isPartial && !isSampled)
+    return;
+  std::string missing;
+  for (const std::string &service : result.Counts.Missing)
+    missing += (missing.empty() ? "" : "/") + service;
+  state::log::info(
+      event, {{"id", requestId},
+              {"route", route.Name},
+              {"version", table.version()},
+              {"reason", failure != nullptr
+                             ? coordination::forwardFaultName(failure->Fault)
+                             : std::string_view("none")},
+              {"ran", state::ranName(failure != nullptr
+                                         ? failure->Ran
+                                         : coordination::RanState::Ran)},
+              {"elapsed_ms", result.Elapsed.count() / 1000},
+              {"left_ms", result.Left.count() / 1000},
+              {"parts", result.Counts.Parts},
+              {"missing", missing},
+              {"hedges", result.Counts.Hedges},
+              {"retries", result.Counts.Retries},
+              {"rejections", result.Counts.Rejections}});
+}
+
+void EntryService::count(std::string_view outcome, const state::Route *route,
+                         Duration elapsed) {
+  Metrics
+      .counter("galenaflow_requests_total", "Requests of callers by outcome",
+               {{"outcome", std::string(outcome)}})
+      .add();
+  if (route != nullptr)
+    Metrics
+        .histogram("galenaflow_request_seconds", "Time to the answer",
+                   {{"sharded", route->isSharded() ? "true" : "false"},
+                    {"priority", std::to_string(route->Priority)}})
+        .record(elapsed);
 }
 
 std::optional<Duration>
--- a/src/forwarding/entry_service.h
+++ b/src/forwarding/entry_service.h
@@ -50,6 +50,10 @@
   state::Duration MinRetryAfter = std::chrono::milliseconds(30);
   state::Duration MaxRetryAfter = std::chrono::milliseconds(120);
 
+  /// One of so many requests that were answered whole is logged. All others
+  /// are, within the bound of the log.
+  std::uint64_t SuccessSample = 100;
+
   std::uint64_t Seed = 1;
 };
 
@@ -78,6 +82,10 @@
   void onResult(const ResponderPtr &responder, const std::string &requestId,
                 const state::RouteTablePtr &table, const state::Route &route,
                 ForwardResult result);
+  void logResult(const std::string &requestId, const state::RouteTable &table,
+                 const state::Route &route, const ForwardResult &result);
+  void count(std::string_view outcome, const state::Route *route,
+             state::Duration elapsed);
   std::optional<state::Duration>
   retryAfter(const coordination::ForwardFailure &failure);
 
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -232,7 +232,9 @@
   const Duration before = kind.LongestDeadline - left;
   if (route.isSharded())
     options.PartialAt =
-        now + std::max(objective - before - Options.PartialMargin, Duration(0));
+        now + std::max(objective - before - Options.PartialMargin -
+                           std::min(PartialLag.value(), objective / 4),
+                       Duration(0));
   const Duration latest(static_cast<std::int64_t>(
       LatestHedge * static_cast<double>(objective.count())));
   options.HedgeAfter =
@@ -363,8 +365,13 @@
   result.Counts = request->Execution.counts();
   result.Elapsed = Loop.now() - request->ArrivedAt;
   result.Left = request->CallerDeadline - Loop.now();
-  Loop.post([request, result = std::move(result)]() mutable {
+  const TimePoint partialAt = request->Execution.options().PartialAt;
+  const bool wasPartialDue = Loop.now() >= partialAt;
+  Loop.post([this, request, partialAt, wasPartialDue,
+             result = std::move(result)]() mutable {
     request->Callback(std::move(result));
+    if (wasPartialDue)
+      PartialLag.add(Loop.now() - partialAt);
   });
 }
 
@@ -406,8 +413,9 @@
       dispatchLater(service);
     return false;
   }
-  carryOut(key.Request, request.Execution.onFailure(
-                            key.Number, {AttemptEnd::NotSent, {}}, Loop.now()));
+  carryOut(key.Request,
+           request.Execution.onFailure(
+               key.Number, {AttemptEnd::NotSent, {}, {}}, Loop.now()));
   return true;
 }
 
@@ -463,6 +471,23 @@
   return true;
 }
 
+void ForwardTask::logAttempt(const Attempt &attempt,
+                             const ReplicaResult &result) const {
+  const auto &failure = std::get<coordination::AttemptFailure>(result.Ended);
+  state::log::info(
+      "attempt_failed",
+      {{"id", attempt.Op->RequestId},
+       {"service", attempt.Target->Record.Service},
+       {"replica", attempt.Target->Record.Id},
+       {"end", coordination::attemptEndName(failure.End)},
+       {"reason", failure.Reason},
+       {"status", failure.Answer ? failure.Answer->Status : 0},
+       {"elapsed_ms", (Loop.now() - attempt.SentAt).count() / 1000},
+       {"awaited", attempt.Request != 0},
+       {"running", result.Load ? result.Load->Running : 0},
+       {"waiting", result.Load ? result.Load->Waiting : 0}});
+}
+
 void ForwardTask::onEnded(AttemptId id, transport::HttpResult result) {
   const auto node = Attempts.extract(id);
   if (node.empty())
@@ -472,6 +497,9 @@
   const auto request = Requests.find(attempt.Request);
   ReplicaResult decoded = Protocol.decode(*attempt.Op, std::move(result));
   const AttemptOutcome outcome = outcomeOf(decoded, attempt.CancelledAtOnce);
+  if (outcome != AttemptOutcome::Answered &&
+      outcome != AttemptOutcome::Cancelled)
+    logAttempt(attempt, decoded);
   if (outcome == AttemptOutcome::Answered) {
     Kind &kind = kindOf(attempt.KindOf);
     kind.Median.add(now - attempt.SentAt);
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -3,6 +3,7 @@
 
 #include "coordination/connection_plan.h"
 #include "coordination/hedge_policy.h"
+#include "coordination/lag_estimate.h"
 #include "coordination/window_budget.h"
 #include "forwarding/forward_protocol.h"
 #include "state/metrics.h"
@@ -54,8 +55,9 @@
   double HedgeQuantile = 0.9;
 
   /// Time before the caller's latency objective at which a partial answer goes
-  /// out: the way to the caller and back, and the merge.
-  state::Duration PartialMargin = std::chrono::milliseconds(9);
+  /// out, besides the lag of this process, which is measured: the way to the
+  /// caller and back (3 ms each on the users' slower site) and the write.
+  state::Duration PartialMargin = std::chrono::milliseconds(8);
 
   /// Time before the deadline at which the final answer goes out.
   state::Duration DeadlineMargin = std::chrono::milliseconds(8);
@@ -195,6 +197,7 @@
   bool dispatchOne(const std::string &service, const WaitKey &key);
   bool send(Request &request, const WaitKey &key, const ReplicaPtr &target);
   void onEnded(AttemptId id, transport::HttpResult result);
+  void logAttempt(const Attempt &attempt, const ReplicaResult &result) const;
   double slackShare() const;
   void planConnections();
   void planConnections(std::string_view service,
@@ -219,6 +222,7 @@
   std::map<KindKey, std::unique_ptr<Kind>> Kinds;
   std::unordered_map<ForwardId, std::unique_ptr<Request>> Requests;
   std::unordered_map<AttemptId, Attempt> Attempts;
+  coordination::LagEstimate PartialLag;
   ForwardId LastRequest = 0;
   AttemptId LastAttempt = 0;
   transport::TimerId WarmTimer = 0;
--- /dev/null
+++ b/src/state/event_limiter.cc
@@ -0,0 +1,27 @@
+#include "state/event_limiter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace galenaflow::state {
+
+std::optional<std::uint64_t> EventLimiter::admit(std::string_view event,
+                                                 TimePoint now) {
+  auto it = Buckets.find(event);
+  if (it == Buckets.end())
+    it = Buckets.emplace(event, Bucket{Limits.Burst, now, 0}).first;
+  Bucket &bucket = it->second;
+  const double seconds =
+      std::chrono::duration<double>(now - bucket.FilledAt).count();
+  bucket.Tokens =
+      std::min(Limits.Burst, bucket.Tokens + seconds * Limits.PerSecond);
+  bucket.FilledAt = now;
+  if (bucket.Tokens < 1) {
+    ++bucket.LeftOut;
+    return std::nullopt;
+  }
+  bucket.Tokens -= 1;
+  return std::exchange(bucket.LeftOut, 0);
+}
+
+} // namespace galenaflow::state
--- a/src/state/log.cc
+++ b/src/state/log.cc
@@ -4,10 +4,15 @@
 #include "state/log.h"
 
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <memory>
+#include <mutex>
+#include <poll.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace galenaflow::state::log {
 
@@ -35,12 +40,49 @@
   return spdlog::level::off;
 }
 
+std::uint64_t Dropped = 0;
+
+/// Writes whole lines to standard output while it has room for them. poll()
+/// reports a pipe as writable when PIPE_BUF bytes fit, and a write up to that
+/// size is all or nothing, so that neither waiting nor half lines occur.
+class NonBlockingSink final : public spdlog::sinks::base_sink<std::mutex> {
+protected:
+  void sink_it_(const spdlog::details::log_msg &message) override {
+    spdlog::memory_buf_t buf;
+    formatter_->format(message, buf);
+    if (buf.size() > MaxLineBytes) {
+      buf.resize(MaxLineBytes);
+      buf[MaxLineBytes - 1] = '\n';
+    }
+    pollfd query{STDOUT_FILENO, POLLOUT, 0};
+    const bool hasRoom =
+        poll(&query, 1, 0) == 1 && (query.revents & POLLOUT) != 0;
+    if (!hasRoom || write(STDOUT_FILENO, buf.data(), buf.size()) < 0)
+      ++Dropped;
+  }
+  void flush_() override {}
+
+private:
+  static constexpr std::size_t MaxLineBytes = 4096; // PIPE_BUF of Linux
+};
+
+/// The clock and the limits of bounded output; unset for unbounded output.
+struct Bounds {
+  const Clock *Time = nullptr;
+  EventLimiter Limiter;
+};
+Bounds &bounds() {
+  static auto &instance = *new Bounds;
+  return instance;
+}
+
+constexpr const char *LinePattern = "%Y-%m-%dT%H:%M:%S.%eZ %v";
+
 spdlog::logger &logger() {
   static spdlog::logger &instance = []() -> spdlog::logger & {
     auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
     auto *created = new spdlog::logger("galenaflow", std::move(sink));
-    created->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %v",
-                         spdlog::pattern_time_type::utc);
+    created->set_pattern(LinePattern, spdlog::pattern_time_type::utc);
     created->set_level(spdlog::level::info);
     created->flush_on(spdlog::level::info);
     return *created;
@@ -84,7 +126,14 @@
   const auto severity = toSpdlog(level);
   if (!sink.should_log(severity))
     return;
-  const std::string line = formatLine(level, event, fields);
+  std::string line = formatLine(level, event, fields);
+  if (bounds().Time != nullptr) {
+    const auto leftOut = bounds().Limiter.admit(event, bounds().Time->now());
+    if (!leftOut)
+      return;
+    if (*leftOut != 0)
+      line += " left_out=" + std::to_string(*leftOut);
+  }
   sink.log(severity, spdlog::string_view_t(line.data(), line.size()));
 }
 
@@ -106,6 +155,15 @@
 
 void setLevel(Level level) { logger().set_level(toSpdlog(level)); }
 
+void useBoundedOutput(const Clock &clock, EventLimits limits) {
+  bounds().Time = &clock;
+  bounds().Limiter = EventLimiter(limits);
+  logger().sinks() = {std::make_shared<NonBlockingSink>()};
+  logger().set_pattern(LinePattern, spdlog::pattern_time_type::utc);
+}
+
+std::uint64_t droppedLines() { return Dropped; }
+
 std::string formatLine(Level level, std::string_view event, Fields fields) {
   std::string line = "level=";
   line += LevelNames[static_cast<std::size_t>(level)];
--- a/src/state/log.h
+++ b/src/state/log.h
@@ -1,7 +1,10 @@
 #ifndef GALENAFLOW_STATE_LOG_H
 #define GALENAFLOW_STATE_LOG_H
 
+#include "state/event_limiter.h"
+
 #include <concepts>
+#include <cstdint>
 #include <initializer_list>
 #include <optional>
 #include <string>
@@ -21,6 +24,15 @@
 /// Events below the level are dropped. The default is Info.
 void setLevel(Level level);
 
+/// Writes to standard output from now on, without ever waiting for its reader:
+/// a line that a full pipe has no room for is dropped and counted. The lines of
+/// each kind of event are bounded by `limits`; the next line of the kind says
+/// how many were left out. `clock` must outlive the log.
+void useBoundedOutput(const Clock &clock, EventLimits limits = {});
+
+/// Lines that a full pipe had no room for.
+std::uint64_t droppedLines();
+
 /// One key with its value as text.
 struct Field {
   std::string_view Key;
--- a/tests/observability_test.cc
+++ b/tests/observability_test.cc
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <rapidcheck.h>
+#include <unistd.h>
 
 using namespace galenaflow;
 using namespace galenaflow::state;
@@ -201,3 +202,41 @@
   CHECK(item["events"].size() == RequestRecord::MaxEvents);
   CHECK(item["events"][0]["after_ms"] == 0.25);
 }
+
+TEST_CASE("each kind of event is bounded, and the number left out is told") {
+  state::TimePoint now{std::chrono::hours(1)};
+  state::EventLimiter limiter({10, 5});
+  int admitted = 0;
+  // Ten times the allowed rate for ten seconds.
+  for (int i = 0; i != 1000; ++i) {
+    now += std::chrono::milliseconds(10);
+    admitted += limiter.admit("flood", now) ? 1 : 0;
+  }
+  CHECK(admitted <= 105);
+  CHECK(admitted >= 95);
+  CHECK(limiter.admit("other", now) == 0U);
+  now += std::chrono::seconds(1);
+  CHECK(limiter.admit("flood", now).value_or(0) > 0);
+}
+
+// Guards against a daemon that waits for whoever reads its log.
+TEST_CASE("a pipe that nobody reads drops lines and never blocks") {
+  int ends[2] = {-1, -1};
+  REQUIRE(pipe(ends) == 0);
+  const int before = dup(STDOUT_FILENO);
+  REQUIRE(dup2(ends[1], STDOUT_FILENO) >= 0);
+  static const state::SystemClock Clock;
+  state::log::useBoundedOutput(Clock, {1e9, 1e9});
+  // 1,000 lines of 1 kB are far more than a pipe holds.
+  const std::string text(1000, 'x');
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i != 1000; ++i)
+    state::log::info("flood", {{"text", text}});
+  const auto took = std::chrono::steady_clock::now() - start;
+  REQUIRE(dup2(before, STDOUT_FILENO) >= 0);
+  close(before);
+  close(ends[0]);
+  close(ends[1]);
+  CHECK(took < std::chrono::seconds(5));
+  CHECK(state::log::droppedLines() > 100);
+}
