Count failed attempts as slow samples, and idle timeouts not as refusals

Cause: node_test "a paused shard replica is hedged" failed once (two of 20 queries answered 504): a silent replica was as good as before once its attempt had been given up, so each such attempt cost a token until there were none.

Change: a failed attempt counts as a sample of at least 8 times the usual duration. A new connection counts as refused when it ends within 0.9 s and before any response. A large fleet opens one connection to a shard ahead of need.

--- a/src/coordination/connection_plan.cc
+++ b/src/coordination/connection_plan.cc
@@ -12,16 +12,16 @@
 
 namespace galenaflow::coordination {
 
-std::vector<std::uint32_t>
+std::vector<ConnectionPlan>
 planConnections(std::span<const PlannedReplica> replicas,
                 std::uint32_t limitPerReplica, std::uint32_t daemons,
                 std::string_view self, ConnectionPlanOptions options) {
-  std::vector<std::uint32_t> limits(replicas.size(), 0);
+  std::vector<ConnectionPlan> plans(replicas.size());
   const std::uint32_t share = limitPerReplica / std::max(1U, daemons);
   if (share >= 1) {
-    std::fill(limits.begin(), limits.end(),
-              std::min(share, options.MaxPerReplica));
-    return limits;
+    std::fill(plans.begin(), plans.end(),
+              ConnectionPlan{std::min(share, options.MaxPerReplica), true});
+    return plans;
   }
   const std::uint64_t all =
       std::uint64_t{limitPerReplica} * replicas.size() / std::max(1U, daemons);
@@ -41,8 +41,8 @@
                      i});
   std::sort(ranks.begin(), ranks.end());
   for (std::size_t i = 0; i != kept; ++i)
-    limits[ranks[i].Index] = 1;
-  return limits;
+    plans[ranks[i].Index] = {1, i == 0};
+  return plans;
 }
 
 } // namespace galenaflow::coordination
--- a/src/coordination/connection_plan.h
+++ b/src/coordination/connection_plan.h
@@ -25,13 +25,24 @@
   bool IsAvoided = false;
 };
 
+/// What this daemon keeps to one replica.
+struct ConnectionPlan {
+  std::uint32_t Limit = 0; ///< most connections
+  bool IsWarm = false;     ///< whether one is opened ahead of need
+
+  bool operator==(const ConnectionPlan &) const = default;
+};
+
 /// Divides the connections that the replicas of a service accept between all
-/// daemons. Returns the limit for each replica, in the given order. While there
+/// daemons. Returns the plan for each replica, in the given order. While there
 /// is at least one connection for each daemon and replica, all get the same
-/// share. Otherwise each daemon keeps one connection to some of the replicas:
-/// those of its data centre first, then by a hash of both, so that the daemons
-/// spread evenly without a message between them.
-std::vector<std::uint32_t>
+/// share. Otherwise each daemon may connect to some of the replicas: those of
+/// its data centre first, then by a hash of both, so that the daemons spread
+/// evenly without a message between them. Only the first of them is opened
+/// ahead of need: in a large fleet each daemon asks a shard too seldom to keep
+/// more connections from going idle, and opening them again and again costs
+/// more than opening one for a hedge.
+std::vector<ConnectionPlan>
 planConnections(std::span<const PlannedReplica> replicas,
                 std::uint32_t limitPerReplica, std::uint32_t daemons,
                 std::string_view self, ConnectionPlanOptions options = {});
--- a/src/coordination/replica_placement.h
+++ b/src/coordination/replica_placement.h
@@ -44,6 +44,11 @@
   /// Weight of a new sample in the mean of relative latencies.
   double SampleWeight = 0.25;
 
+  /// A failed attempt counts as a sample of at least this many times the usual
+  /// duration. Otherwise a replica that is silent or breaks connections is as
+  /// good as before once its failed attempt has ended.
+  double FailureSample = 8;
+
   /// A mean without new samples loses half its distance from 1 in this time, so
   /// that a replica that was slow is tried again.
   Duration ForgetHalfLife = std::chrono::milliseconds(1500);
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -121,11 +121,13 @@
                        replica->Record.DataCentre == Options.DataCentre,
                        replica->AvoidUntil > Loop.now()});
   }
-  const auto limits = coordination::planConnections(
+  const auto plans = coordination::planConnections(
       planned, limit, Daemons == 0 ? Options.UnknownDaemons : Daemons,
       Options.Name, Options.Connections);
-  for (std::size_t i = 0; i != usable.size(); ++i)
-    usable[i]->Pool.setLimit(limits[i]);
+  for (std::size_t i = 0; i != usable.size(); ++i) {
+    usable[i]->Pool.setLimit(plans[i].Limit);
+    usable[i]->IsWarm = plans[i].IsWarm;
+  }
 }
 
 void ForwardTask::setReplicas(
@@ -177,18 +179,21 @@
 }
 
 void ForwardTask::warm(Replica &replica) {
-  if (replica.Record.Draining || Loop.now() - StartedAt < Options.WarmDelay)
+  if (replica.Record.Draining || !replica.IsWarm ||
+      Loop.now() - StartedAt < Options.WarmDelay)
     return;
   replica.Pool.warm(Options.WarmConnections);
-  replica.WasWarmed = replica.Pool.limit() != 0;
 }
 
 void ForwardTask::warmAll() {
   for (const auto &[service, replicas] : ByService) {
     const bool isRouted = Table && Table->services().contains(service);
-    for (const ReplicaPtr &replica : replicas)
-      if (replica->WasWarmed && replica->Pool.connected() == 0)
+    for (const ReplicaPtr &replica : replicas) {
+      if (const auto n = replica->Pool.refusals(); n != replica->Refusals) {
+        replica->Refusals = n;
         replica->AvoidUntil = Loop.now() + Options.AvoidTime;
+      }
+    }
     planConnections(service, replicas);
     for (const ReplicaPtr &replica : replicas)
       if (isRouted)
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -130,7 +130,8 @@
         : Record(record), Pool(loop, address, pool) {}
     state::ReplicaRecord Record;
     transport::BackendPool Pool;
-    bool WasWarmed = false; ///< a connection was due at the last check
+    bool IsWarm = false;        ///< a connection is opened ahead of need
+    std::uint64_t Refusals = 0; ///< of new connections, at the last check
     state::TimePoint AvoidUntil = state::TimePoint::min();
   };
   using ReplicaPtr = std::shared_ptr<Replica>;
--- a/src/transport/backend_pool.cc
+++ b/src/transport/backend_pool.cc
@@ -128,6 +128,13 @@
       }));
 }
 
+std::uint64_t BackendPool::refusals() const {
+  std::uint64_t n = 0;
+  for (const auto &member : Members)
+    n += member->Connection.refusals();
+  return n;
+}
+
 BackendPool::Member *BackendPool::findUsable() {
   if (Members.size() > Limit)
     return nullptr;
--- a/src/transport/backend_pool.h
+++ b/src/transport/backend_pool.h
@@ -82,6 +82,9 @@
 
   /// Connections that are open, idle or in use.
   std::size_t connected() const;
+
+  /// New connections that the replica did not keep.
+  std::uint64_t refusals() const;
   const BackendPoolCounters &counters() const { return Counters; }
 
 private:
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -32,6 +32,10 @@
 /// longer used, so that a request does not cross the peer's close.
 constexpr state::Duration IdleMargin = std::chrono::milliseconds(700);
 
+/// A new connection that ends within this time was not wanted by the peer.
+/// Idle timeouts are longer.
+constexpr state::Duration RefusalTime = std::chrono::milliseconds(900);
+
 std::string encodeRequest(const HttpRequest &request,
                           const std::string &authority) {
   std::string text;
@@ -93,6 +97,10 @@
   std::function<void()> IdleChanged;
   state::TimePoint LastUsed;
 
+  state::TimePoint ConnectedAt;
+  bool HasAnswered = false; ///< on the present connection
+  std::uint64_t Refusals = 0;
+
   /// Counts exchanges, so that a posted result cannot reach a later exchange.
   std::uint64_t Exchange = 0;
 
@@ -156,13 +164,17 @@
   self->OpenTimer = 0;
   if (err != nullptr) {
     self->closeSocket();
-    if (self->Busy)
+    if (self->Busy) {
       self->fail(ErrorCode::Unavailable, std::string("connect: ") + err);
-    else
+    } else {
+      ++self->Refusals;
       self->notifyIdleChange();
+    }
     return;
   }
   self->IdleLimit = DefaultIdleLimit;
+  self->ConnectedAt = self->Loop.now();
+  self->HasAnswered = false;
   h2o_socket_read_start(sock, &Impl::onRead);
   if (self->Busy) {
     self->write();
@@ -217,6 +229,9 @@
     self->fail(ErrorCode::Unavailable, text);
     return;
   }
+  const bool wasNew = self->Loop.now() - self->ConnectedAt < RefusalTime;
+  if (!self->HasAnswered && wasNew)
+    ++self->Refusals;
   self->closeSocket();
   self->notifyIdleChange();
 }
@@ -267,6 +282,7 @@
   // rest, so the connection cannot be used again.
   const bool reusable =
       Parser->isPersistent() && !Writing && Parser->excess().empty();
+  HasAnswered = true;
   if (const auto limit = statedIdleTimeout(Parser->response().Headers))
     IdleLimit = std::max(*limit - IdleMargin, state::Duration(0));
   if (!reusable)
@@ -382,6 +398,7 @@
       impl->OpenTimer = 0;
       if (impl->Busy || !impl->Connecting)
         return;
+      ++impl->Refusals;
       impl->closeSocket();
       impl->notifyIdleChange();
     });
@@ -402,6 +419,8 @@
   return !Self->Busy && Self->Connecting;
 }
 
+std::uint64_t HttpConnection::refusals() const { return Self->Refusals; }
+
 void HttpConnection::onIdleChange(std::function<void()> callback) {
   Self->IdleChanged = std::move(callback);
 }
--- a/src/transport/http_message.h
+++ b/src/transport/http_message.h
@@ -23,6 +23,9 @@
   const std::vector<std::pair<std::string, std::string>> &items() const {
     return Items;
   }
+  std::vector<std::pair<std::string, std::string>> takeItems() && {
+    return std::move(Items);
+  }
 
 private:
   std::vector<std::pair<std::string, std::string>> Items;
--- a/tests/connection_plan_test.cc
+++ b/tests/connection_plan_test.cc
@@ -9,6 +9,13 @@
 
 namespace {
 
+std::vector<std::uint32_t> limitsOf(const std::vector<ConnectionPlan> &plans) {
+  std::vector<std::uint32_t> limits;
+  for (const ConnectionPlan &plan : plans)
+    limits.push_back(plan.Limit);
+  return limits;
+}
+
 std::vector<PlannedReplica> three() {
   return {{"a", true, false}, {"b", false, false}, {"c", false, false}};
 }
@@ -18,9 +25,9 @@
 TEST_CASE("every daemon gets the same share while there is one for each") {
   ConnectionPlanOptions options;
   options.MaxPerReplica = 8;
-  CHECK(planConnections(three(), 26, 8, "x", options) ==
+  CHECK(limitsOf(planConnections(three(), 26, 8, "x", options)) ==
         std::vector<std::uint32_t>{3, 3, 3});
-  CHECK(planConnections(three(), 530, 8, "x", options) ==
+  CHECK(limitsOf(planConnections(three(), 530, 8, "x", options)) ==
         std::vector<std::uint32_t>{8, 8, 8});
   CHECK(planConnections({}, 26, 8, "x").empty());
 }
@@ -28,15 +35,15 @@
 TEST_CASE("with less than one for each, some replicas are kept, the own data "
           "centre first") {
   for (const std::string self : {"p", "q", "r", "s"}) {
-    const auto limits = planConnections(three(), 61, 78, self);
+    const auto limits = limitsOf(planConnections(three(), 61, 78, self));
     CHECK(limits[0] == 1);
     CHECK(std::accumulate(limits.begin(), limits.end(), 0U) == 2);
   }
   auto replicas = three();
   replicas[0].IsAvoided = true;
-  CHECK(planConnections(replicas, 61, 78, "p") ==
+  CHECK(limitsOf(planConnections(replicas, 61, 78, "p")) ==
         std::vector<std::uint32_t>{0, 1, 1});
-  const auto least = planConnections(three(), 1, 1300, "p");
+  const auto least = limitsOf(planConnections(three(), 1, 1300, "p"));
   CHECK(std::accumulate(least.begin(), least.end(), 0U) == 1);
 }
 
@@ -49,8 +56,8 @@
     auto replicas = three();
     for (int i = 0; i != 3; ++i)
       replicas[static_cast<std::size_t>(i)].IsLocal = daemon % 3 == i;
-    const auto limits =
-        planConnections(replicas, 61, 78, "vm-" + std::to_string(daemon));
+    const auto limits = limitsOf(
+        planConnections(replicas, 61, 78, "vm-" + std::to_string(daemon)));
     for (std::size_t i = 0; i != 3; ++i)
       total[std::string(replicas[i].Id)] += limits[i];
   }
@@ -60,3 +67,14 @@
     CHECK(n >= 40);
   }
 }
+
+// Guards against connections that are opened, go idle and are opened again.
+TEST_CASE(
+    "a large fleet keeps one connection to each shard open ahead of need") {
+  int warm = 0;
+  for (const ConnectionPlan &plan : planConnections(three(), 61, 78, "p"))
+    warm += plan.IsWarm ? 1 : 0;
+  CHECK(warm == 1);
+  for (const ConnectionPlan &plan : planConnections(three(), 26, 8, "p"))
+    CHECK(plan.IsWarm);
+}
--- a/tests/http_transport_test.cc
+++ b/tests/http_transport_test.cc
@@ -394,3 +394,24 @@
   CHECK(server.get(connection)->Body == "one");
   CHECK(server.Accepted == 1);
 }
+
+// Guards against a daemon that takes an idle timeout for a replica that has too
+// many connections, and moves its connections to and fro.
+TEST_CASE(
+    "a connection that is closed at once counts as refused, one that goes "
+    "idle does not") {
+  SpoilingServer server;
+  server.Replies = {reply("1", "one")};
+  HttpConnection connection(server.Loop, server.Address);
+  connection.open(1s);
+  REQUIRE(server.Loop.runUntil([&] { return server.Accepted == 1; }, 1s));
+  close(std::exchange(server.Sockets[0], -1));
+  server.idle();
+  CHECK_FALSE(connection.isConnected());
+  CHECK(connection.refusals() == 1);
+  REQUIRE(server.get(connection)->Body == "one");
+  close(std::exchange(server.Sockets[1], -1));
+  server.idle();
+  CHECK_FALSE(connection.isConnected());
+  CHECK(connection.refusals() == 1);
+}
--- a/tests/replica_placement_test.cc
+++ b/tests/replica_placement_test.cc
@@ -153,3 +153,17 @@
   it.apply();
   CHECK(it.countOf("a") > 50);
 }
+
+// Guards against a silent replica that is asked again as soon as its last
+// attempt was given up: each such attempt costs a hedge of the budget.
+TEST_CASE("one failed attempt makes a replica the last choice for a while") {
+  Fixture it({"here", "there"});
+  it.attempt("a", 250ms, AttemptOutcome::Failed);
+  CHECK(it.countOf("a") == 0);
+  it.Now += 1s;
+  CHECK(it.countOf("a") == 0);
+  it.Now += 20s;
+  CHECK(it.countOf("a") == 200);
+  it.attempt("a", 0ms, AttemptOutcome::Failed);
+  CHECK(it.countOf("a") == 0);
+}
