--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -150,7 +150,7 @@
     if (Attempts[other].Open && Attempts[other].Part == attempt->Part) {
       Attempts[other].Open = false;
       --part.Open;
-      Pending.emplace_back(DropAttempt{other, attempt->Part, false});
+      Pending.emplace_back(DropAttempt{other, attempt->Part});
     }
   settle(now);
   return conclude(now);
@@ -267,7 +267,7 @@
 
 void ForwardExecution::finishMerged() {
   nameMissing();
-  dropOpen(false);
+  dropOpen();
   Finished = true;
   MergedAnswer merged;
   std::vector<std::string_view> bodies;
@@ -295,20 +295,19 @@
   }
 }
 
-void ForwardExecution::dropOpen(bool callerGone) {
+void ForwardExecution::dropOpen() {
   for (AttemptNumber number = 0; number != Attempts.size(); ++number) {
     Attempt &attempt = Attempts[number];
     if (!attempt.Open)
       continue;
     attempt.Open = false;
     AnyUnknown |= attempt.Sent;
-    Pending.emplace_back(DropAttempt{number, attempt.Part, callerGone});
+    Pending.emplace_back(DropAttempt{number, attempt.Part});
   }
 }
 
 void ForwardExecution::fail(ForwardFault fault) {
-  dropOpen(fault == ForwardFault::CallerGone ||
-           fault == ForwardFault::DeadlineExceeded);
+  dropOpen();
   nameMissing();
   Finished = true;
   ForwardFailure failure;
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -56,7 +56,6 @@
 struct DropAttempt {
   AttemptNumber Number = 0;
   std::uint32_t Part = 0;
-  bool CallerGone = false; ///< the work should stop, not only be ignored
 };
 
 /// Why a request got no answer from replicas.
@@ -193,7 +192,7 @@
   void settle(TimePoint now);
   bool enoughParts(std::size_t n) const;
   void nameMissing();
-  void dropOpen(bool callerGone);
+  void dropOpen();
   void finishMerged();
   void fail(ForwardFault fault);
   void armTimer();
--- a/src/coordination/replica_placement.cc
+++ b/src/coordination/replica_placement.cc
@@ -213,10 +213,4 @@
     it->second.IsMisdirected = true;
 }
 
-std::vector<state::ReplicaId>
-ReplicaPlacement::replicasOf(std::string_view service) const {
-  const auto it = Services.find(service);
-  return it == Services.end() ? std::vector<state::ReplicaId>() : it->second;
-}
-
 } // namespace galenaflow::coordination
--- a/src/coordination/replica_placement.h
+++ b/src/coordination/replica_placement.h
@@ -94,7 +94,6 @@
   /// before the directory says that it has started anew or elsewhere.
   void onMisdirected(std::string_view replica);
 
-  std::vector<state::ReplicaId> replicasOf(std::string_view service) const;
   bool isStalled(std::string_view replica, TimePoint now) const;
 
 private:
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,10 +1,6 @@
 #include "daemon/daemon.h"
 #include "state/log.h"
-
-#include <csignal>
-
-// Signals set flags, which the event loop looks at several times a second,
-// because nothing else is safe inside a signal handler.
+#include "transport/process_signals.h"
 
 using namespace galenaflow;
 
@@ -13,34 +9,8 @@
 constexpr int ExitFailed = 1;
 constexpr int ExitFindings = 2;
 
-constexpr state::Duration SignalPollPeriod = std::chrono::milliseconds(50);
-
-volatile std::sig_atomic_t StopRequested = 0;
-volatile std::sig_atomic_t ReloadRequested = 0;
-
-void installSignalHandlers() {
-  struct sigaction action {};
-  action.sa_handler = [](int) { StopRequested = 1; };
-  sigaction(SIGTERM, &action, nullptr);
-  sigaction(SIGINT, &action, nullptr);
-  action.sa_handler = [](int) { ReloadRequested = 1; };
-  sigaction(SIGHUP, &action, nullptr);
-}
-
-void pollSignals(transport::EventLoop &loop, daemon::Daemon &process) {
-  if (StopRequested != 0) {
-    StopRequested = 0;
-    process.stop();
-  }
-  if (ReloadRequested != 0) {
-    ReloadRequested = 0;
-    process.reloadCertificate();
-  }
-  loop.schedule(SignalPollPeriod,
-                [&loop, &process] { pollSignals(loop, process); });
-}
-
 int run(const daemon::Options &options) {
+  transport::catchSignals();
   transport::EventLoop loop;
   daemon::Daemon process(loop, options);
   const auto addresses = process.start();
@@ -52,8 +22,8 @@
                    {{"listen", addresses->Callers.toText()},
                     {"operator_listen", addresses->Operator.toText()},
                     {"peer_listen", addresses->Peers.toText()}});
-  installSignalHandlers();
-  pollSignals(loop, process);
+  transport::handleSignals(loop, {[&process] { process.stop(); },
+                                  [&process] { process.reloadCertificate(); }});
   loop.run();
   return 0;
 }
--- a/src/forwarding/relay_task.cc
+++ b/src/forwarding/relay_task.cc
@@ -62,7 +62,6 @@
 }
 
 void RelayTask::setRelays(const std::vector<std::string> &addresses) {
-  Relays = addresses;
   Choice.setRelays(addresses);
   Network.setWanted(Choice.preferred());
 }
--- a/src/forwarding/relay_task.h
+++ b/src/forwarding/relay_task.h
@@ -99,7 +99,6 @@
   coordination::RelayChoice Choice;
   coordination::DirectoryLog Log;
   coordination::FleetCount Fleet;
-  std::vector<std::string> Relays;
   std::optional<PendingRead> Pending;
   std::deque<Waiter> Waiters;
   DirectoryView View;
--- a/src/transport/backend_pool.cc
+++ b/src/transport/backend_pool.cc
@@ -1,6 +1,7 @@
 #include "transport/backend_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 // A replica refuses connections above its published limit, and each connection
 // costs it milliseconds and a slot to set up. The pool therefore prefers the
@@ -26,7 +27,7 @@
 
 BackendPool::BackendPool(EventLoop &loop, const SocketAddress &address,
                          BackendPoolOptions options)
-    : Loop(loop), Address(address), Options(options) {}
+    : Loop(loop), Address(address), Options(std::move(options)) {}
 
 BackendPool::~BackendPool() {
   for (const auto &member : Members)
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -55,12 +55,12 @@
 
 /// The seconds of "Keep-Alive: timeout=5".
 std::optional<state::Duration> statedIdleTimeout(const HttpHeaders &headers) {
-  constexpr std::string_view Key = "timeout=";
+  constexpr std::string_view key = "timeout=";
   const auto value = headers.find("keep-alive");
-  const auto at = value ? value->find(Key) : std::string_view::npos;
+  const auto at = value ? value->find(key) : std::string_view::npos;
   if (at == std::string_view::npos)
     return std::nullopt;
-  const std::string_view digits = value->substr(at + Key.size());
+  const std::string_view digits = value->substr(at + key.size());
   std::int64_t n = 0;
   if (std::from_chars(digits.data(), digits.data() + digits.size(), n).ec !=
       std::errc())
--- /dev/null
+++ b/src/transport/process_signals.cc
@@ -0,0 +1,43 @@
+#include "transport/process_signals.h"
+
+#include <csignal>
+#include <utility>
+
+// Signals set flags, which the event loop looks at several times a second,
+// because nothing else is safe inside a signal handler.
+
+namespace galenaflow::transport {
+
+namespace {
+
+constexpr state::Duration PollPeriod = std::chrono::milliseconds(50);
+
+volatile std::sig_atomic_t StopRequested = 0;
+volatile std::sig_atomic_t ReloadRequested = 0;
+
+} // namespace
+
+void catchSignals() {
+  struct sigaction action {};
+  action.sa_handler = [](int) { StopRequested = 1; };
+  sigaction(SIGTERM, &action, nullptr);
+  sigaction(SIGINT, &action, nullptr);
+  action.sa_handler = [](int) { ReloadRequested = 1; };
+  sigaction(SIGHUP, &action, nullptr);
+}
+
+void handleSignals(EventLoop &loop, SignalHandlers handlers) {
+  if (StopRequested != 0) {
+    StopRequested = 0;
+    handlers.Stop();
+  }
+  if (ReloadRequested != 0) {
+    ReloadRequested = 0;
+    handlers.Reload();
+  }
+  loop.schedule(PollPeriod, [&loop, handlers = std::move(handlers)]() mutable {
+    handleSignals(loop, std::move(handlers));
+  });
+}
+
+} // namespace galenaflow::transport
--- a/tests/connection_plan_test.cc
+++ b/tests/connection_plan_test.cc
@@ -11,6 +11,7 @@
 
 std::vector<std::uint32_t> limitsOf(const std::vector<ConnectionPlan> &plans) {
   std::vector<std::uint32_t> limits;
+  limits.reserve(plans.size());
   for (const ConnectionPlan &plan : plans)
     limits.push_back(plan.Limit);
   return limits;
