Do not let one caller's long deadline make the others' objectives look missed

Cause: the time since a caller's first attempt was the difference between the longest deadline ever seen for the kind and its own. One caller with a deadline of 3 s would have made all others, with 400 ms, look 2.6 s late, and they would have got partial answers at once, for as long as the process lives.

Change: a difference above half of the longest deadline is not taken for a retry. The decision has a class and a test of its own.

Ruled out: the most frequent deadline, which needs a decaying count of values.

--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -230,10 +230,7 @@
   const Duration objective = route.LatencyObjective;
   if (objective.count() == 0)
     return options;
-  // The objective counts from the caller's first attempt. A shorter deadline
-  // than that of first attempts shows how long ago that was.
-  kind.LongestDeadline = std::max(kind.LongestDeadline, left);
-  const Duration before = kind.LongestDeadline - left;
+  const Duration before = kind.Retries.elapsedBefore(left);
   if (route.isSharded())
     options.PartialAt =
         now + std::max(objective - before - Options.PartialMargin -
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -1,6 +1,7 @@
 #ifndef GALENAFLOW_FORWARDING_FORWARD_TASK_H
 #define GALENAFLOW_FORWARDING_FORWARD_TASK_H
 
+#include "coordination/caller_retry_clock.h"
 #include "coordination/connection_plan.h"
 #include "coordination/hedge_policy.h"
 #include "coordination/lag_estimate.h"
@@ -119,8 +120,7 @@
     explicit Kind(double hedgeQuantile) : Late(hedgeQuantile) {}
     coordination::LatencyQuantile Median{0.5, 400};
     coordination::LatencyQuantile Late;
-    /// Time that callers give their first attempt.
-    state::Duration LongestDeadline{0};
+    coordination::CallerRetryClock Retries;
   };
 
   struct Replica {
--- /dev/null
+++ b/tests/caller_retry_clock_test.cc
@@ -0,0 +1,22 @@
+#include "coordination/caller_retry_clock.h"
+
+#include <catch2/catch.hpp>
+
+using namespace galenaflow::coordination;
+using namespace std::chrono_literals;
+
+TEST_CASE("a shorter deadline shows how long ago the first attempt began") {
+  CallerRetryClock clock;
+  CHECK(clock.elapsedBefore(400ms) == 0ms);
+  CHECK(clock.elapsedBefore(330ms) == 70ms);
+  CHECK(clock.elapsedBefore(400ms) == 0ms);
+}
+
+// Guards against partial answers for everyone after one caller with a much
+// longer deadline than the others.
+TEST_CASE("one caller with a long deadline changes nothing for the others") {
+  CallerRetryClock clock;
+  clock.elapsedBefore(400ms);
+  CHECK(clock.elapsedBefore(3s) == 0ms);
+  CHECK(clock.elapsedBefore(400ms) == 0ms);
+}
