--- a/src/coordination/retry_budget.h
+++ b/src/coordination/retry_budget.h
@@ -7,8 +7,7 @@
 
 struct TokenBudgetOptions {
   double Ratio = 0.05; ///< tokens earned by one primary sub-request
-  double Burst = 10;   ///< most tokens kept
-  double Initial = -1; ///< tokens at the start; below zero: Burst
+  double Burst = 10;   ///< most tokens kept, and tokens at the start
 };
 
 /// Bounds extra sub-requests: over any period, at most Ratio times the primary
@@ -16,8 +15,7 @@
 class TokenBudget {
 public:
   explicit TokenBudget(TokenBudgetOptions options = {})
-      : Options(options),
-        Tokens(options.Initial < 0 ? options.Burst : options.Initial) {}
+      : Options(options), Tokens(options.Burst) {}
 
   void onPrimariesSent(std::size_t n);
   bool tryTake();
