Give the node test's settings the window of the budget, so that hedges are allowed

Cause: the fixture left ExtraArrivalWindow at its default of 0, so that every request left the window at once and no hedge had a token.

The settings file demands the window, so the program was never affected.

Conclusion: fault of the test's fixture; the test is stricter now.

--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -33,6 +33,7 @@
     Settings.Store = Store.listen();
     Settings.StopGrace = 6s;
     Settings.ExtraArrivalRatio = 0.2;
+    Settings.ExtraArrivalWindow = 10s;
     for (const char *service : {"s0", "s1", "s2", "s3"})
       for (const char *copy : {"a", "b"})
         add(std::string(service) + copy, service);
@@ -239,17 +240,26 @@
   CHECK(site.call("/all/x").Headers.find("X-Missing-Parts") == "0");
 }
 
+// Without a hedge, the requests that reach a silent replica of two shards have
+// too few parts at their deadline.
 TEST_CASE("a paused shard replica is hedged") {
   Site site;
   site.start();
   for (int i = 0; i != 40; ++i)
     site.call("/all/x");
-  site.replica("s0a").behaviour().Silent = true;
-  site.replica("s1a").behaviour().Silent = true;
-  for (int i = 0; i != 20; ++i) {
-    const auto answer = site.call("/all/x");
-    CHECK(answer.Status == 200);
+  std::size_t silentRuns = 0;
+  // One of the replicas may be out of favour; the other one is asked then.
+  for (const std::string copy : {"a", "b"}) {
+    auto &first = site.replica("s0" + copy);
+    auto &second = site.replica("s1" + copy);
+    const std::size_t before = first.runs().size() + second.runs().size();
+    first.behaviour().Silent = second.behaviour().Silent = true;
+    for (int i = 0; i != 20; ++i)
+      CHECK(site.call("/all/x").Status == 200);
+    first.behaviour().Silent = second.behaviour().Silent = false;
+    silentRuns += first.runs().size() + second.runs().size() - before;
   }
+  CHECK(silentRuns > 0);
 }
 
 TEST_CASE("a shard without replicas is left out while the minimum is in") {
