--- a/src/coordination/connection_plan.cc
+++ b/src/coordination/connection_plan.cc
@@ -14,17 +14,26 @@
 
 std::vector<ConnectionPlan>
 planConnections(std::span<const PlannedReplica> replicas,
-                std::uint32_t limitPerReplica, std::uint32_t daemons,
+                std::uint32_t limitPerReplica, const ConnectionFleet &fleet,
                 std::string_view self, ConnectionPlanOptions options) {
   std::vector<ConnectionPlan> plans(replicas.size());
-  const std::uint32_t share = limitPerReplica / std::max(1U, daemons);
+  const std::uint32_t daemons = std::max(1U, fleet.Daemons);
+  const std::uint32_t share = limitPerReplica / daemons;
   if (share >= 1) {
     std::fill(plans.begin(), plans.end(),
               ConnectionPlan{std::min(share, options.MaxPerReplica), true});
     return plans;
   }
-  const std::uint64_t all =
-      std::uint64_t{limitPerReplica} * replicas.size() / std::max(1U, daemons);
+  // The executors' part is at most half, so that the others can go on when all
+  // executors are lost at once.
+  const std::uint32_t reserved = std::min(fleet.Executors, limitPerReplica / 2);
+  if (fleet.IsExecutor && fleet.Executors == reserved) {
+    std::fill(plans.begin(), plans.end(), ConnectionPlan{1, true});
+    return plans;
+  }
+  const std::uint64_t all = std::uint64_t{limitPerReplica - reserved} *
+                            replicas.size() /
+                            std::max(1U, daemons - std::min(daemons, reserved));
   const std::size_t kept =
       std::min<std::size_t>(replicas.size(), std::max<std::uint64_t>(1, all));
   struct Rank {
@@ -41,7 +50,7 @@
                      i});
   std::sort(ranks.begin(), ranks.end());
   for (std::size_t i = 0; i != kept; ++i)
-    plans[ranks[i].Index] = {1, i == 0};
+    plans[ranks[i].Index] = {1, i == 0 && !fleet.Delegates};
   return plans;
 }
 
--- a/src/coordination/connection_plan.h
+++ b/src/coordination/connection_plan.h
@@ -33,18 +33,27 @@
   bool operator==(const ConnectionPlan &) const = default;
 };
 
+/// The daemons that share the connections.
+struct ConnectionFleet {
+  std::uint32_t Daemons = 1;
+  std::uint32_t Executors = 0; ///< of these, that run requests for others
+  bool IsExecutor = false;     ///< this daemon does
+  bool Delegates = false;      ///< this daemon has executors to ask
+};
+
 /// Divides the connections that the replicas of a service accept between all
 /// daemons. Returns the plan for each replica, in the given order. While there
 /// is at least one connection for each daemon and replica, all get the same
-/// share. Otherwise each daemon may connect to some of the replicas: those of
-/// its data centre first, then by a hash of both, so that the daemons spread
-/// evenly without a message between them. Only the first of them is opened
-/// ahead of need: in a large fleet each daemon asks a shard too seldom to keep
-/// more connections from going idle, and opening them again and again costs
-/// more than opening one for a hedge.
+/// share. Otherwise executors come first, with one connection to each replica,
+/// and each other daemon may connect to some of the replicas: those of its data
+/// centre first, then by a hash of both, so that the daemons spread evenly
+/// without a message between them. Only the first of them is opened ahead of
+/// need, and none by a daemon that has executors to ask: in a large fleet each
+/// daemon asks a shard too seldom to keep more connections from going idle, and
+/// opening them again and again costs more than opening one for a hedge.
 std::vector<ConnectionPlan>
 planConnections(std::span<const PlannedReplica> replicas,
-                std::uint32_t limitPerReplica, std::uint32_t daemons,
+                std::uint32_t limitPerReplica, const ConnectionFleet &fleet,
                 std::string_view self, ConnectionPlanOptions options = {});
 
 } // namespace galenaflow::coordination
--- a/src/coordination/directory_relay.cc
+++ b/src/coordination/directory_relay.cc
@@ -3,6 +3,7 @@
 #include "state/hash.h"
 
 #include <algorithm>
+#include <tuple>
 
 // A log position is only meaningful in the log that gave it, so a daemon that
 // changes its relay, or whose relay has restarted, gets everything once. The
@@ -85,18 +86,36 @@
   AvoidUntil[address] = now + Options.Penalty;
 }
 
-void FleetCount::onRequest(const std::string &id, std::uint32_t daemons,
+void FleetCount::onRequest(const std::string &id, protocol::FleetReport report,
                            TimePoint now) {
-  Askers[id] = {daemons, now};
+  Askers[id] = {std::move(report), now};
 }
 
-std::uint32_t FleetCount::subtree(TimePoint now) {
+protocol::FleetReport FleetCount::subtree(TimePoint now) {
   std::erase_if(Askers, [now](const auto &entry) {
     return entry.second.At + Memory < now;
   });
-  std::uint32_t total = 1;
-  for (const auto &[id, entry] : Askers)
-    total += entry.Daemons;
+  protocol::FleetReport total{1, Self.Millicores, {}};
+  if (Self.Millicores != 0 && !Self.Address.empty())
+    total.Strongest.push_back(Self);
+  for (const auto &[id, entry] : Askers) {
+    const protocol::FleetReport &report = entry.Report;
+    total.Daemons += report.Daemons;
+    if (report.WeakestMillicores != 0)
+      total.WeakestMillicores =
+          total.WeakestMillicores == 0
+              ? report.WeakestMillicores
+              : std::min(total.WeakestMillicores, report.WeakestMillicores);
+    total.Strongest.insert(total.Strongest.end(), report.Strongest.begin(),
+                           report.Strongest.end());
+  }
+  std::sort(total.Strongest.begin(), total.Strongest.end(),
+            [](const auto &a, const auto &b) {
+              return std::tie(b.Millicores, a.Address) <
+                     std::tie(a.Millicores, b.Address);
+            });
+  if (total.Strongest.size() > MaxStrongest)
+    total.Strongest.resize(MaxStrongest);
   return total;
 }
 
--- a/src/coordination/directory_relay.h
+++ b/src/coordination/directory_relay.h
@@ -76,23 +76,31 @@
   std::map<std::string, TimePoint> AvoidUntil;
 };
 
-/// Counts the daemons that read the directory here, and those behind them.
+/// Sums up the daemons that read the directory here, and those behind them.
 class FleetCount {
 public:
-  /// `daemons` as stated in the request of the daemon `id`.
-  void onRequest(const std::string &id, std::uint32_t daemons, TimePoint now);
+  explicit FleetCount(state::DaemonCapacity self) : Self(std::move(self)) {}
+
+  /// `report` as stated in the request of the daemon `id`.
+  void onRequest(const std::string &id, protocol::FleetReport report,
+                 TimePoint now);
 
   /// This daemon and all behind it.
-  std::uint32_t subtree(TimePoint now);
+  protocol::FleetReport subtree(TimePoint now);
+
+  /// Daemons that a report names at most. A fleet with more strong VMs than
+  /// that spreads its work over these.
+  static constexpr std::size_t MaxStrongest = 32;
 
 private:
   /// A daemon that has not asked for this long is gone.
   static constexpr Duration Memory = std::chrono::seconds(4);
 
   struct Entry {
-    std::uint32_t Daemons = 1;
+    protocol::FleetReport Report;
     TimePoint At;
   };
+  state::DaemonCapacity Self;
   std::map<std::string, Entry> Askers;
 };
 
--- /dev/null
+++ b/src/coordination/executor_choice.cc
@@ -0,0 +1,108 @@
+#include "coordination/executor_choice.h"
+
+#include "state/hash.h"
+
+#include <algorithm>
+
+// Every daemon decides for itself, by what it has seen of the executors. The
+// executors bound their own load and refuse what is beyond it; a refused
+// request has not run, so the daemon runs it itself.
+
+namespace galenaflow::coordination {
+
+std::vector<state::DaemonCapacity>
+executorsOf(const protocol::FleetReport &fleet) {
+  std::vector<state::DaemonCapacity> executors = fleet.Strongest;
+  std::erase_if(executors, [&fleet](const state::DaemonCapacity &daemon) {
+    return fleet.WeakestMillicores == 0 ||
+           daemon.Millicores < ExecutorAdvantage * fleet.WeakestMillicores;
+  });
+  return executors;
+}
+
+void ExecutorChoice::setExecutors(
+    const std::vector<state::DaemonCapacity> &executors) {
+  All = executors.size();
+  IsExecutor =
+      std::any_of(executors.begin(), executors.end(), [this](const auto &it) {
+        return it.Address == Self.Address;
+      });
+  struct Rank {
+    bool IsRemote;
+    std::uint64_t Hash;
+    std::string Address;
+    auto operator<=>(const Rank &) const = default;
+  };
+  std::vector<Rank> ranks;
+  for (const state::DaemonCapacity &it : executors)
+    if (it.Millicores >= ExecutorAdvantage * Self.Millicores)
+      ranks.push_back({it.DataCentre != Self.DataCentre,
+                       state::hash64(it.Address + Self.Address), it.Address});
+  std::sort(ranks.begin(), ranks.end());
+  if (ranks.size() > Options.Links)
+    ranks.resize(Options.Links);
+  std::vector<Executor> linked;
+  for (const Rank &rank : ranks) {
+    const Executor *known = find(rank.Address);
+    linked.push_back(known != nullptr ? *known : Executor{rank.Address});
+  }
+  Linked = std::move(linked);
+}
+
+std::vector<std::string> ExecutorChoice::wanted() const {
+  std::vector<std::string> addresses;
+  for (const Executor &it : Linked)
+    addresses.push_back(it.Address);
+  return addresses;
+}
+
+ExecutorChoice::Executor *ExecutorChoice::find(const std::string &address) {
+  const auto it =
+      std::find_if(Linked.begin(), Linked.end(), [&](const Executor &executor) {
+        return executor.Address == address;
+      });
+  return it == Linked.end() ? nullptr : &*it;
+}
+
+std::optional<std::string>
+ExecutorChoice::choose(const std::function<bool(const std::string &)> &isLinked,
+                       TimePoint now) {
+  const Executor *best = nullptr;
+  std::uint32_t ties = 0;
+  for (const Executor &it : Linked) {
+    if (it.AvoidUntil > now || !isLinked(it.Address))
+      continue;
+    ties = best != nullptr && it.Open == best->Open ? ties + 1 : 1;
+    const bool isBetter = best == nullptr || it.Open < best->Open;
+    // Each of several equal ones is taken with the same probability.
+    if (isBetter || (it.Open == best->Open && Random() % ties == 0))
+      best = &it;
+  }
+  return best == nullptr ? std::nullopt : std::optional(best->Address);
+}
+
+void ExecutorChoice::onSent(const std::string &executor) {
+  if (Executor *it = find(executor))
+    ++it->Open;
+}
+
+void ExecutorChoice::end(const std::string &executor) {
+  Executor *it = find(executor);
+  if (it != nullptr && it->Open != 0)
+    --it->Open;
+}
+
+void ExecutorChoice::onAnswered(const std::string &executor) { end(executor); }
+
+void ExecutorChoice::onRefused(const std::string &executor, TimePoint now) {
+  end(executor);
+  if (Executor *it = find(executor))
+    it->AvoidUntil = now + Options.RefusedPenalty;
+}
+
+void ExecutorChoice::onSilent(const std::string &executor, TimePoint now) {
+  if (Executor *it = find(executor))
+    it->AvoidUntil = now + Options.SilentPenalty;
+}
+
+} // namespace galenaflow::coordination
--- /dev/null
+++ b/src/forwarding/delegation_task.cc
@@ -0,0 +1,291 @@
+#include "forwarding/delegation_task.h"
+
+#include "state/log.h"
+
+#include <algorithm>
+
+// An executor's answer has to be back before the objective, so it is told how
+// long the way takes: the mean of what the last requests took beside its work.
+//
+// A request whose executor may have begun is not run a second time here: the
+// replicas that it has asked are not known, and the route's attempts and the
+// budget of extra arrivals would be passed. Such a request is one of the few
+// that are open when an executor stops answering; the next ones avoid it.
+
+namespace galenaflow::forwarding {
+
+using coordination::ForwardFault;
+using protocol::DelegatedReply;
+using protocol::DelegatedRequest;
+using protocol::DelegationMessageType;
+using protocol::DelegationOutcome;
+using state::Duration;
+using state::TimePoint;
+using transport::PeerIdentity;
+
+namespace {
+
+/// Weight of a new sample in the mean of the overhead, as a divisor.
+constexpr int OverheadDivisor = 8;
+
+/// A longer way is a fault of the network and says nothing about the next one.
+constexpr Duration MaxOverhead = std::chrono::milliseconds(20);
+
+/// The result in a reply. Nothing for enumerators that do not exist.
+std::optional<ForwardResult> resultOf(DelegatedReply reply) {
+  ForwardResult result;
+  result.Counts.Parts = reply.Parts;
+  result.Counts.Primaries = reply.Parts;
+  result.Counts.PartsAnswered = reply.PartsAnswered;
+  result.Counts.Hedges = reply.Hedges;
+  result.Counts.Retries = reply.Retries;
+  result.Counts.Rejections = reply.Rejections;
+  result.Counts.Missing = std::move(reply.MissingServices);
+  if (reply.Outcome == DelegationOutcome::Merged) {
+    result.Ended = coordination::MergedAnswer{std::move(reply.Signatures),
+                                              reply.MissingParts,
+                                              std::move(reply.Records)};
+    return result;
+  }
+  constexpr auto lastFault =
+      static_cast<std::uint8_t>(ForwardFault::CallerGone);
+  constexpr auto lastRan =
+      static_cast<std::uint8_t>(coordination::RanState::Unknown);
+  if (reply.Fault > lastFault || reply.Ran > lastRan)
+    return std::nullopt;
+  result.Ended = coordination::ForwardFailure{
+      static_cast<ForwardFault>(reply.Fault),
+      static_cast<coordination::RanState>(reply.Ran),
+      {}};
+  return result;
+}
+
+} // namespace
+
+DelegationTask::DelegationTask(transport::EventLoop &loop, RelayTask &links,
+                               Forwarder &local, DelegationTaskOptions options,
+                               state::MetricRegistry &metrics)
+    : Loop(loop), Links(links), Local(local), Options(std::move(options)),
+      Choice(Options.Choice, Options.Self, std::mt19937_64(Options.Seed)),
+      Overhead(Options.InitialOverhead),
+      Delegated(metrics.counter("galenaflow_delegated_total",
+                                "Requests that were passed to an executor")),
+      RunHere(metrics.counter("galenaflow_delegations_refused_total",
+                              "Requests that an executor refused")),
+      Lost(metrics.counter("galenaflow_delegations_lost_total",
+                           "Requests whose executor did not answer")) {}
+
+DelegationTask::~DelegationTask() {
+  for (const auto &[id, open] : Opens)
+    Loop.cancel(open.Timer);
+}
+
+void DelegationTask::setExecutors(
+    const std::vector<state::DaemonCapacity> &executors) {
+  Choice.setExecutors(executors);
+  Links.setOtherLinks(Choice.wanted());
+}
+
+bool DelegationTask::delegates() const {
+  const auto wanted = Choice.wanted();
+  return std::any_of(
+      wanted.begin(), wanted.end(),
+      [this](const std::string &address) { return Linked.contains(address); });
+}
+
+std::optional<std::string>
+DelegationTask::chooseExecutor(const ForwardCall &call) {
+  if (!call.Route->isSharded() || !call.Route->IsIdempotent ||
+      call.Services.size() < Options.MinParts ||
+      call.Op->Body.size() > Options.MaxBodyBytes)
+    return std::nullopt;
+  return Choice.choose(
+      [this](const std::string &address) { return Linked.contains(address); },
+      Loop.now());
+}
+
+ForwardId DelegationTask::forward(ForwardCall call, ForwardCallback callback) {
+  const ForwardId id = ++LastId;
+  Open &open = Opens[id];
+  open.ArrivedAt = Loop.now();
+  open.DeadlineAt = open.ArrivedAt + call.Left;
+  open.Call = std::move(call);
+  open.Callback = std::move(callback);
+  const auto executor = chooseExecutor(open.Call);
+  if (!executor || !sendTo(*executor, id, open)) {
+    runHere(id);
+    return id;
+  }
+  Delegated.add();
+  open.Executor = *executor;
+  Choice.onSent(*executor);
+  const Duration objective = open.Call.Route->LatencyObjective;
+  const Duration longest = std::min(open.Call.Left - Options.DeadlineMargin,
+                                    open.Call.Route->Timeout);
+  open.Timer = Loop.schedule(
+      objective.count() == 0 ? longest : std::min(objective, longest),
+      [this, id] { onSilent(id); });
+  return id;
+}
+
+bool DelegationTask::sendTo(const std::string &executor, ForwardId id,
+                            const Open &open) {
+  const Operation &operation = *open.Call.Op;
+  DelegatedRequest request;
+  request.Sequence = id;
+  request.RouteVersion = open.Call.Table->version();
+  request.Route = open.Call.Route->Name;
+  request.Left = open.Call.Left;
+  request.ReturnTime = Overhead;
+  request.RequestId = operation.RequestId;
+  request.Method = operation.Method;
+  request.Path = operation.Path;
+  request.Host = operation.Host;
+  request.Headers = operation.Headers.items();
+  request.Body = operation.Body;
+  return Links.send(Linked.at(executor),
+                    static_cast<std::uint16_t>(DelegationMessageType::Request),
+                    protocol::encodeDelegatedRequest(request));
+}
+
+void DelegationTask::runHere(ForwardId id) {
+  Open &open = Opens.at(id);
+  open.Executor.clear();
+  Loop.cancel(open.Timer);
+  open.Timer = 0;
+  open.Call.Left = open.DeadlineAt - Loop.now();
+  open.Local =
+      Local.forward(std::move(open.Call), [this, id](ForwardResult result) {
+        finish(id, std::move(result));
+      });
+}
+
+void DelegationTask::cancel(ForwardId id) {
+  const auto it = Opens.find(id);
+  if (it == Opens.end())
+    return;
+  Loop.cancel(it->second.Timer);
+  if (it->second.Executor.empty()) {
+    Local.cancel(it->second.Local);
+  } else {
+    Choice.onAnswered(it->second.Executor);
+    if (const auto peer = Linked.find(it->second.Executor);
+        peer != Linked.end())
+      Links.send(peer->second,
+                 static_cast<std::uint16_t>(DelegationMessageType::Cancel),
+                 protocol::encodeDelegationCancel({id}));
+  }
+  Opens.erase(it);
+}
+
+bool DelegationTask::onMessage(const PeerIdentity &, std::uint16_t type,
+                               std::string_view payload) {
+  if (type != static_cast<std::uint16_t>(DelegationMessageType::Reply))
+    return false;
+  auto reply = protocol::decodeDelegatedReply(payload);
+  if (reply)
+    onReply(std::move(*reply));
+  return reply.has_value();
+}
+
+void DelegationTask::onReply(DelegatedReply reply) {
+  const ForwardId id = reply.Sequence;
+  const auto it = Opens.find(id);
+  if (it == Opens.end() || it->second.Executor.empty())
+    return; // answered, given up, or the caller has left
+  const Open &open = it->second;
+  const std::string executor = open.Executor;
+  if (reply.Outcome == DelegationOutcome::Refused) {
+    state::log::info(
+        "delegation_refused",
+        {{"id", open.Call.Op->RequestId},
+         {"executor", executor},
+         {"elapsed_ms", (Loop.now() - open.ArrivedAt).count() / 1000}});
+    RunHere.add();
+    Choice.onRefused(executor, Loop.now());
+    runHere(id);
+    return;
+  }
+  Choice.onAnswered(executor);
+  const Duration sample = std::clamp(
+      Loop.now() - open.ArrivedAt - reply.Elapsed, Duration(0), MaxOverhead);
+  Overhead += (sample - Overhead) / OverheadDivisor;
+  auto result = resultOf(std::move(reply));
+  if (!result) {
+    state::log::warning("delegation_malformed", {{"executor", executor}});
+    fail(id, ForwardFault::BackendFailed);
+    return;
+  }
+  result->Executor = executor;
+  finish(id, std::move(*result));
+}
+
+void DelegationTask::onSilent(ForwardId id) {
+  Open &open = Opens.at(id);
+  open.Timer = 0;
+  const TimePoint now = Loop.now();
+  const TimePoint giveUpAt =
+      std::min(open.DeadlineAt - Options.DeadlineMargin,
+               open.ArrivedAt + open.Call.Route->Timeout);
+  if (now >= giveUpAt) {
+    fail(id, ForwardFault::DeadlineExceeded);
+    return;
+  }
+  // The answer is late already, which an executor does not cause by itself.
+  state::log::info("delegation_silent",
+                   {{"id", open.Call.Op->RequestId},
+                    {"executor", open.Executor},
+                    {"elapsed_ms", (now - open.ArrivedAt).count() / 1000}});
+  Choice.onSilent(open.Executor, now);
+  open.Timer = Loop.schedule(giveUpAt - now, [this, id] { onSilent(id); });
+}
+
+void DelegationTask::fail(ForwardId id, ForwardFault fault) {
+  Lost.add();
+  const Open &open = Opens.at(id);
+  Choice.onAnswered(open.Executor);
+  if (const auto peer = Linked.find(open.Executor); peer != Linked.end())
+    Links.send(peer->second,
+               static_cast<std::uint16_t>(DelegationMessageType::Cancel),
+               protocol::encodeDelegationCancel({id}));
+  ForwardResult result;
+  result.Ended =
+      coordination::ForwardFailure{fault, coordination::RanState::Unknown, {}};
+  result.Counts.Parts = static_cast<std::uint32_t>(open.Call.Services.size());
+  result.Executor = open.Executor;
+  finish(id, std::move(result));
+}
+
+void DelegationTask::finish(ForwardId id, ForwardResult result) {
+  const auto node = Opens.extract(id);
+  if (node.empty())
+    return;
+  const Open &open = node.mapped();
+  Loop.cancel(open.Timer);
+  result.Elapsed = Loop.now() - open.ArrivedAt;
+  result.Left = open.DeadlineAt - Loop.now();
+  open.Callback(std::move(result));
+}
+
+void DelegationTask::onLinkUp(const PeerIdentity &peer) {
+  Linked[peer.Address] = peer;
+}
+
+void DelegationTask::onLinkLost(const PeerIdentity &peer) {
+  const auto linked = Linked.find(peer.Address);
+  if (linked == Linked.end() || linked->second != peer)
+    return;
+  Linked.erase(linked);
+  std::vector<ForwardId> lost;
+  for (const auto &[id, open] : Opens)
+    if (open.Executor == peer.Address)
+      lost.push_back(id);
+  // Posted, because the link can be lost while a request is written to it.
+  for (const ForwardId id : lost)
+    Loop.post([this, id] {
+      if (Opens.contains(id))
+        fail(id, ForwardFault::BackendFailed);
+    });
+}
+
+} // namespace galenaflow::forwarding
--- a/src/forwarding/entry_service.cc
+++ b/src/forwarding/entry_service.cc
@@ -14,7 +14,7 @@
 using transport::HttpRequest;
 
 EntryService::EntryService(transport::EventLoop &loop, CallerProtocol &protocol,
-                           ForwardTask &forwarding, EntryServiceOptions options,
+                           Forwarder &forwarding, EntryServiceOptions options,
                            state::MetricRegistry &metrics)
     : Protocol(protocol), Forwarding(forwarding), Options(std::move(options)),
       Random(Options.Seed), Metrics(metrics),
@@ -72,7 +72,8 @@
   const Duration left = call->Left.value_or(route->Timeout);
   const std::string id = call->Op.RequestId;
   const ForwardId forwarded = Forwarding.forward(
-      std::move(call->Op), Table, *route, targetsOf(*route), left,
+      {std::make_shared<const Operation>(std::move(call->Op)), Table, route,
+       targetsOf(*route), left},
       [this, responder, id, table = Table, route](ForwardResult result) {
         onResult(responder, id, table, *route, std::move(result));
       });
@@ -127,6 +128,7 @@
       event, {{"id", requestId},
               {"route", route.Name},
               {"version", table.version()},
+              {"executor", result.Executor},
               {"reason", failure != nullptr
                              ? coordination::forwardFaultName(failure->Fault)
                              : std::string_view("none")},
--- a/src/forwarding/entry_service.h
+++ b/src/forwarding/entry_service.h
@@ -2,7 +2,8 @@
 #define GALENAFLOW_FORWARDING_ENTRY_SERVICE_H
 
 #include "coordination/weighted_rotation.h"
-#include "forwarding/forward_task.h"
+#include "forwarding/forwarder.h"
+#include "state/metrics.h"
 #include "transport/http_server.h"
 
 #include <map>
@@ -61,7 +62,7 @@
 class EntryService {
 public:
   EntryService(transport::EventLoop &loop, CallerProtocol &protocol,
-               ForwardTask &forwarding, EntryServiceOptions options,
+               Forwarder &forwarding, EntryServiceOptions options,
                state::MetricRegistry &metrics);
 
   state::Result<transport::SocketAddress>
@@ -90,7 +91,7 @@
   retryAfter(const coordination::ForwardFailure &failure);
 
   CallerProtocol &Protocol;
-  ForwardTask &Forwarding;
+  Forwarder &Forwarding;
   EntryServiceOptions Options;
   state::RouteTablePtr Table;
   std::map<std::string, coordination::WeightedRotation, std::less<>> Rotations;
--- /dev/null
+++ b/src/forwarding/executor_task.cc
@@ -0,0 +1,155 @@
+#include "forwarding/executor_task.h"
+
+#include <algorithm>
+
+// A request is run only with the version of the routes that the asking daemon
+// has given it, so that no caller is handled by an older version than before. A
+// refusal costs the asking daemon a round trip; it then runs the request
+// itself.
+
+namespace galenaflow::forwarding {
+
+using protocol::DelegatedReply;
+using protocol::DelegatedRequest;
+using protocol::DelegationMessageType;
+using protocol::DelegationOutcome;
+using transport::PeerIdentity;
+
+namespace {
+
+DelegatedReply replyOf(std::uint64_t sequence, ForwardResult result) {
+  DelegatedReply reply;
+  reply.Sequence = sequence;
+  reply.Elapsed = result.Elapsed;
+  reply.Parts = result.Counts.Parts;
+  reply.PartsAnswered = result.Counts.PartsAnswered;
+  reply.Hedges = result.Counts.Hedges;
+  reply.Retries = result.Counts.Retries;
+  reply.Rejections = result.Counts.Rejections;
+  reply.MissingServices = std::move(result.Counts.Missing);
+  if (auto *merged = std::get_if<coordination::MergedAnswer>(&result.Ended)) {
+    reply.Outcome = DelegationOutcome::Merged;
+    reply.Signatures = std::move(merged->Signatures);
+    reply.MissingParts = merged->Missing;
+    reply.Records = std::move(merged->Records);
+    return reply;
+  }
+  reply.Outcome = DelegationOutcome::Failed;
+  const auto *failure =
+      std::get_if<coordination::ForwardFailure>(&result.Ended);
+  reply.Fault = static_cast<std::uint8_t>(
+      failure != nullptr ? failure->Fault
+                         : coordination::ForwardFault::BackendFailed);
+  reply.Ran = static_cast<std::uint8_t>(
+      failure != nullptr ? failure->Ran : coordination::RanState::Unknown);
+  return reply;
+}
+
+} // namespace
+
+ExecutorTask::ExecutorTask(RelayTask &links, Forwarder &forwarding,
+                           ExecutorTaskOptions options,
+                           state::MetricRegistry &metrics)
+    : Links(links), Forwarding(forwarding), Options(options),
+      Executed(metrics.counter("galenaflow_executed_for_others_total",
+                               "Requests that were run for other daemons")),
+      Refused(metrics.counter("galenaflow_executions_refused_total",
+                              "Requests of other daemons that were refused")) {}
+
+bool ExecutorTask::onMessage(const PeerIdentity &peer, std::uint16_t type,
+                             std::string_view payload) {
+  if (type == static_cast<std::uint16_t>(DelegationMessageType::Request)) {
+    auto request = protocol::decodeDelegatedRequest(payload);
+    if (request)
+      onRequest(peer, std::move(*request));
+    return request.has_value();
+  }
+  if (type != static_cast<std::uint16_t>(DelegationMessageType::Cancel))
+    return false;
+  const auto cancel = protocol::decodeDelegationCancel(payload);
+  if (!cancel)
+    return false;
+  const auto it = Opens.find({peer, cancel->Sequence});
+  if (it != Opens.end()) {
+    Forwarding.cancel(it->second);
+    Opens.erase(it);
+  }
+  return true;
+}
+
+const state::Route *
+ExecutorTask::routeOf(const DelegatedRequest &request) const {
+  if (!Table || Table->version() != request.RouteVersion)
+    return nullptr;
+  const auto &routes = Table->routes();
+  const auto it =
+      std::find_if(routes.begin(), routes.end(), [&](const state::Route &it) {
+        return it.Name == request.Route && it.isSharded();
+      });
+  return it == routes.end() ? nullptr : &*it;
+}
+
+std::size_t ExecutorTask::maxOpen() const {
+  constexpr double perCore = 1000;
+  return static_cast<std::size_t>(Options.OpenPerCore * Options.Millicores /
+                                  perCore);
+}
+
+void ExecutorTask::onRequest(const PeerIdentity &peer,
+                             DelegatedRequest request) {
+  const Key key{peer, request.Sequence};
+  const state::Route *route = routeOf(request);
+  if (route == nullptr || IsDraining || Opens.size() >= maxOpen() ||
+      request.Left <= state::Duration(0) || Opens.contains(key)) {
+    Refused.add();
+    DelegatedReply refusal;
+    refusal.Sequence = request.Sequence;
+    reply(peer, refusal);
+    return;
+  }
+  Executed.add();
+  Operation operation;
+  operation.RequestId = std::move(request.RequestId);
+  operation.Method = std::move(request.Method);
+  operation.Path = std::move(request.Path);
+  operation.Host = std::move(request.Host);
+  for (const auto &[name, value] : request.Headers)
+    operation.Headers.add(name, value);
+  operation.Body = std::move(request.Body);
+  ForwardCall call;
+  call.Op = std::make_shared<const Operation>(std::move(operation));
+  call.Table = Table;
+  call.Route = route;
+  call.Services = route->Shards.Services;
+  call.Left = request.Left;
+  call.ReturnTime = std::clamp(request.ReturnTime, state::Duration(0),
+                               route->LatencyObjective / 2);
+  Opens[key] =
+      Forwarding.forward(std::move(call), [this, key](ForwardResult result) {
+        onResult(key, std::move(result));
+      });
+}
+
+void ExecutorTask::onResult(const Key &key, ForwardResult result) {
+  Opens.erase(key);
+  reply(key.first, replyOf(key.second, std::move(result)));
+}
+
+void ExecutorTask::reply(const PeerIdentity &peer, const DelegatedReply &it) {
+  Links.send(peer, static_cast<std::uint16_t>(DelegationMessageType::Reply),
+             protocol::encodeDelegatedReply(it));
+}
+
+// The daemon that asked cannot get an answer any more, nor can its callers.
+void ExecutorTask::onLinkLost(const PeerIdentity &peer) {
+  for (auto it = Opens.begin(); it != Opens.end();) {
+    if (it->first.first != peer) {
+      ++it;
+      continue;
+    }
+    Forwarding.cancel(it->second);
+    it = Opens.erase(it);
+  }
+}
+
+} // namespace galenaflow::forwarding
--- /dev/null
+++ b/src/forwarding/executor_task.h
@@ -0,0 +1,63 @@
+#ifndef GALENAFLOW_FORWARDING_EXECUTOR_TASK_H
+#define GALENAFLOW_FORWARDING_EXECUTOR_TASK_H
+
+#include "forwarding/forwarder.h"
+#include "forwarding/relay_task.h"
+#include "protocol/delegation_messages.h"
+
+#include <map>
+
+namespace galenaflow::forwarding {
+
+struct ExecutorTaskOptions {
+  /// Requests of other daemons that are run at a time, for each core. A request
+  /// over 90 shards takes about 2.5 ms of a core; with six at a time on half a
+  /// core the last one waits as long as it would take on a VM with an eighth.
+  double OpenPerCore = 12;
+
+  std::uint32_t Millicores = 0; ///< of this VM; zero: nothing is run for others
+};
+
+/// Runs requests over many shards for other daemons.
+class ExecutorTask final : public PeerListener {
+public:
+  ExecutorTask(RelayTask &links, Forwarder &forwarding,
+               ExecutorTaskOptions options, state::MetricRegistry &metrics);
+
+  void setRoutes(const state::RouteTablePtr &table) { Table = table; }
+
+  /// No more requests are taken from now on; open ones are finished.
+  void startDrain() { IsDraining = true; }
+
+  std::size_t openRequests() const { return Opens.size(); }
+
+  void onLinkUp(const transport::PeerIdentity &) override {}
+  void onLinkLost(const transport::PeerIdentity &peer) override;
+  bool onMessage(const transport::PeerIdentity &peer, std::uint16_t type,
+                 std::string_view payload) override;
+
+private:
+  /// The asking daemon and its number of the request.
+  using Key = std::pair<transport::PeerIdentity, std::uint64_t>;
+
+  void onRequest(const transport::PeerIdentity &peer,
+                 protocol::DelegatedRequest request);
+  const state::Route *routeOf(const protocol::DelegatedRequest &request) const;
+  std::size_t maxOpen() const;
+  void onResult(const Key &key, ForwardResult result);
+  void reply(const transport::PeerIdentity &peer,
+             const protocol::DelegatedReply &reply);
+
+  RelayTask &Links;
+  Forwarder &Forwarding;
+  ExecutorTaskOptions Options;
+  state::RouteTablePtr Table;
+  bool IsDraining = false;
+  std::map<Key, ForwardId> Opens;
+  state::Counter &Executed;
+  state::Counter &Refused;
+};
+
+} // namespace galenaflow::forwarding
+
+#endif
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -59,7 +59,7 @@
                          state::MetricRegistry &metrics)
     : Loop(loop), Protocol(protocol), Options(std::move(options)),
       Placement(Options.DataCentre, std::mt19937_64(Options.Seed)),
-      StartedAt(loop.now()),
+      StartedAt(loop.now()), FleetGrewAt(StartedAt),
       Hedges(metrics.counter("galenaflow_hedges_total",
                              "Attempts sent beside one that is open")),
       Retries(metrics.counter("galenaflow_retries_total",
@@ -85,16 +85,22 @@
   planConnections();
 }
 
-void ForwardTask::setDaemons(std::uint32_t n) {
-  if (Daemons == n)
+void ForwardTask::setFleet(const FleetView &fleet) {
+  if (Fleet == fleet)
     return;
-  state::log::info("fleet_counted", {{"daemons", n}, {"before", Daemons}});
-  Daemons = n;
+  state::log::info("fleet_counted", {{"daemons", fleet.Daemons},
+                                     {"before", Fleet.Daemons},
+                                     {"executors", fleet.Executors},
+                                     {"is_executor", fleet.IsExecutor},
+                                     {"delegates", fleet.Delegates}});
+  if (fleet.Daemons > Fleet.Daemons)
+    FleetGrewAt = Loop.now();
+  Fleet = fleet;
   planConnections();
 }
 
 double ForwardTask::slackShare() const {
-  return Daemons == 0 ? 0 : Options.ExtraSlack / Daemons;
+  return Fleet.Daemons == 0 ? 0 : Options.ExtraSlack / Fleet.Daemons;
 }
 
 void ForwardTask::planConnections() {
@@ -120,9 +126,11 @@
                        replica->Record.DataCentre == Options.DataCentre,
                        replica->AvoidUntil > Loop.now()});
   }
+  const coordination::ConnectionFleet fleet{
+      Fleet.Daemons == 0 ? Options.UnknownDaemons : Fleet.Daemons,
+      Fleet.Executors, Fleet.IsExecutor, Fleet.Delegates};
   const auto plans = coordination::planConnections(
-      planned, limit, Daemons == 0 ? Options.UnknownDaemons : Daemons,
-      Options.Name, Options.Connections);
+      planned, limit, fleet, Options.Name, Options.Connections);
   for (std::size_t i = 0; i != usable.size(); ++i) {
     usable[i]->Pool.setLimit(plans[i].Limit);
     usable[i]->IsWarm = plans[i].IsWarm;
@@ -179,7 +187,7 @@
 
 void ForwardTask::warm(Replica &replica) {
   if (replica.Record.Draining || !replica.IsWarm ||
-      Loop.now() - StartedAt < Options.WarmDelay)
+      Loop.now() - FleetGrewAt < Options.WarmDelay)
     return;
   replica.Pool.warm(Options.WarmConnections);
 }
@@ -216,16 +224,18 @@
                                 : objective / UnmeasuredParts;
 }
 
-coordination::ForwardOptions ForwardTask::optionsFor(
-    const state::RouteTablePtr &table, const state::Route &route,
-    std::vector<std::string> services, Duration left, Kind &kind) {
+coordination::ForwardOptions ForwardTask::optionsFor(ForwardCall &call,
+                                                     Kind &kind) {
   const TimePoint now = Loop.now();
+  const state::Route &route = *call.Route;
+  const Duration left = call.Left;
   coordination::ForwardOptions options;
-  options.Table = table;
+  options.Table = std::move(call.Table);
   options.Route = &route;
-  options.Services = std::move(services);
+  options.Services = std::move(call.Services);
   // Half of a very short time is used, so that there is an answer at all.
-  const Duration margin = std::min(Options.DeadlineMargin, left / 2);
+  const Duration margin =
+      std::min(Options.DeadlineMargin + call.ReturnTime, left / 2);
   options.DeadlineAt = now + std::min(left - margin, route.Timeout);
   const Duration objective = route.LatencyObjective;
   if (objective.count() == 0)
@@ -233,9 +243,10 @@
   const Duration before = kind.Retries.elapsedBefore(left);
   if (route.isSharded())
     options.PartialAt =
-        now + std::max(objective - before - Options.PartialMargin -
-                           std::min(PartialLag.value(), objective / 4),
-                       Duration(0));
+        now +
+        std::max(objective - before - call.ReturnTime - Options.PartialMargin -
+                     std::min(PartialLag.value(), objective / 4),
+                 Duration(0));
   const Duration latest(static_cast<std::int64_t>(
       LatestHedge * static_cast<double>(objective.count())));
   options.HedgeAfter =
@@ -243,26 +254,24 @@
   return options;
 }
 
-ForwardId ForwardTask::forward(Operation operation,
-                               const state::RouteTablePtr &table,
-                               const state::Route &route,
-                               std::vector<std::string> services, Duration left,
-                               ForwardCallback callback) {
+ForwardId ForwardTask::forward(ForwardCall call, ForwardCallback callback) {
+  const state::Route &route = *call.Route;
   const KindKey key{route.isSharded(), route.LatencyObjective,
                     route.Shards.TopK};
-  for (const std::string &service : services)
+  for (const std::string &service : call.Services)
     Budgets.try_emplace(service, Options.ExtraBudget, StartedAt)
         .first->second.onRequest(Loop.now());
   const ForwardId id = ++LastRequest;
   coordination::ForwardPolicy &policy = *this;
+  const TimePoint deadline = Loop.now() + call.Left;
+  auto operation = std::move(call.Op);
   auto created = std::make_unique<Request>(
-      std::move(operation),
-      optionsFor(table, route, std::move(services), left, kindOf(key)), policy);
+      std::move(operation), optionsFor(call, kindOf(key)), policy);
   Request &request = *created;
   request.KindOf = key;
   request.Callback = std::move(callback);
   request.ArrivedAt = Loop.now();
-  request.CallerDeadline = Loop.now() + left;
+  request.CallerDeadline = deadline;
   Requests.emplace(id, std::move(created));
   carryOut(id, request.Execution.start(Loop.now()));
   return id;
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -6,7 +6,7 @@
 #include "coordination/hedge_policy.h"
 #include "coordination/lag_estimate.h"
 #include "coordination/window_budget.h"
-#include "forwarding/forward_protocol.h"
+#include "forwarding/forwarder.h"
 #include "state/metrics.h"
 #include "transport/backend_pool.h"
 
@@ -67,23 +67,19 @@
   std::uint64_t Seed = 1;
 };
 
-/// How a request has ended.
-struct ForwardResult {
-  std::variant<coordination::BackendAnswer, coordination::MergedAnswer,
-               coordination::ForwardFailure>
-      Ended;
-  coordination::ForwardCounts Counts;
-  state::Duration Elapsed{0};
-  state::Duration Left{0}; ///< until the caller's deadline
-};
-
-using ForwardCallback = std::function<void(ForwardResult)>;
+/// What is known of the fleet; counts are zero while not known.
+struct FleetView {
+  std::uint32_t Daemons = 0;
+  std::uint32_t Executors = 0; ///< that run requests for other daemons
+  bool IsExecutor = false;     ///< this one does
+  bool Delegates = false;      ///< this one has executors to ask
 
-/// Identifies an open request. Zero names none.
-using ForwardId = std::uint64_t;
+  bool operator==(const FleetView &) const = default;
+};
 
 /// Owns the connections to all replicas and the open requests.
-class ForwardTask final : private coordination::ForwardPolicy {
+class ForwardTask final : public Forwarder,
+                          private coordination::ForwardPolicy {
 public:
   ForwardTask(transport::EventLoop &loop, ReplicaProtocol &protocol,
               ForwardTaskOptions options, state::MetricRegistry &metrics);
@@ -95,19 +91,10 @@
   void setReplicas(
       const std::map<std::string, state::ReplicaRecord, std::less<>> &records);
 
-  /// The number of daemons in the fleet; zero while not known.
-  void setDaemons(std::uint32_t n);
-
-  /// Forwards a request on `route` of `table` to `services`: one, or the shard
-  /// set. `left` is the time until the caller's deadline. The callback runs
-  /// once, unless the request is cancelled, and not before this returns.
-  ForwardId forward(Operation operation, const state::RouteTablePtr &table,
-                    const state::Route &route,
-                    std::vector<std::string> services, state::Duration left,
-                    ForwardCallback callback);
+  void setFleet(const FleetView &fleet);
 
-  /// The caller has left: its work at replicas ends.
-  void cancel(ForwardId id);
+  ForwardId forward(ForwardCall call, ForwardCallback callback) override;
+  void cancel(ForwardId id) override;
 
   std::size_t openRequests() const { return Requests.size(); }
 
@@ -152,10 +139,10 @@
   };
 
   struct Request {
-    Request(Operation operation, coordination::ForwardOptions options,
+    Request(std::shared_ptr<const Operation> operation,
+            coordination::ForwardOptions options,
             coordination::ForwardPolicy &policy)
-        : Op(std::make_shared<const Operation>(std::move(operation))),
-          Execution(std::move(options), policy) {}
+        : Op(std::move(operation)), Execution(std::move(options), policy) {}
     std::shared_ptr<const Operation> Op;
     coordination::ForwardExecution Execution;
     KindKey KindOf;
@@ -182,10 +169,7 @@
 
   Kind &kindOf(const KindKey &key);
   state::Duration expectedOf(const KindKey &key);
-  coordination::ForwardOptions optionsFor(const state::RouteTablePtr &table,
-                                          const state::Route &route,
-                                          std::vector<std::string> services,
-                                          state::Duration left, Kind &kind);
+  coordination::ForwardOptions optionsFor(ForwardCall &call, Kind &kind);
   void carryOut(ForwardId id, coordination::ForwardActions actions);
   void ask(ForwardId id, Request &request,
            const coordination::AskReplica &action);
@@ -213,8 +197,9 @@
   ForwardTaskOptions Options;
   coordination::ReplicaPlacement Placement;
   state::RouteTablePtr Table;
-  std::uint32_t Daemons = 0;
+  FleetView Fleet;
   state::TimePoint StartedAt;
+  state::TimePoint FleetGrewAt; ///< the last time
   std::map<std::string, ReplicaPtr, std::less<>> Replicas;
   std::map<std::string, std::vector<ReplicaPtr>, std::less<>> ByService;
   std::map<std::string, coordination::WindowBudget, std::less<>> Budgets;
--- a/src/forwarding/relay_task.cc
+++ b/src/forwarding/relay_task.cc
@@ -1,5 +1,6 @@
 #include "forwarding/relay_task.h"
 
+#include "coordination/executor_choice.h"
 #include "state/log.h"
 
 #include <algorithm>
@@ -31,18 +32,22 @@
                      RelayTaskOptions options, state::MetricRegistry &metrics)
     : Loop(loop), Source(source), Options(std::move(options)),
       Network(loop, Options.Network,
-              {[](const PeerIdentity &) {},
-               [](const PeerIdentity &peer, transport::LinkClose reason) {
-                 state::log::info(
-                     "peer_lost",
-                     {{"peer", peer.VmId}, {"reason", linkCloseName(reason)}});
+              {[this](const PeerIdentity &peer) {
+                 for (PeerListener *it : Listeners)
+                   it->onLinkUp(peer);
+               },
+               [this](const PeerIdentity &peer, transport::LinkClose reason) {
+                 onLinkLost(peer, reason);
                },
                [this](const PeerIdentity &peer, std::uint16_t type,
                       std::string_view payload) {
                  onMessage(peer, type, payload);
                }}),
       Choice(Options.Choice, Options.Network.Session.Self.Address),
-      Log(Options.Network.Seed | 1), StartedAt(loop.now()),
+      Log(Options.Network.Seed | 1),
+      Fleet({Options.Network.Session.Self.Address,
+             Options.Network.Session.Self.DataCentre, Options.Millicores}),
+      StartedAt(loop.now()),
       RelayReads(metrics.counter("galenaflow_relay_reads_total",
                                  "Reads of the directory at other daemons")),
       SourceReads(metrics.counter("galenaflow_source_reads_total",
@@ -63,7 +68,22 @@
 
 void RelayTask::setRelays(const std::vector<std::string> &addresses) {
   Choice.setRelays(addresses);
-  Network.setWanted(Choice.preferred());
+  setWantedLinks();
+}
+
+void RelayTask::setOtherLinks(const std::vector<std::string> &addresses) {
+  if (addresses == OtherLinks)
+    return;
+  OtherLinks = addresses;
+  setWantedLinks();
+}
+
+void RelayTask::setWantedLinks() {
+  std::vector<std::string> wanted = Choice.preferred();
+  for (const std::string &address : OtherLinks)
+    if (std::find(wanted.begin(), wanted.end(), address) == wanted.end())
+      wanted.push_back(address);
+  Network.setWanted(wanted);
 }
 
 state::RouteTablePtr RelayTask::decodeRoutes(std::string_view document) const {
@@ -111,6 +131,8 @@
                            transport::LinkClose reason) {
   state::log::info("peer_lost",
                    {{"peer", peer.VmId}, {"reason", linkCloseName(reason)}});
+  for (PeerListener *it : Listeners)
+    it->onLinkLost(peer);
   if (!Pending || Pending->Relay != peer.Address)
     return;
   // Posted, because the link can be lost while a request is written to it.
@@ -126,7 +148,7 @@
   request.Log = PeerLog;
   request.Index = PeerIndex;
   request.RouteVersion = View.Table ? View.Table->version() : 0;
-  request.Daemons = Fleet.subtree(Loop.now());
+  request.Fleet = Fleet.subtree(Loop.now());
   for (const PeerIdentity &peer : Network.connected())
     if (peer.Address == relay)
       return Network.send(
@@ -169,6 +191,11 @@
       onReply(std::move(*reply));
       return;
     }
+  } else if (std::any_of(Listeners.begin(), Listeners.end(),
+                         [&](PeerListener *it) {
+                           return it->onMessage(peer, type, payload);
+                         })) {
+    return;
   }
   state::log::warning("peer_message_malformed",
                       {{"peer", peer.VmId}, {"type", type}});
@@ -176,7 +203,7 @@
 
 void RelayTask::onRequest(const PeerIdentity &peer,
                           const DirectoryRequest &request) {
-  Fleet.onRequest(peer.VmId, request.Daemons, Loop.now());
+  Fleet.onRequest(peer.VmId, request.Fleet, Loop.now());
   const Waiter waiter{peer, request, Loop.now()};
   const bool isStale = View.Table != nullptr && isOld();
   const bool isNew = request.Log == 0 && View.Table != nullptr;
@@ -193,8 +220,9 @@
   reply.HasContent = View.Table != nullptr;
   reply.Revision = View.Revision;
   reply.Age = Loop.now() - ViewAt;
-  reply.Daemons =
-      UpstreamDaemons != 0 ? UpstreamDaemons : Fleet.subtree(Loop.now());
+  reply.Daemons = UpstreamDaemons != 0 ? UpstreamDaemons
+                                       : Fleet.subtree(Loop.now()).Daemons;
+  reply.Executors = Executors;
   Network.send(waiter.Peer,
                static_cast<std::uint16_t>(DirectoryMessageType::Reply),
                protocol::encodeDirectoryReply(reply));
@@ -249,6 +277,7 @@
   PeerIndex = reply.Index;
   UpstreamDaemons = reply.Daemons;
   noteDaemons(reply.Daemons);
+  Executors = std::move(reply.Executors);
   content.Changes = std::move(reply.Changes);
   content.Revision = reply.Revision;
   content.IsFull = reply.IsFull;
@@ -269,8 +298,11 @@
     ListedVersion = view.Replicas->listedVersion();
     Log.update(view.Replicas->listed());
   }
-  if (!ReadsAtRelay)
-    noteDaemons(Fleet.subtree(Loop.now()));
+  if (!ReadsAtRelay) {
+    const protocol::FleetReport fleet = Fleet.subtree(Loop.now());
+    noteDaemons(fleet.Daemons);
+    Executors = coordination::executorsOf(fleet);
+  }
   answerAll();
 }
 
--- a/src/forwarding/relay_task.h
+++ b/src/forwarding/relay_task.h
@@ -9,8 +9,24 @@
 
 namespace galenaflow::forwarding {
 
+/// Takes part in the links between daemons beside the directory.
+class PeerListener {
+public:
+  virtual ~PeerListener() = default;
+  virtual void onLinkUp(const transport::PeerIdentity &peer) = 0;
+  virtual void onLinkLost(const transport::PeerIdentity &peer) = 0;
+
+  /// A message of another type than the directory's. False: malformed.
+  virtual bool onMessage(const transport::PeerIdentity &peer,
+                         std::uint16_t type, std::string_view payload) = 0;
+};
+
 struct RelayTaskOptions {
   transport::PeerNetworkOptions Network;
+
+  /// CPU of this VM in thousandths of a core; zero while not known.
+  std::uint32_t Millicores = 0;
+
   coordination::RelayChoiceOptions Choice;
 
   /// A relay answers when it has read the source itself, which it does about
@@ -59,6 +75,23 @@
   /// Daemons of the fleet; zero while not known.
   std::uint32_t daemons() const;
 
+  /// The daemons that run requests for others, as last heard.
+  const std::vector<state::DaemonCapacity> &executors() const {
+    return Executors;
+  }
+
+  /// Addresses to which links are kept besides those to the relays.
+  void setOtherLinks(const std::vector<std::string> &addresses);
+
+  /// Sends a message of another type. False without a link.
+  bool send(const transport::PeerIdentity &peer, std::uint16_t type,
+            std::string_view payload) {
+    return Network.send(peer, type, payload);
+  }
+
+  /// `listener` must live as long as the links.
+  void addListener(PeerListener &listener) { Listeners.push_back(&listener); }
+
 private:
   struct PendingRead {
     std::uint64_t Sequence = 0;
@@ -91,6 +124,7 @@
   bool isOld() const;
   void tick();
   void noteDaemons(std::uint32_t n);
+  void setWantedLinks();
 
   transport::EventLoop &Loop;
   DirectorySource &Source;
@@ -111,6 +145,9 @@
   bool HasRead = false;
   bool ReadsAtRelay = false;
   std::uint32_t UpstreamDaemons = 0;
+  std::vector<state::DaemonCapacity> Executors;
+  std::vector<std::string> OtherLinks;
+  std::vector<PeerListener *> Listeners;
   std::deque<std::pair<state::TimePoint, std::uint32_t>> Counts;
   transport::TimerId Timer = 0;
   state::Counter &RelayReads;
--- /dev/null
+++ b/src/protocol/delegation_messages.cc
@@ -0,0 +1,166 @@
+#include "protocol/delegation_messages.h"
+
+#include "protocol/aligned_bytes.h"
+#include "protocol/delegation_fb.h"
+
+// Bytes from peers are checked by the FlatBuffers verifier first. Enumerators
+// are checked where they are turned into types of the receiver.
+
+namespace galenaflow::protocol {
+
+using state::ErrorCode;
+using state::makeError;
+
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+std::string textOf(const flatbuffers::String *text) {
+  return text == nullptr ? std::string() : text->str();
+}
+
+using TextList = flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
+
+std::vector<std::string> textsOf(const TextList *list) {
+  std::vector<std::string> texts;
+  if (list != nullptr)
+    for (const flatbuffers::String *text : *list)
+      texts.push_back(textOf(text));
+  return texts;
+}
+
+std::string finish(Builder &b,
+                   flatbuffers::Offset<fb::DelegationMessage> message) {
+  b.Finish(message);
+  return {reinterpret_cast<const char *>(b.GetBufferPointer()), b.GetSize()};
+}
+
+const fb::DelegationMessage *verify(const AlignedBytes &bytes) {
+  flatbuffers::Verifier verifier(bytes.data(), bytes.size());
+  return fb::VerifyDelegationMessageBuffer(verifier)
+             ? fb::GetDelegationMessage(bytes.data())
+             : nullptr;
+}
+
+tl::unexpected<state::Error> malformed() {
+  return makeError(ErrorCode::InvalidArgument, "malformed delegation message");
+}
+
+} // namespace
+
+std::string encodeDelegatedRequest(const DelegatedRequest &request) {
+  Builder b;
+  std::vector<flatbuffers::Offset<fb::DelegationHeader>> headers;
+  for (const auto &[name, value] : request.Headers) {
+    const auto nameAt = b.CreateString(name);
+    const auto valueAt = b.CreateString(value);
+    headers.push_back(fb::CreateDelegationHeader(b, nameAt, valueAt));
+  }
+  const auto headerList = b.CreateVector(headers);
+  const auto route = b.CreateString(request.Route);
+  const auto id = b.CreateString(request.RequestId);
+  const auto method = b.CreateString(request.Method);
+  const auto path = b.CreateString(request.Path);
+  const auto host = b.CreateString(request.Host);
+  const auto body = b.CreateString(request.Body);
+  fb::DelegationMessageBuilder message(b);
+  message.add_sequence(request.Sequence);
+  message.add_version(request.RouteVersion);
+  message.add_route(route);
+  message.add_left_us(request.Left.count());
+  message.add_return_us(request.ReturnTime.count());
+  message.add_request_id(id);
+  message.add_method(method);
+  message.add_path(path);
+  message.add_host(host);
+  message.add_headers(headerList);
+  message.add_body(body);
+  return finish(b, message.Finish());
+}
+
+std::string encodeDelegatedReply(const DelegatedReply &reply) {
+  Builder b;
+  const auto signatures = b.CreateVectorOfStrings(reply.Signatures);
+  const auto services = b.CreateVectorOfStrings(reply.MissingServices);
+  const auto records = b.CreateString(reply.Records);
+  fb::DelegationMessageBuilder message(b);
+  message.add_sequence(reply.Sequence);
+  message.add_outcome(static_cast<std::uint8_t>(reply.Outcome));
+  message.add_elapsed_us(reply.Elapsed.count());
+  message.add_signatures(signatures);
+  message.add_missing(reply.MissingParts);
+  message.add_records(records);
+  message.add_fault(reply.Fault);
+  message.add_ran(reply.Ran);
+  message.add_parts(reply.Parts);
+  message.add_parts_answered(reply.PartsAnswered);
+  message.add_hedges(reply.Hedges);
+  message.add_retries(reply.Retries);
+  message.add_rejections(reply.Rejections);
+  message.add_missing_services(services);
+  return finish(b, message.Finish());
+}
+
+std::string encodeDelegationCancel(const DelegationCancel &cancel) {
+  Builder b;
+  fb::DelegationMessageBuilder message(b);
+  message.add_sequence(cancel.Sequence);
+  return finish(b, message.Finish());
+}
+
+state::Result<DelegatedRequest> decodeDelegatedRequest(std::string_view bytes) {
+  const AlignedBytes aligned(bytes);
+  const fb::DelegationMessage *in = verify(aligned);
+  if (in == nullptr)
+    return malformed();
+  DelegatedRequest request;
+  request.Sequence = in->sequence();
+  request.RouteVersion = in->version();
+  request.Route = textOf(in->route());
+  request.Left = state::Duration(in->left_us());
+  request.ReturnTime = state::Duration(in->return_us());
+  request.RequestId = textOf(in->request_id());
+  request.Method = textOf(in->method());
+  request.Path = textOf(in->path());
+  request.Host = textOf(in->host());
+  if (in->headers() != nullptr)
+    for (const fb::DelegationHeader *header : *in->headers())
+      request.Headers.emplace_back(textOf(header->name()),
+                                   textOf(header->value()));
+  request.Body = textOf(in->body());
+  return request;
+}
+
+state::Result<DelegatedReply> decodeDelegatedReply(std::string_view bytes) {
+  const AlignedBytes aligned(bytes);
+  const fb::DelegationMessage *in = verify(aligned);
+  if (in == nullptr ||
+      in->outcome() > static_cast<std::uint8_t>(DelegationOutcome::Failed))
+    return malformed();
+  DelegatedReply reply;
+  reply.Sequence = in->sequence();
+  reply.Outcome = static_cast<DelegationOutcome>(in->outcome());
+  reply.Elapsed = state::Duration(in->elapsed_us());
+  reply.Signatures = textsOf(in->signatures());
+  reply.MissingParts = in->missing();
+  reply.Records = textOf(in->records());
+  reply.Fault = in->fault();
+  reply.Ran = in->ran();
+  reply.Parts = in->parts();
+  reply.PartsAnswered = in->parts_answered();
+  reply.Hedges = in->hedges();
+  reply.Retries = in->retries();
+  reply.Rejections = in->rejections();
+  reply.MissingServices = textsOf(in->missing_services());
+  return reply;
+}
+
+state::Result<DelegationCancel> decodeDelegationCancel(std::string_view bytes) {
+  const AlignedBytes aligned(bytes);
+  const fb::DelegationMessage *in = verify(aligned);
+  if (in == nullptr)
+    return malformed();
+  return DelegationCancel{in->sequence()};
+}
+
+} // namespace galenaflow::protocol
--- /dev/null
+++ b/src/protocol/delegation_messages.h
@@ -0,0 +1,88 @@
+#ifndef GALENAFLOW_PROTOCOL_DELEGATION_MESSAGES_H
+#define GALENAFLOW_PROTOCOL_DELEGATION_MESSAGES_H
+
+#include "state/clock.h"
+#include "state/error.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+/// Messages by which a daemon passes a request over many shards on to another
+/// daemon, the executor, and gets the merged answer back.
+namespace galenaflow::protocol {
+
+/// Frame types of a peer link.
+enum class DelegationMessageType : std::uint16_t {
+  Request = 96,
+  Reply = 97,
+  Cancel = 98,
+};
+
+/// Asks the executor to run a request of a caller.
+struct DelegatedRequest {
+  std::uint64_t Sequence = 0;     ///< copied into the reply
+  std::uint64_t RouteVersion = 0; ///< of the routes that hold for the request
+  std::string Route;              ///< its name in this version
+  state::Duration Left{0};        ///< until the caller's deadline
+  state::Duration ReturnTime{0};  ///< that the reply takes back to the caller
+  std::string RequestId;
+  std::string Method;
+  std::string Path;
+  std::string Host;
+  std::vector<std::pair<std::string, std::string>> Headers;
+  std::string Body;
+
+  bool operator==(const DelegatedRequest &) const = default;
+};
+
+enum class DelegationOutcome : std::uint8_t {
+  Refused, ///< nothing has been sent to a replica, and nothing will be
+  Merged,
+  Failed,
+};
+
+struct DelegatedReply {
+  std::uint64_t Sequence = 0;
+  DelegationOutcome Outcome = DelegationOutcome::Refused;
+  state::Duration Elapsed{0}; ///< at the executor
+
+  /// Merged.
+  std::vector<std::string> Signatures;
+  std::uint32_t MissingParts = 0;
+  std::string Records;
+
+  /// Failed: enumerators of the executor's result.
+  std::uint8_t Fault = 0;
+  std::uint8_t Ran = 0;
+
+  /// What was done, for the log.
+  std::uint32_t Parts = 0;
+  std::uint32_t PartsAnswered = 0;
+  std::uint32_t Hedges = 0;
+  std::uint32_t Retries = 0;
+  std::uint32_t Rejections = 0;
+  std::vector<std::string> MissingServices;
+
+  bool operator==(const DelegatedReply &) const = default;
+};
+
+/// The caller has left: the request is no longer needed.
+struct DelegationCancel {
+  std::uint64_t Sequence = 0;
+};
+
+std::string encodeDelegatedRequest(const DelegatedRequest &request);
+std::string encodeDelegatedReply(const DelegatedReply &reply);
+std::string encodeDelegationCancel(const DelegationCancel &cancel);
+
+/// Error: InvalidArgument for bytes that are no such message.
+state::Result<DelegatedRequest> decodeDelegatedRequest(std::string_view bytes);
+state::Result<DelegatedReply> decodeDelegatedReply(std::string_view bytes);
+state::Result<DelegationCancel> decodeDelegationCancel(std::string_view bytes);
+
+} // namespace galenaflow::protocol
+
+#endif
--- a/src/protocol/directory_generated.h
+++ b/src/protocol/directory_generated.h
@@ -20,6 +20,9 @@
 struct DirectoryReplica;
 struct DirectoryReplicaBuilder;
 
+struct DirectoryDaemon;
+struct DirectoryDaemonBuilder;
+
 struct DirectoryMessage;
 struct DirectoryMessageBuilder;
 
@@ -176,6 +179,83 @@
       removed);
 }
 
+struct DirectoryDaemon FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DirectoryDaemonBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ADDRESS = 4,
+    VT_DATA_CENTRE = 6,
+    VT_MILLICORES = 8
+  };
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
+  uint32_t millicores() const {
+    return GetField<uint32_t>(VT_MILLICORES, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
+           VerifyField<uint32_t>(verifier, VT_MILLICORES, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct DirectoryDaemonBuilder {
+  typedef DirectoryDaemon Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(DirectoryDaemon::VT_ADDRESS, address);
+  }
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(DirectoryDaemon::VT_DATA_CENTRE, data_centre);
+  }
+  void add_millicores(uint32_t millicores) {
+    fbb_.AddElement<uint32_t>(DirectoryDaemon::VT_MILLICORES, millicores, 0);
+  }
+  explicit DirectoryDaemonBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DirectoryDaemon> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DirectoryDaemon>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DirectoryDaemon> CreateDirectoryDaemon(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    uint32_t millicores = 0) {
+  DirectoryDaemonBuilder builder_(_fbb);
+  builder_.add_millicores(millicores);
+  builder_.add_data_centre(data_centre);
+  builder_.add_address(address);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<DirectoryDaemon> CreateDirectoryDaemonDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *address = nullptr,
+    const char *data_centre = nullptr,
+    uint32_t millicores = 0) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  return galenaflow::protocol::fb::CreateDirectoryDaemon(
+      _fbb,
+      address__,
+      data_centre__,
+      millicores);
+}
+
 struct DirectoryMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef DirectoryMessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -189,7 +269,9 @@
     VT_HAS_CONTENT = 18,
     VT_IS_FULL = 20,
     VT_REPLICAS = 22,
-    VT_ROUTES = 24
+    VT_ROUTES = 24,
+    VT_WEAKEST_MILLICORES = 26,
+    VT_STRONGEST = 28
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -224,6 +306,12 @@
   const flatbuffers::String *routes() const {
     return GetPointer<const flatbuffers::String *>(VT_ROUTES);
   }
+  uint32_t weakest_millicores() const {
+    return GetField<uint32_t>(VT_WEAKEST_MILLICORES, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>> *strongest() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>> *>(VT_STRONGEST);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -240,6 +328,10 @@
            verifier.VerifyVectorOfTables(replicas()) &&
            VerifyOffset(verifier, VT_ROUTES) &&
            verifier.VerifyString(routes()) &&
+           VerifyField<uint32_t>(verifier, VT_WEAKEST_MILLICORES, 4) &&
+           VerifyOffset(verifier, VT_STRONGEST) &&
+           verifier.VerifyVector(strongest()) &&
+           verifier.VerifyVectorOfTables(strongest()) &&
            verifier.EndTable();
   }
 };
@@ -281,6 +373,12 @@
   void add_routes(flatbuffers::Offset<flatbuffers::String> routes) {
     fbb_.AddOffset(DirectoryMessage::VT_ROUTES, routes);
   }
+  void add_weakest_millicores(uint32_t weakest_millicores) {
+    fbb_.AddElement<uint32_t>(DirectoryMessage::VT_WEAKEST_MILLICORES, weakest_millicores, 0);
+  }
+  void add_strongest(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>>> strongest) {
+    fbb_.AddOffset(DirectoryMessage::VT_STRONGEST, strongest);
+  }
   explicit DirectoryMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -304,7 +402,9 @@
     bool has_content = false,
     bool is_full = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryReplica>>> replicas = 0,
-    flatbuffers::Offset<flatbuffers::String> routes = 0) {
+    flatbuffers::Offset<flatbuffers::String> routes = 0,
+    uint32_t weakest_millicores = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>>> strongest = 0) {
   DirectoryMessageBuilder builder_(_fbb);
   builder_.add_age_us(age_us);
   builder_.add_version(version);
@@ -312,6 +412,8 @@
   builder_.add_index(index);
   builder_.add_log(log);
   builder_.add_sequence(sequence);
+  builder_.add_strongest(strongest);
+  builder_.add_weakest_millicores(weakest_millicores);
   builder_.add_routes(routes);
   builder_.add_replicas(replicas);
   builder_.add_daemons(daemons);
@@ -332,9 +434,12 @@
     bool has_content = false,
     bool is_full = false,
     const std::vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryReplica>> *replicas = nullptr,
-    const char *routes = nullptr) {
+    const char *routes = nullptr,
+    uint32_t weakest_millicores = 0,
+    const std::vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>> *strongest = nullptr) {
   auto replicas__ = replicas ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryReplica>>(*replicas) : 0;
   auto routes__ = routes ? _fbb.CreateString(routes) : 0;
+  auto strongest__ = strongest ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>>(*strongest) : 0;
   return galenaflow::protocol::fb::CreateDirectoryMessage(
       _fbb,
       sequence,
@@ -347,7 +452,9 @@
       has_content,
       is_full,
       replicas__,
-      routes__);
+      routes__,
+      weakest_millicores,
+      strongest__);
 }
 
 inline const galenaflow::protocol::fb::DirectoryMessage *GetDirectoryMessage(const void *buf) {
--- a/src/protocol/directory_messages.cc
+++ b/src/protocol/directory_messages.cc
@@ -1,5 +1,6 @@
 #include "protocol/directory_messages.h"
 
+#include "protocol/aligned_bytes.h"
 #include "protocol/directory_fb.h"
 
 // Bytes from peers are checked by the FlatBuffers verifier first and against
@@ -22,24 +23,44 @@
   return {reinterpret_cast<const char *>(b.GetBufferPointer()), b.GetSize()};
 }
 
-/// A verified message with its aligned copy: FlatBuffers reads numbers in
-/// place, which needs aligned memory.
-struct Verified {
-  std::vector<std::uint64_t> Aligned;
-  const fb::DirectoryMessage *Message = nullptr;
-};
-
-state::Result<Verified> verify(std::string_view bytes) {
-  Verified verified;
-  verified.Aligned.resize(bytes.size() / sizeof(std::uint64_t) + 1);
-  bytes.copy(reinterpret_cast<char *>(verified.Aligned.data()), bytes.size());
-  const auto *data =
-      reinterpret_cast<const std::uint8_t *>(verified.Aligned.data());
-  flatbuffers::Verifier verifier(data, bytes.size());
-  if (!fb::VerifyDirectoryMessageBuffer(verifier))
-    return makeError(ErrorCode::InvalidArgument, "malformed directory message");
-  verified.Message = fb::GetDirectoryMessage(data);
-  return verified;
+const fb::DirectoryMessage *verify(const AlignedBytes &bytes) {
+  flatbuffers::Verifier verifier(bytes.data(), bytes.size());
+  return fb::VerifyDirectoryMessageBuffer(verifier)
+             ? fb::GetDirectoryMessage(bytes.data())
+             : nullptr;
+}
+
+tl::unexpected<state::Error> malformed() {
+  return makeError(ErrorCode::InvalidArgument, "malformed directory message");
+}
+
+using DaemonList =
+    flatbuffers::Vector<flatbuffers::Offset<fb::DirectoryDaemon>>;
+
+flatbuffers::Offset<DaemonList>
+pack(flatbuffers::FlatBufferBuilder &b,
+     const std::vector<state::DaemonCapacity> &daemons) {
+  std::vector<flatbuffers::Offset<fb::DirectoryDaemon>> list;
+  for (const state::DaemonCapacity &daemon : daemons) {
+    const auto address = b.CreateString(daemon.Address);
+    const auto dataCentre = b.CreateSharedString(daemon.DataCentre);
+    list.push_back(
+        fb::CreateDirectoryDaemon(b, address, dataCentre, daemon.Millicores));
+  }
+  return b.CreateVector(list);
+}
+
+std::vector<state::DaemonCapacity> unpack(const DaemonList *list) {
+  std::vector<state::DaemonCapacity> daemons;
+  if (list == nullptr)
+    return daemons;
+  for (const fb::DirectoryDaemon *daemon : *list) {
+    if (daemons.size() == MaxListedDaemons)
+      break;
+    daemons.push_back({textOf(daemon->address()), textOf(daemon->data_centre()),
+                       daemon->millicores()});
+  }
+  return daemons;
 }
 
 state::DirectoryChange unpack(const fb::DirectoryReplica &in) {
@@ -61,12 +82,15 @@
 
 std::string encodeDirectoryRequest(const DirectoryRequest &request) {
   flatbuffers::FlatBufferBuilder b;
+  const auto strongest = pack(b, request.Fleet.Strongest);
   fb::DirectoryMessageBuilder message(b);
   message.add_sequence(request.Sequence);
   message.add_log(request.Log);
   message.add_index(request.Index);
   message.add_version(request.RouteVersion);
-  message.add_daemons(request.Daemons);
+  message.add_daemons(request.Fleet.Daemons);
+  message.add_weakest_millicores(request.Fleet.WeakestMillicores);
+  message.add_strongest(strongest);
   return finish(b, message.Finish());
 }
 
@@ -85,6 +109,7 @@
   }
   const auto list = b.CreateVector(replicas);
   const auto routes = b.CreateString(reply.Routes);
+  const auto executors = pack(b, reply.Executors);
   fb::DirectoryMessageBuilder message(b);
   message.add_sequence(reply.Sequence);
   message.add_has_content(reply.HasContent);
@@ -96,38 +121,46 @@
   message.add_is_full(reply.IsFull);
   message.add_replicas(list);
   message.add_routes(routes);
+  message.add_strongest(executors);
   return finish(b, message.Finish());
 }
 
 state::Result<DirectoryRequest> decodeDirectoryRequest(std::string_view bytes) {
-  const auto verified = verify(bytes);
-  if (!verified)
-    return tl::unexpected(verified.error());
-  const fb::DirectoryMessage &in = *verified->Message;
-  return DirectoryRequest{in.sequence(), in.log(), in.index(), in.version(),
-                          in.daemons()};
+  const AlignedBytes aligned(bytes);
+  const fb::DirectoryMessage *in = verify(aligned);
+  if (in == nullptr)
+    return malformed();
+  DirectoryRequest request;
+  request.Sequence = in->sequence();
+  request.Log = in->log();
+  request.Index = in->index();
+  request.RouteVersion = in->version();
+  request.Fleet = {in->daemons(), in->weakest_millicores(),
+                   unpack(in->strongest())};
+  return request;
 }
 
 state::Result<DirectoryReply> decodeDirectoryReply(std::string_view bytes) {
-  const auto verified = verify(bytes);
-  if (!verified)
-    return tl::unexpected(verified.error());
-  const fb::DirectoryMessage &in = *verified->Message;
+  const AlignedBytes aligned(bytes);
+  const fb::DirectoryMessage *in = verify(aligned);
+  if (in == nullptr)
+    return malformed();
   DirectoryReply reply;
-  reply.Sequence = in.sequence();
-  reply.HasContent = in.has_content();
-  reply.Log = in.log();
-  reply.Index = in.index();
-  reply.Revision = in.revision();
-  reply.Age = state::Duration(in.age_us());
-  reply.Daemons = in.daemons();
-  reply.IsFull = in.is_full();
-  reply.Routes = textOf(in.routes());
-  if (in.replicas() == nullptr)
+  reply.Sequence = in->sequence();
+  reply.Log = in->log();
+  reply.Index = in->index();
+  reply.Revision = in->revision();
+  reply.Age = state::Duration(in->age_us());
+  reply.Daemons = in->daemons();
+  reply.Executors = unpack(in->strongest());
+  reply.HasContent = in->has_content();
+  reply.IsFull = in->is_full();
+  reply.Routes = textOf(in->routes());
+  if (in->replicas() == nullptr)
     return reply;
-  if (in.replicas()->size() > MaxDirectoryChanges)
+  if (in->replicas()->size() > MaxDirectoryChanges)
     return makeError(ErrorCode::InvalidArgument, "too many changes");
-  for (const fb::DirectoryReplica *replica : *in.replicas())
+  for (const fb::DirectoryReplica *replica : *in->replicas())
     reply.Changes.push_back(unpack(*replica));
   return reply;
 }
--- a/tests/connection_plan_test.cc
+++ b/tests/connection_plan_test.cc
@@ -26,25 +26,25 @@
 TEST_CASE("every daemon gets the same share while there is one for each") {
   ConnectionPlanOptions options;
   options.MaxPerReplica = 8;
-  CHECK(limitsOf(planConnections(three(), 26, 8, "x", options)) ==
+  CHECK(limitsOf(planConnections(three(), 26, {8}, "x", options)) ==
         std::vector<std::uint32_t>{3, 3, 3});
-  CHECK(limitsOf(planConnections(three(), 530, 8, "x", options)) ==
+  CHECK(limitsOf(planConnections(three(), 530, {8}, "x", options)) ==
         std::vector<std::uint32_t>{8, 8, 8});
-  CHECK(planConnections({}, 26, 8, "x").empty());
+  CHECK(planConnections({}, 26, {8}, "x").empty());
 }
 
 TEST_CASE("with less than one for each, some replicas are kept, the own data "
           "centre first") {
   for (const std::string self : {"p", "q", "r", "s"}) {
-    const auto limits = limitsOf(planConnections(three(), 61, 78, self));
+    const auto limits = limitsOf(planConnections(three(), 61, {78}, self));
     CHECK(limits[0] == 1);
     CHECK(std::accumulate(limits.begin(), limits.end(), 0U) == 2);
   }
   auto replicas = three();
   replicas[0].IsAvoided = true;
-  CHECK(limitsOf(planConnections(replicas, 61, 78, "p")) ==
+  CHECK(limitsOf(planConnections(replicas, 61, {78}, "p")) ==
         std::vector<std::uint32_t>{0, 1, 1});
-  const auto least = limitsOf(planConnections(three(), 1, 1300, "p"));
+  const auto least = limitsOf(planConnections(three(), 1, {1300}, "p"));
   CHECK(std::accumulate(least.begin(), least.end(), 0U) == 1);
 }
 
@@ -58,7 +58,7 @@
     for (int i = 0; i != 3; ++i)
       replicas[static_cast<std::size_t>(i)].IsLocal = daemon % 3 == i;
     const auto limits = limitsOf(
-        planConnections(replicas, 61, 78, "vm-" + std::to_string(daemon)));
+        planConnections(replicas, 61, {78}, "vm-" + std::to_string(daemon)));
     for (std::size_t i = 0; i != 3; ++i)
       total[std::string(replicas[i].Id)] += limits[i];
   }
@@ -73,9 +73,40 @@
 TEST_CASE(
     "a large fleet keeps one connection to each shard open ahead of need") {
   int warm = 0;
-  for (const ConnectionPlan &plan : planConnections(three(), 61, 78, "p"))
+  for (const ConnectionPlan &plan : planConnections(three(), 61, {78}, "p"))
     warm += plan.IsWarm ? 1 : 0;
   CHECK(warm == 1);
-  for (const ConnectionPlan &plan : planConnections(three(), 26, 8, "p"))
+  for (const ConnectionPlan &plan : planConnections(three(), 26, {8}, "p"))
     CHECK(plan.IsWarm);
 }
+
+// Guards against daemons of a large fleet that open a connection for almost
+// every sub-request, and against executors that have to share.
+TEST_CASE(
+    "executors have a connection to each replica, and the others that ask "
+    "them open none ahead of need") {
+  const ConnectionFleet executor{78, 6, true, false};
+  for (const ConnectionPlan &plan : planConnections(three(), 61, executor, "e"))
+    CHECK(plan == ConnectionPlan{1, true});
+  const ConnectionFleet other{78, 6, false, true};
+  std::uint32_t total = 0;
+  for (const ConnectionPlan &plan : planConnections(three(), 61, other, "p")) {
+    total += plan.Limit;
+    CHECK_FALSE(plan.IsWarm);
+  }
+  CHECK(total == 2);
+}
+
+TEST_CASE("executors and the others keep to the limit together") {
+  for (const std::uint32_t executors : {1U, 6U, 30U, 40U}) {
+    INFO("executors " << executors);
+    std::uint32_t total = 0;
+    for (std::uint32_t daemon = 0; daemon != 78; ++daemon) {
+      const ConnectionFleet fleet{78, executors, daemon < executors, true};
+      for (const ConnectionPlan &plan :
+           planConnections(three(), 61, fleet, "vm-" + std::to_string(daemon)))
+        total += plan.Limit;
+    }
+    CHECK(total <= 3 * 61);
+  }
+}
--- /dev/null
+++ b/tests/delegation_messages_test.cc
@@ -0,0 +1,91 @@
+#include "protocol/delegation_messages.h"
+#include "protocol/directory_messages.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace galenaflow::protocol;
+using namespace std::chrono_literals;
+
+namespace {
+
+DelegatedRequest request() {
+  return {7,
+          12,
+          "all",
+          398ms,
+          5ms,
+          "id-1",
+          "GET",
+          "/all/x?q=1",
+          "h.x",
+          {{"a", "b"}, {"a", "c"}},
+          std::string("\0body", 5)};
+}
+
+DelegatedReply reply() {
+  DelegatedReply it;
+  it.Sequence = 7;
+  it.Outcome = DelegationOutcome::Merged;
+  it.Elapsed = 21ms;
+  it.Signatures = {"s1", "s2"};
+  it.MissingParts = 3;
+  it.Records = std::string("0123456789abcdef\0bcdef", 22);
+  it.Fault = 2;
+  it.Ran = 1;
+  it.Parts = 90;
+  it.PartsAnswered = 87;
+  it.Hedges = 5;
+  it.Retries = 1;
+  it.Rejections = 2;
+  it.MissingServices = {"s3:r1"};
+  return it;
+}
+
+} // namespace
+
+TEST_CASE("delegation messages come back as they were") {
+  CHECK(*decodeDelegatedRequest(encodeDelegatedRequest(request())) ==
+        request());
+  CHECK(*decodeDelegatedReply(encodeDelegatedReply(reply())) == reply());
+  CHECK(decodeDelegationCancel(encodeDelegationCancel({9}))->Sequence == 9);
+}
+
+TEST_CASE("the fleet is part of the directory messages") {
+  DirectoryRequest asked;
+  asked.Sequence = 3;
+  asked.Fleet = {30, 120, {{"10.0.0.1:1", "a", 500}, {"10.0.0.2:1", "b", 250}}};
+  CHECK(*decodeDirectoryRequest(encodeDirectoryRequest(asked)) == asked);
+  DirectoryReply answered;
+  answered.Executors = asked.Fleet.Strongest;
+  CHECK(decodeDirectoryReply(encodeDirectoryReply(answered))->Executors ==
+        asked.Fleet.Strongest);
+}
+
+TEST_CASE("an unknown outcome is malformed") {
+  DelegatedReply wrong = reply();
+  wrong.Outcome = static_cast<DelegationOutcome>(3);
+  CHECK_FALSE(decodeDelegatedReply(encodeDelegatedReply(wrong)));
+  CHECK_FALSE(decodeDelegatedReply("no message"));
+  CHECK_FALSE(decodeDelegatedRequest(""));
+  CHECK_FALSE(decodeDelegationCancel("x"));
+}
+
+// Guards against reading outside of a message that a peer has spoiled.
+TEST_CASE("spoiled delegation messages are refused or read whole") {
+  std::mt19937_64 random(11);
+  const std::string good[] = {encodeDelegatedRequest(request()),
+                              encodeDelegatedReply(reply())};
+  int refused = 0;
+  for (int round = 0; round != 20000; ++round) {
+    std::string bytes = good[round % 2];
+    for (std::uint64_t i = random() % 4 + 1; i != 0; --i)
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    if (random() % 4 == 0)
+      bytes.resize(random() % bytes.size());
+    const bool ok = round % 2 == 0 ? decodeDelegatedRequest(bytes).has_value()
+                                   : decodeDelegatedReply(bytes).has_value();
+    refused += ok ? 0 : 1;
+  }
+  CHECK(refused > 1000);
+}
--- /dev/null
+++ b/tests/delegation_task_test.cc
@@ -0,0 +1,281 @@
+#include "forwarding/delegation_task.h"
+#include "forwarding/executor_task.h"
+#include "support/process.h"
+
+#include <catch2/catch.hpp>
+
+using namespace galenaflow;
+using namespace galenaflow::forwarding;
+using namespace std::chrono_literals;
+
+// Two daemons over real links: a weak one that callers ask, and a strong one.
+
+namespace {
+
+constexpr auto TestLimit = 5s;
+
+state::RouteTablePtr tableOf(std::uint64_t version) {
+  state::Route route;
+  route.Name = "all";
+  route.Host = "h";
+  route.Prefix = "/";
+  route.IsIdempotent = true;
+  route.Timeout = 400ms;
+  route.LatencyObjective = 80ms;
+  route.MaxAttempts = 2;
+  for (int i = 0; i != 20; ++i)
+    route.Shards.Services.push_back("s" + std::to_string(i));
+  return std::make_shared<const state::RouteTable>(
+      version, std::vector<state::Route>{route},
+      std::vector<state::RoutedService>(), state::CallerLimits());
+}
+
+/// Answers after a time, or never.
+struct FakeForwarder final : Forwarder {
+  explicit FakeForwarder(transport::EventLoop &loop) : Loop(loop) {}
+
+  transport::EventLoop &Loop;
+  bool Answers = true;
+  std::vector<ForwardCall> Calls;
+  std::map<ForwardId, ForwardCallback> Open;
+  std::vector<ForwardId> Cancelled;
+
+  ForwardId forward(ForwardCall call, ForwardCallback callback) override {
+    Calls.push_back(std::move(call));
+    const ForwardId id = Calls.size();
+    Open[id] = std::move(callback);
+    if (Answers)
+      Loop.post([this, id] { answer(id); });
+    return id;
+  }
+  void cancel(ForwardId id) override {
+    Cancelled.push_back(id);
+    Open.erase(id);
+  }
+  void answer(ForwardId id) {
+    auto node = Open.extract(id);
+    if (node.empty())
+      return;
+    ForwardResult result;
+    result.Ended = coordination::MergedAnswer{{"sig"}, 1, "records"};
+    result.Counts.Parts = 20;
+    result.Counts.Hedges = 3;
+    node.mapped()(std::move(result));
+  }
+};
+
+/// A directory without content.
+struct NoSource final : DirectorySource {
+  void readAll(DirectoryCallback) override {}
+  void readChanges(std::uint64_t, DirectoryCallback) override {}
+  state::RouteTablePtr decodeRoutes(std::string_view) const override {
+    return nullptr;
+  }
+};
+
+struct Daemon {
+  Daemon(transport::EventLoop &loop, const std::string &address,
+         std::uint32_t millicores)
+      : Relay(loop, Source, relayOptions(address, millicores), Metrics),
+        Local(loop), Executor(Relay, Local, {12, millicores}, Metrics),
+        Delegation(loop, Relay, Local, delegationOptions(address, millicores),
+                   Metrics) {
+    Relay.addListener(Executor);
+    Relay.addListener(Delegation);
+    REQUIRE(Relay.listen(*transport::parseSocketAddress(address)));
+    Executor.setRoutes(tableOf(5));
+  }
+  static RelayTaskOptions relayOptions(const std::string &address,
+                                       std::uint32_t millicores) {
+    RelayTaskOptions options;
+    options.Network.Session.Self = {"vm" + address, "1", "dc", address};
+    options.Network.Session.Keys = {"a key of the deployment, long enough"};
+    options.Millicores = millicores;
+    return options;
+  }
+  static DelegationTaskOptions delegationOptions(const std::string &address,
+                                                 std::uint32_t millicores) {
+    DelegationTaskOptions options;
+    options.Self = {address, "dc", millicores};
+    return options;
+  }
+
+  state::MetricRegistry Metrics;
+  NoSource Source;
+  RelayTask Relay;
+  FakeForwarder Local;
+  ExecutorTask Executor;
+  DelegationTask Delegation;
+};
+
+struct Pair {
+  transport::EventLoop Loop;
+  std::string StrongAddress = support::reserveAddress();
+  std::unique_ptr<Daemon> Weak =
+      std::make_unique<Daemon>(Loop, support::reserveAddress(), 120);
+  std::unique_ptr<Daemon> Strong =
+      std::make_unique<Daemon>(Loop, StrongAddress, 500);
+  state::RouteTablePtr Table = tableOf(5);
+  std::vector<ForwardResult> Results;
+
+  Pair() {
+    Weak->Delegation.setExecutors({{StrongAddress, "dc", 500}});
+    REQUIRE(Loop.runUntil([this] { return Weak->Delegation.delegates(); },
+                          TestLimit));
+  }
+  ForwardId call(state::Duration left = 300ms) {
+    Operation operation;
+    operation.RequestId = "id-1";
+    operation.Method = "GET";
+    operation.Path = "/x?q=1";
+    operation.Host = "h";
+    operation.Headers.add("a", "b");
+    const state::Route &route = Table->routes().front();
+    return Weak->Delegation.forward(
+        {std::make_shared<const Operation>(std::move(operation)), Table, &route,
+         route.Shards.Services, left},
+        [this](ForwardResult result) { Results.push_back(std::move(result)); });
+  }
+  bool waitFor(const std::function<bool()> &done) {
+    return Loop.runUntil(done, TestLimit);
+  }
+  bool waitForResults(std::size_t n) {
+    return waitFor([&] { return Results.size() == n; });
+  }
+  void settle(state::Duration d) {
+    Loop.runUntil([] { return false; }, d);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a request over many shards runs at the executor, unchanged") {
+  Pair it;
+  it.call();
+  REQUIRE(it.waitForResults(1));
+  const auto &merged =
+      std::get<coordination::MergedAnswer>(it.Results[0].Ended);
+  CHECK(merged.Signatures == std::vector<std::string>{"sig"});
+  CHECK(merged.Missing == 1);
+  CHECK(merged.Records == "records");
+  CHECK(it.Results[0].Counts.Hedges == 3);
+  CHECK(it.Results[0].Executor == it.StrongAddress);
+  CHECK(it.Weak->Local.Calls.empty());
+  REQUIRE(it.Strong->Local.Calls.size() == 1);
+  const ForwardCall &call = it.Strong->Local.Calls[0];
+  CHECK(call.Op->RequestId == "id-1");
+  CHECK(call.Op->Path == "/x?q=1");
+  CHECK(call.Op->Host == "h");
+  CHECK(call.Op->Headers.find("a") == "b");
+  CHECK(call.Services.size() == 20);
+  CHECK(call.Left == 300ms);
+  CHECK(call.ReturnTime == 5ms);
+  CHECK(it.Strong->Executor.openRequests() == 0);
+}
+
+TEST_CASE("what an executor does not take is run here, with the time left") {
+  Pair it;
+  SECTION("another version of the routes") {
+    it.Strong->Executor.setRoutes(tableOf(6));
+  }
+  SECTION("a version that is older") {
+    it.Strong->Executor.setRoutes(tableOf(4));
+  }
+  SECTION("stopping") { it.Strong->Executor.startDrain(); }
+  it.call();
+  REQUIRE(it.waitForResults(1));
+  CHECK(it.Strong->Local.Calls.empty());
+  REQUIRE(it.Weak->Local.Calls.size() == 1);
+  CHECK(it.Weak->Local.Calls[0].Left <= 300ms);
+  CHECK(it.Weak->Local.Calls[0].Left > 200ms);
+  CHECK(it.Results[0].Executor.empty());
+  // It is not asked again at once.
+  it.call();
+  CHECK(it.Weak->Local.Calls.size() == 2);
+}
+
+TEST_CASE("a request for one service, or over few shards, is run here") {
+  Pair it;
+  state::Route route = it.Table->routes().front();
+  SECTION("one service") { route.Shards.Services.clear(); }
+  SECTION("few shards") { route.Shards.Services.resize(15); }
+  SECTION("not idempotent") { route.IsIdempotent = false; }
+  it.Table = std::make_shared<const state::RouteTable>(
+      5, std::vector<state::Route>{route}, std::vector<state::RoutedService>(),
+      state::CallerLimits());
+  it.call();
+  CHECK(it.Weak->Local.Calls.size() == 1);
+}
+
+// Guards against an executor that takes more than it can run in time.
+TEST_CASE("an executor bounds its open requests, and the rest are run here") {
+  Pair it;
+  it.Strong->Local.Answers = false;
+  for (int i = 0; i != 6; ++i)
+    it.call();
+  REQUIRE(it.waitFor([&] { return it.Strong->Executor.openRequests() == 6; }));
+  it.call();
+  REQUIRE(it.waitForResults(1));
+  CHECK(it.Weak->Local.Calls.size() == 1);
+  CHECK(it.Strong->Executor.openRequests() == 6);
+}
+
+// Guards against work at replicas for a caller that has left.
+TEST_CASE("a caller that leaves ends the work at the executor") {
+  Pair it;
+  it.Strong->Local.Answers = false;
+  const ForwardId id = it.call();
+  REQUIRE(it.waitFor([&] { return it.Strong->Executor.openRequests() == 1; }));
+  it.Weak->Delegation.cancel(id);
+  REQUIRE(it.waitFor([&] { return !it.Strong->Local.Cancelled.empty(); }));
+  CHECK(it.Strong->Executor.openRequests() == 0);
+  it.settle(50ms);
+  CHECK(it.Results.empty());
+}
+
+// Guards against a second run of a request whose executor may have begun.
+TEST_CASE("a request whose executor is lost fails as perhaps run, and the next "
+          "is run here") {
+  Pair it;
+  it.Strong->Local.Answers = false;
+  it.call();
+  REQUIRE(it.waitFor([&] { return it.Strong->Executor.openRequests() == 1; }));
+  it.Strong.reset();
+  REQUIRE(it.waitForResults(1));
+  const auto &failure =
+      std::get<coordination::ForwardFailure>(it.Results[0].Ended);
+  CHECK(failure.Fault == coordination::ForwardFault::BackendFailed);
+  CHECK(failure.Ran == coordination::RanState::Unknown);
+  CHECK(it.Weak->Local.Calls.empty());
+  it.call();
+  CHECK(it.Weak->Local.Calls.size() == 1);
+}
+
+TEST_CASE("the work for a daemon that is lost ends at the executor") {
+  Pair it;
+  it.Strong->Local.Answers = false;
+  it.call();
+  REQUIRE(it.waitFor([&] { return it.Strong->Executor.openRequests() == 1; }));
+  it.Weak.reset();
+  REQUIRE(it.waitFor([&] { return !it.Strong->Local.Cancelled.empty(); }));
+  CHECK(it.Strong->Executor.openRequests() == 0);
+}
+
+TEST_CASE("a silent executor costs one request, which ends at its deadline") {
+  Pair it;
+  it.Strong->Local.Answers = false;
+  const auto start = it.Loop.now();
+  it.call(200ms);
+  it.settle(100ms);
+  // The objective of 80 ms has passed.
+  it.call();
+  CHECK(it.Weak->Local.Calls.size() == 1);
+  REQUIRE(it.waitForResults(2));
+  const auto *failure =
+      std::get_if<coordination::ForwardFailure>(&it.Results[1].Ended);
+  REQUIRE(failure != nullptr);
+  CHECK(failure->Fault == coordination::ForwardFault::DeadlineExceeded);
+  CHECK(it.Loop.now() - start < 250ms);
+  // The executor stops as well.
+  CHECK(it.waitFor([&] { return it.Strong->Executor.openRequests() == 0; }));
+}
--- /dev/null
+++ b/tests/executor_choice_test.cc
@@ -0,0 +1,133 @@
+#include "coordination/directory_relay.h"
+#include "coordination/executor_choice.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+using namespace galenaflow;
+using namespace galenaflow::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+using state::DaemonCapacity;
+
+std::vector<DaemonCapacity> strong() {
+  return {{"a1", "a", 500}, {"a2", "a", 500}, {"b1", "b", 500},
+          {"b2", "b", 500}, {"c1", "c", 500}, {"c2", "c", 500}};
+}
+
+struct Fixture {
+  TimePoint Now{1h};
+  std::set<std::string> Down;
+  ExecutorChoice Choice;
+
+  explicit Fixture(DaemonCapacity self = {"w", "b", 120})
+      : Choice({}, std::move(self), std::mt19937_64(7)) {
+    Choice.setExecutors(strong());
+  }
+  std::optional<std::string> choose() {
+    return Choice.choose(
+        [this](const std::string &it) { return !Down.contains(it); }, Now);
+  }
+};
+
+} // namespace
+
+TEST_CASE("executors are the daemons with a multiple of the weakest CPU") {
+  protocol::FleetReport fleet{78, 120, strong()};
+  fleet.Strongest.push_back({"w", "a", 239});
+  CHECK(executorsOf(fleet) == strong());
+  // In a fleet of equal VMs nobody works for another.
+  CHECK(executorsOf({8, 250, {{"x", "a", 250}, {"y", "b", 250}}}).empty());
+  CHECK(executorsOf({8, 0, strong()}).empty());
+}
+
+TEST_CASE("links go to the executors of the own data centre first") {
+  Fixture it;
+  CHECK(std::set<std::string>{"b1", "b2"} == [wanted = it.Choice.wanted()] {
+    return std::set<std::string>(wanted.begin(), wanted.end());
+  }());
+  Fixture elsewhere({"w", "d", 120});
+  CHECK(elsewhere.Choice.wanted().size() == 2);
+  Fixture equal({"w", "b", 300});
+  CHECK(equal.Choice.wanted().empty());
+  CHECK_FALSE(equal.choose());
+  Fixture executor({"b1", "b", 500});
+  CHECK(executor.Choice.isExecutor());
+  CHECK(executor.Choice.wanted().empty());
+}
+
+TEST_CASE("the executor with the fewest open requests is asked") {
+  Fixture it;
+  std::map<std::string, int> asked;
+  for (int i = 0; i != 40; ++i) {
+    const auto executor = it.choose();
+    REQUIRE(executor);
+    it.Choice.onSent(*executor);
+    ++asked[*executor];
+  }
+  CHECK(asked["b1"] == 20);
+  CHECK(asked["b2"] == 20);
+}
+
+// Guards against losing one request after another to a suspended VM.
+TEST_CASE("an executor that refuses, is silent or has no link is avoided") {
+  Fixture it;
+  it.Down = {"b1"};
+  CHECK(it.choose() == "b2");
+  it.Choice.onSent("b2");
+  it.Choice.onRefused("b2", it.Now);
+  CHECK_FALSE(it.choose());
+  it.Now += 200ms;
+  CHECK(it.choose() == "b2");
+  it.Choice.onSilent("b2", it.Now);
+  it.Now += 1900ms;
+  CHECK_FALSE(it.choose());
+  it.Now += 100ms;
+  CHECK(it.choose() == "b2");
+}
+
+TEST_CASE("a new list keeps what is known of an executor") {
+  Fixture it;
+  it.Choice.onSilent("b1", it.Now);
+  it.Choice.setExecutors({{"b1", "b", 500}, {"a1", "a", 500}});
+  CHECK(it.choose() == "a1");
+}
+
+TEST_CASE("reports of a fleet add up, and forget daemons that have gone") {
+  const TimePoint start{1h};
+  FleetCount root({"r", "a", 250});
+  CHECK(root.subtree(start) ==
+        protocol::FleetReport{1, 250, {{"r", "a", 250}}});
+  root.onRequest("w", {1, 120, {{"w", "a", 120}}}, start);
+  root.onRequest("s", {30, 130, {{"s", "b", 500}, {"t", "b", 130}}}, start);
+  const protocol::FleetReport all = root.subtree(start + 1s);
+  CHECK(all.Daemons == 32);
+  CHECK(all.WeakestMillicores == 120);
+  REQUIRE(all.Strongest.size() == 4);
+  CHECK(all.Strongest[0].Address == "s");
+  CHECK(all.Strongest[1].Address == "r");
+  CHECK(root.subtree(start + 5s).Daemons == 1);
+}
+
+TEST_CASE("a daemon that does not state its CPU changes no report") {
+  const TimePoint start{1h};
+  FleetCount root({"r", "a", 0});
+  root.onRequest("w", {1, 120, {{"w", "a", 120}}}, start);
+  CHECK(root.subtree(start) ==
+        protocol::FleetReport{2, 120, {{"w", "a", 120}}});
+}
+
+TEST_CASE("a report names a bounded number of daemons") {
+  const TimePoint start{1h};
+  FleetCount root({"r", "a", 100});
+  for (std::uint32_t i = 0; i != 1300; ++i)
+    root.onRequest("d" + std::to_string(i),
+                   {1, 100, {{"d" + std::to_string(i), "a", 100 + i}}}, start);
+  const protocol::FleetReport all = root.subtree(start);
+  CHECK(all.Daemons == 1301);
+  REQUIRE(all.Strongest.size() == FleetCount::MaxStrongest);
+  CHECK(all.Strongest.front().Millicores == 1399);
+}
