Let the soak's daemons reach each other, and make its leave check strict

Cause: the key of the links between daemons is made of the store's address, and each daemon of the soak has a proxy of its own before the store. All handshakes failed, nothing said so, and every daemon read at the store by itself: the soak had never played relays. Besides, soaks that run side by side shared addresses, and the check of replicas that leave counted from the end of the faults.

Change: GALENAFLOW_PEER_KEY sets the key; refused handshakes are logged (peer_refused) and counted; the soak has 16 shards, one VM with four times the CPU, addresses of its own, and checks every run for which the store and the daemons that can have sent it were calm for 4 s before.

Ruled out: the executors' list (relay_task_test shows it), the metrics port.

--- a/src/forwarding/relay_task.cc
+++ b/src/forwarding/relay_task.cc
@@ -51,7 +51,10 @@
       RelayReads(metrics.counter("galenaflow_relay_reads_total",
                                  "Reads of the directory at other daemons")),
       SourceReads(metrics.counter("galenaflow_source_reads_total",
-                                  "Reads of the directory at its source")) {
+                                  "Reads of the directory at its source")),
+      PeersRefused(metrics.counter("galenaflow_peers_refused_total",
+                                   "Handshakes with a different key or "
+                                   "version")) {
   tick();
 }
 
@@ -235,7 +238,23 @@
     answer(waiter);
 }
 
+// A daemon with another key or version never has a link, so the end of one
+// does not show it.
+void RelayTask::logRefusedPeers() {
+  using transport::LinkClose;
+  for (const LinkClose reason : {LinkClose::NoCommonKey, LinkClose::BadProof,
+                                 LinkClose::VersionMismatch}) {
+    const std::uint64_t n = Network.closed(reason);
+    const std::uint64_t before = std::exchange(RefusedPeers[reason], n);
+    PeersRefused.add(n - before);
+    if (n != before)
+      state::log::warning("peer_refused",
+                          {{"reason", linkCloseName(reason)}, {"times", n}});
+  }
+}
+
 void RelayTask::tick() {
+  logRefusedPeers();
   // Without news, the askers read at the source before their own views get old.
   if (View.Table != nullptr && isOld())
     answerAll();
--- a/src/forwarding/relay_task.h
+++ b/src/forwarding/relay_task.h
@@ -125,6 +125,7 @@
   void tick();
   void noteDaemons(std::uint32_t n);
   void setWantedLinks();
+  void logRefusedPeers();
 
   transport::EventLoop &Loop;
   DirectorySource &Source;
@@ -147,11 +148,13 @@
   std::uint32_t UpstreamDaemons = 0;
   std::vector<state::DaemonCapacity> Executors;
   std::vector<std::string> OtherLinks;
+  std::map<transport::LinkClose, std::uint64_t> RefusedPeers; ///< logged
   std::vector<PeerListener *> Listeners;
   std::deque<std::pair<state::TimePoint, std::uint32_t>> Counts;
   transport::TimerId Timer = 0;
   state::Counter &RelayReads;
   state::Counter &SourceReads;
+  state::Counter &PeersRefused;
 };
 
 } // namespace galenaflow::forwarding
--- a/tests/platform/soak.cc
+++ b/tests/platform/soak.cc
@@ -21,7 +21,12 @@
 
 namespace {
 
-constexpr int Shards = 4;
+/// Enough for requests to be passed on to an executor.
+constexpr int Shards = 16;
+
+/// The daemon with several times the CPU of the others.
+constexpr std::size_t ExecutorIndex = 0;
+
 constexpr double MinShardRatio = 0.7;
 constexpr std::size_t TopK = 3;
 constexpr Duration CallPeriod = 15ms;
@@ -30,13 +35,29 @@
 /// A machine counts as calm again this long after a fault.
 constexpr Duration CalmTime = 4s;
 
+/// From SIGTERM to the end of a process at the latest.
+constexpr Duration StopGrace = 6s;
+
 /// Bound of the operator for replicas that leave, with the way to them.
 constexpr Duration LeaveBound = 3200ms;
 
+std::string shardName(int shard) {
+  return (shard < 10 ? "s0" : "s") + std::to_string(shard);
+}
+const std::size_t ShardNameSize = shardName(0).size();
+
 std::string portOf(const std::string &address) {
   return address.substr(address.rfind(':') + 1);
 }
 
+/// Distinct loopback addresses stand for machines with the same ports. Those of
+/// soaks that run side by side differ too.
+std::string machineIp(std::size_t index) {
+  constexpr pid_t networks = 250;
+  return "127." + std::to_string(2 + getpid() % networks) + ".10." +
+         std::to_string(1 + index);
+}
+
 std::vector<std::string> splitList(std::string_view text) {
   std::vector<std::string> items;
   while (!text.empty()) {
@@ -72,8 +93,7 @@
   for (std::size_t i = 0; i != Options.Daemons; ++i) {
     StoreRoutes.push_back(openRoute("store", store));
     Daemon daemon;
-    // Distinct loopback addresses stand for machines with the same ports.
-    daemon.Ip = "127.0." + std::to_string(10 + i) + ".1";
+    daemon.Ip = machineIp(i);
     daemon.Listen = daemon.Ip + ":" + portOf(support::reserveAddress());
     daemon.SettingsPath = (std::filesystem::temp_directory_path() /
                            ("galenaflow-soak-" + std::to_string(getpid()) +
@@ -83,9 +103,10 @@
         << "node_name: front-" << i << "\nzone: z1\nip: \"" << daemon.Ip
         << "\"\nlisten:\n  front: \"" << daemon.Listen << "\"\n  ready: \""
         << daemon.Ip << ":" << portOf(support::reserveAddress())
-        << "\"\ninternal_ports: [" << PeerPort
-        << "]\nseeds: [\"127.0.10.1:1\", \"127.0.11.1:1\"]\n"
-        << "bounds:\n  grace_s: 6\n  retry_ratio: 0.2\n  retry_slack: 56\n"
+        << "\"\ninternal_ports: [" << PeerPort << "]\nseeds: [\""
+        << machineIp(0) << ":1\", \"" << machineIp(1) << ":1\"]\n"
+        << "limits:\n  cpu_share: " << (i == ExecutorIndex ? 0.5 : 0.12)
+        << "\nbounds:\n  grace_s: 6\n  retry_ratio: 0.2\n  retry_slack: 56\n"
         << "  budget_window_s: 10\nplatform:\n  address: \""
         << StoreRoutes.back()->address() << "\"\n";
     Daemons.push_back(std::move(daemon));
@@ -113,8 +134,7 @@
   std::vector<std::pair<std::string, std::string>> wanted;
   for (int shard = 0; shard != Shards; ++shard)
     for (const char *copy : {"a", "b"})
-      wanted.emplace_back("s" + std::to_string(shard) + copy,
-                          "s" + std::to_string(shard));
+      wanted.emplace_back(shardName(shard) + copy, shardName(shard));
   for (const char *id : {"p0", "p1", "p2"})
     wanted.emplace_back(id, "pool");
   for (const char *id : {"o0", "o1"})
@@ -131,6 +151,9 @@
 
 void Soak::startDaemon(Daemon &daemon) {
   setenv("GALENAFLOW_BOOT", daemon.SettingsPath.c_str(), 1);
+  // Each daemon has a proxy of its own before the store, so the default key,
+  // which is made of the store's address, would differ.
+  setenv("GALENAFLOW_PEER_KEY", "the key of the soak", 1);
   daemon.Callers.clear();
   daemon.IsStopping = false;
   daemon.Process = std::make_unique<support::Process>(
@@ -140,9 +163,11 @@
 void Soak::publish() {
   json services = json::array();
   json shards = json::array();
-  for (int shard = 0; shard != Shards; ++shard)
-    shards.push_back("s" + std::to_string(shard));
-  for (const char *name : {"s0", "s1", "s2", "s3", "pool", "other"})
+  for (int shard = 0; shard != Shards; ++shard) {
+    shards.push_back(shardName(shard));
+    services.push_back({{"name", shardName(shard)}, {"max_conns", 26}});
+  }
+  for (const char *name : {"pool", "other"})
     services.push_back({{"name", name}, {"max_conns", 26}});
   const json routes = {{{"name", "all"},
                         {"host", "h"},
@@ -216,12 +241,14 @@
         send(path, i, true);
   Loop.runUntil([] { return false; }, 2s);
   checkRuns();
+  checkDelegation();
   if (!Broken.empty())
     for (const Daemon &daemon : Daemons)
       std::cout << daemon.Process->output() << std::endl;
   std::cout << "event=soak_ended seed=" << Options.Seed
             << " calls=" << Calls.size() << " answers=" << Answers
-            << " broken=" << Broken.size() << std::endl;
+            << " leave_checks=" << LeaveChecks << " broken=" << Broken.size()
+            << std::endl;
   return Broken;
 }
 
@@ -314,7 +341,7 @@
       return;
     }
     const std::string replica = seal.substr(0, dot);
-    shards.insert(replica.substr(0, 2));
+    shards.insert(replica.substr(0, ShardNameSize));
     for (const std::string &record : recordsOf(replica))
       records.push_back(record);
   }
@@ -331,6 +358,23 @@
     report("wrong records in the answer to " + call.Id);
 }
 
+/// Whether the store and the daemons that can have sent a run were undisturbed
+/// for long enough to have seen every change.
+bool Soak::wasCalm(const RunRequest &run) const {
+  const Call &call = *Calls[std::stoul(run.Id.substr(1))];
+  return std::none_of(
+      Disturbances.begin(), Disturbances.end(), [&](const Disturbance &it) {
+        const bool concerns = it.Daemon == StoreIndex ||
+                              it.Daemon == call.Daemon ||
+                              it.Daemon == ExecutorIndex;
+        return concerns && it.From <= run.At && it.To + CalmTime >= run.At;
+      });
+}
+
+void Soak::noteDisturbance(std::size_t daemon, Duration lasting) {
+  Disturbances.push_back({daemon, Loop.now(), Loop.now() + lasting});
+}
+
 void Soak::checkRuns() {
   std::map<std::string, int> runs;
   std::map<std::string, std::string> services;
@@ -339,11 +383,12 @@
       ++runs[run.Id];
       if (run.Path.starts_with("/once/") && replica->id()[0] != 'p')
         report(run.Id + " ran at a service that no route names");
-      const auto left = Leaving.find(replica->id());
-      if (left != Leaving.end() && run.At > left->second + LeaveBound)
-        report(run.Id + " reached " + replica->id() + " " +
-               std::to_string((run.At - left->second).count() / 1000) +
-               " ms after it left");
+      const bool isLate = !Leaving.empty() &&
+                          run.At > Leaving.begin()->second + LeaveBound &&
+                          wasCalm(run);
+      LeaveChecks += isLate ? 1 : 0;
+      if (isLate && Leaving.contains(replica->id()))
+        report(run.Id + " reached " + replica->id() + ", which had left");
     }
   for (const auto &call : Calls) {
     if (call->Path != "/once/")
@@ -358,6 +403,26 @@
   }
 }
 
+/// The executor's counter starts anew with its process, so it shows that
+/// requests are passed on again after the faults.
+void Soak::checkDelegation() {
+  constexpr std::string_view counter =
+      "\ngalenaflow_executed_for_others_total ";
+  constexpr const char *metricsPort = ":9464";
+  transport::HttpConnection connection(
+      Loop,
+      *transport::parseSocketAddress(Daemons[ExecutorIndex].Ip + metricsPort));
+  std::optional<HttpResult> result;
+  connection.send({"GET", "/metrics", {}, ""}, 2s,
+                  [&](HttpResult it) { result = std::move(it); });
+  Loop.runUntil([&] { return result.has_value(); }, 3s);
+  const std::string text =
+      result && *result ? "\n" + (*result)->Body : std::string();
+  const auto at = text.find(counter);
+  if (at == std::string::npos || text[at + counter.size()] == '0')
+    report("no request was passed on to the executor");
+}
+
 void Soak::superviseDaemons() {
   for (Daemon &daemon : Daemons) {
     if (daemon.Process->isRunning())
@@ -368,6 +433,7 @@
                  daemon.Process->output().size() -
                  std::min<std::size_t>(300, daemon.Process->output().size())));
     startDaemon(daemon);
+    noteDisturbance(static_cast<std::size_t>(&daemon - Daemons.data()), 0s);
     daemon.WasDisturbed = false;
     daemon.CalmSince = Loop.now();
   }
@@ -397,6 +463,9 @@
     return;
   daemon.WasDisturbed = true;
   daemon.CalmSince = Loop.now();
+  // A start notes the end of a kill or a stop.
+  const auto index = static_cast<std::size_t>(&daemon - Daemons.data());
+  noteDisturbance(index, StopGrace);
   const auto what = pick(3);
   if (what == 0) {
     daemon.Process->kill();
@@ -432,12 +501,16 @@
     break;
   case 4:
     faults.LoseNext = 3;
+    noteDisturbance(StoreIndex, 0s);
     return;
   default:
     Store.dropHistory();
+    noteDisturbance(StoreIndex, 0s);
     return;
   }
-  later(Duration(500'000 + pick(3'000'000)), [&faults] { faults = {}; });
+  const Duration lasting(500'000 + pick(3'000'000));
+  noteDisturbance(StoreIndex, lasting);
+  later(lasting, [&faults] { faults = {}; });
 }
 
 void Soak::disturbReplica() {
@@ -466,8 +539,12 @@
 
 void Soak::disturbNetwork() {
   const bool isStore = pick(4) == 0;
-  ProxyRoute &route = isStore ? *StoreRoutes[pick(StoreRoutes.size())]
-                              : *ReplicaRoutes[pick(ReplicaRoutes.size())];
+  const std::size_t index =
+      pick(isStore ? StoreRoutes.size() : ReplicaRoutes.size());
+  ProxyRoute &route = isStore ? *StoreRoutes[index] : *ReplicaRoutes[index];
+  const Duration lasting(300'000 + pick(2'000'000));
+  if (isStore)
+    noteDisturbance(index, lasting);
   switch (pick(5)) {
   case 0:
     route.apply({{"up", {{"delay_ms", 60}}}});
@@ -484,7 +561,7 @@
   default:
     route.setPartitioned(true);
   }
-  later(Duration(300'000 + pick(2'000'000)), [&route] {
+  later(lasting, [&route] {
     route.setPartitioned(false);
     route.apply({{"up", {{"delay_ms", 0}}}, {"down", {{"drop", false}}}});
     // Bytes were lost, so the connections cannot go on.
@@ -503,14 +580,8 @@
   ReplicaStandin &replica = *Replicas[2 * pick(Shards)];
   if (!Leaving.empty())
     return;
-  const bool isStable = Store.faults().Refuse || Store.faults().Silent ||
-                        Store.faults().Reset || Store.faults().Throttle;
-  if (isStable)
-    return;
   Store.put(replica.key(), replica.entry("draining"));
-  // The bound holds from the time at which the store and all daemons are calm,
-  // which the end of the faults and the recovery time make sure of.
-  Leaving[replica.id()] = Loop.now() + Options.FaultTime + CalmTime;
+  Leaving[replica.id()] = Loop.now();
 }
 
 void Soak::healAll() {
--- a/tests/platform/soak.h
+++ b/tests/platform/soak.h
@@ -45,6 +45,14 @@
     std::vector<std::unique_ptr<transport::HttpConnection>> Callers;
   };
 
+  /// A time in which a daemon, or the store, did not work as it should.
+  struct Disturbance {
+    std::size_t Daemon = 0; ///< StoreIndex: the store
+    state::TimePoint From;
+    state::TimePoint To;
+  };
+  static constexpr std::size_t StoreIndex = ~std::size_t{0};
+
   struct Call {
     std::string Id;
     std::string Path;
@@ -66,6 +74,9 @@
   void checkSingle(const Call &call, const transport::HttpResponse &response);
   void checkMerged(const Call &call, const transport::HttpResponse &response);
   void checkRuns();
+  void checkDelegation();
+  bool wasCalm(const RunRequest &run) const;
+  void noteDisturbance(std::size_t daemon, state::Duration lasting);
   void injectFault();
   void disturbDaemon(Daemon &daemon);
   void disturbStore();
@@ -87,12 +98,15 @@
   std::vector<std::unique_ptr<ProxyRoute>> StoreRoutes;
   std::vector<Daemon> Daemons;
   std::vector<std::unique_ptr<Call>> Calls;
-  std::map<std::string, state::TimePoint> Leaving; ///< replica id, since when
+  std::vector<Disturbance> Disturbances;
+  /// The replica that has left, if any, and since when.
+  std::map<std::string, state::TimePoint> Leaving;
   int Version = 1;
   std::uint16_t PeerPort = 0;
   std::string Pool = "pool";
   bool Faulty = true;
   std::uint64_t Answers = 0;
+  std::uint64_t LeaveChecks = 0; ///< runs after which nothing may reach it
   std::vector<std::string> Broken;
 };
 
--- a/tests/relay_task_test.cc
+++ b/tests/relay_task_test.cc
@@ -78,9 +78,10 @@
 /// A daemon as far as the directory goes.
 struct Daemon {
   Daemon(transport::EventLoop &loop, FakeSource &shared,
-         const std::string &address, std::uint64_t seed)
+         const std::string &address, std::uint64_t seed,
+         const std::string &key = "a key of the deployment, long enough")
       : Source(loop, &shared),
-        Relay(loop, Source, optionsFor(address, seed), Metrics),
+        Relay(loop, Source, optionsFor(address, seed, key), Metrics),
         Directory(loop, Relay, {}, std::mt19937_64(seed),
                   {[this](const auto &table) { Version = table->version(); },
                    [this](const auto &records) { Records = records; },
@@ -93,12 +94,15 @@
   }
 
   static RelayTaskOptions optionsFor(const std::string &address,
-                                     std::uint64_t seed) {
+                                     std::uint64_t seed,
+                                     const std::string &key) {
     RelayTaskOptions options;
     options.Network.Session.Self = {"vm" + std::to_string(seed), "1", "dc",
                                     address};
-    options.Network.Session.Keys = {"a key of the deployment, long enough"};
+    options.Network.Session.Keys = {key};
     options.Network.Seed = seed;
+    // The fifth VM and those after it have four times the CPU of the others.
+    options.Millicores = seed < 5 ? 120 : 500;
     return options;
   }
 
@@ -237,3 +241,40 @@
       },
       2200ms));
 }
+
+TEST_CASE("every daemon learns which ones have more CPU than the others") {
+  Fleet fleet(6);
+  REQUIRE(fleet.all([](const Daemon &it) { return it.Version == 1; }));
+  CHECK(fleet.all(
+      [&](const Daemon &it) {
+        const auto &executors = it.Relay.executors();
+        return executors.size() == 2 &&
+               executors[0].Address == fleet.Addresses[4] &&
+               executors[1].Address == fleet.Addresses[5];
+      },
+      6s));
+  fleet.Daemons[5].reset();
+  CHECK(fleet.all(
+      [](const Daemon &it) { return it.Relay.executors().size() == 1; }, 8s));
+}
+
+// Guards against daemons that read at the source one by one, unnoticed, because
+// their keys differ.
+TEST_CASE("a daemon with another key is refused, which is counted") {
+  Fleet fleet(2, 1);
+  fleet.Addresses.push_back(support::reserveAddress());
+  fleet.Daemons.push_back(
+      std::make_unique<Daemon>(fleet.Loop, fleet.Source, fleet.Addresses[2], 3,
+                               "a key of another deployment, as long"));
+  fleet.start(2, 1);
+  CHECK(fleet.Loop.runUntil(
+      [&] {
+        return fleet.Daemons[0]
+                   ->Metrics.counter("galenaflow_peers_refused_total", "")
+                   .value() != 0;
+      },
+      TestLimit));
+  CHECK(fleet.Loop.runUntil(
+      [&] { return fleet.Daemons[0]->Relay.daemons() == 2; }, TestLimit));
+  CHECK(fleet.Daemons[2]->Relay.daemons() == 0);
+}
