Count a large fleet quickly after a start, and connect little until then

Ruled out: replicas that were away (attempts of the same moment succeed elsewhere), and connections that the stopped daemons had left half open: with executors only, the replicas hold few of them.

Change: the first reads follow each other every 250 ms for 3 s, so the count passes the levels of relays four times as fast; while it grows, one connection to a shard is opened ahead of need; a daemon that two relays name is listed as executor once.

The fleet is still counted up to twice when daemons change their relay, which only makes shares smaller.

--- a/src/coordination/connection_plan.cc
+++ b/src/coordination/connection_plan.cc
@@ -12,16 +12,47 @@
 
 namespace galenaflow::coordination {
 
+namespace {
+
+/// Indices of the replicas in the order in which this daemon prefers them.
+std::vector<std::size_t> rankReplicas(std::span<const PlannedReplica> replicas,
+                                      std::string_view self) {
+  struct Rank {
+    bool Avoided;
+    bool Remote;
+    std::uint64_t Hash;
+    std::size_t Index;
+    auto operator<=>(const Rank &) const = default;
+  };
+  std::vector<Rank> ranks;
+  for (std::size_t i = 0; i != replicas.size(); ++i)
+    ranks.push_back({replicas[i].IsAvoided, !replicas[i].IsLocal,
+                     state::hash64(std::string(replicas[i].Id).append(self)),
+                     i});
+  std::sort(ranks.begin(), ranks.end());
+  std::vector<std::size_t> order;
+  for (const Rank &rank : ranks)
+    order.push_back(rank.Index);
+  return order;
+}
+
+} // namespace
+
 std::vector<ConnectionPlan>
 planConnections(std::span<const PlannedReplica> replicas,
                 std::uint32_t limitPerReplica, const ConnectionFleet &fleet,
                 std::string_view self, ConnectionPlanOptions options) {
   std::vector<ConnectionPlan> plans(replicas.size());
+  if (replicas.empty())
+    return plans;
   const std::uint32_t daemons = std::max(1U, fleet.Daemons);
   const std::uint32_t share = limitPerReplica / daemons;
   if (share >= 1) {
     std::fill(plans.begin(), plans.end(),
-              ConnectionPlan{std::min(share, options.MaxPerReplica), true});
+              ConnectionPlan{std::min(share, options.MaxPerReplica),
+                             fleet.IsCounted});
+    if (!fleet.IsCounted && !fleet.Delegates)
+      plans[rankReplicas(replicas, self).front()].IsWarm = true;
     return plans;
   }
   // The executors' part is at most half, so that the others can go on when all
@@ -36,21 +67,9 @@
                             std::max(1U, daemons - std::min(daemons, reserved));
   const std::size_t kept =
       std::min<std::size_t>(replicas.size(), std::max<std::uint64_t>(1, all));
-  struct Rank {
-    bool Avoided;
-    bool Remote;
-    std::uint64_t Hash;
-    std::size_t Index;
-    auto operator<=>(const Rank &) const = default;
-  };
-  std::vector<Rank> ranks;
-  for (std::size_t i = 0; i != replicas.size(); ++i)
-    ranks.push_back({replicas[i].IsAvoided, !replicas[i].IsLocal,
-                     state::hash64(std::string(replicas[i].Id).append(self)),
-                     i});
-  std::sort(ranks.begin(), ranks.end());
+  const std::vector<std::size_t> order = rankReplicas(replicas, self);
   for (std::size_t i = 0; i != kept; ++i)
-    plans[ranks[i].Index] = {1, i == 0 && !fleet.Delegates};
+    plans[order[i]] = {1, i == 0 && !fleet.Delegates};
   return plans;
 }
 
--- a/src/coordination/connection_plan.h
+++ b/src/coordination/connection_plan.h
@@ -36,6 +36,10 @@
 /// The daemons that share the connections.
 struct ConnectionFleet {
   std::uint32_t Daemons = 1;
+
+  /// False while the daemons are still being counted: they may be many more.
+  bool IsCounted = true;
+
   std::uint32_t Executors = 0; ///< of these, that run requests for others
   bool IsExecutor = false;     ///< this daemon does
   bool Delegates = false;      ///< this daemon has executors to ask
@@ -50,7 +54,10 @@
 /// without a message between them. Only the first of them is opened ahead of
 /// need, and none by a daemon that has executors to ask: in a large fleet each
 /// daemon asks a shard too seldom to keep more connections from going idle, and
-/// opening them again and again costs more than opening one for a hedge.
+/// opening them again and again costs more than opening one for a hedge. While
+/// the daemons are being counted, all replicas may be used, but only the first
+/// is connected to ahead of need: after a stop of a large fleet, replicas
+/// would refuse most connections.
 std::vector<ConnectionPlan>
 planConnections(std::span<const PlannedReplica> replicas,
                 std::uint32_t limitPerReplica, const ConnectionFleet &fleet,
--- a/src/coordination/directory_reader.cc
+++ b/src/coordination/directory_reader.cc
@@ -11,8 +11,8 @@
 
 DirectoryReader::DirectoryReader(DirectoryReaderOptions options,
                                  std::mt19937_64 random, TimePoint now)
-    : Options(options), Random(random), ReadAt(now), StartedAt(now),
-      NextAt(now), Backoff(options.MinBackoff) {}
+    : Options(options), Random(random), EarlyUntil(now + options.EarlyTime),
+      ReadAt(now), StartedAt(now), NextAt(now), Backoff(options.MinBackoff) {}
 
 std::optional<DirectoryRead> DirectoryReader::poll(TimePoint now) {
   if (Open || now < NextAt)
@@ -27,7 +27,9 @@
   Open = false;
   ReadAt = std::max(ReadAt, readAt);
   Backoff = Options.MinBackoff;
-  NextAt = std::max(now, StartedAt + Options.Period);
+  const Duration period =
+      now < EarlyUntil ? Options.EarlyPeriod : Options.Period;
+  NextAt = std::max(now, StartedAt + period);
   return wasAway;
 }
 
--- a/src/coordination/directory_reader.h
+++ b/src/coordination/directory_reader.h
@@ -18,6 +18,12 @@
   /// have to fit in as well. Each read is priced.
   Duration Period = std::chrono::milliseconds(1000);
 
+  /// The first reads follow each other faster, because the count of the fleet
+  /// and the list of its executors pass one relay with each read. After a stop
+  /// of the whole fleet, connections to replicas depend on them.
+  Duration EarlyPeriod = std::chrono::milliseconds(250);
+  Duration EarlyTime = std::chrono::milliseconds(3000);
+
   /// Wait after a failed read; doubles up to the maximum, and is multiplied by
   /// a random factor between 0.5 and 1, so that the daemons do not return
   /// together to a source that has just come back.
@@ -75,8 +81,9 @@
   bool Open = false;
   bool Known = false;
   std::uint64_t Revision = 0;
+  TimePoint EarlyUntil;
   TimePoint ReadAt;
-  TimePoint StartedAt;
+  TimePoint StartedAt; ///< of the last read
   TimePoint NextAt;
   Duration Backoff;
 };
--- a/src/coordination/directory_relay.cc
+++ b/src/coordination/directory_relay.cc
@@ -114,6 +114,13 @@
               return std::tie(b.Millicores, a.Address) <
                      std::tie(a.Millicores, b.Address);
             });
+  // A daemon that has just changed its relay is still named by the old one.
+  total.Strongest.erase(std::unique(total.Strongest.begin(),
+                                    total.Strongest.end(),
+                                    [](const auto &a, const auto &b) {
+                                      return a.Address == b.Address;
+                                    }),
+                        total.Strongest.end());
   if (total.Strongest.size() > MaxStrongest)
     total.Strongest.resize(MaxStrongest);
   return total;
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -128,6 +128,7 @@
   }
   const coordination::ConnectionFleet fleet{
       Fleet.Daemons == 0 ? Options.UnknownDaemons : Fleet.Daemons,
+      Fleet.Daemons != 0 && Loop.now() - FleetGrewAt >= Options.CountTime,
       Fleet.Executors, Fleet.IsExecutor, Fleet.Delegates};
   const auto plans = coordination::planConnections(
       planned, limit, fleet, Options.Name, Options.Connections);
@@ -187,7 +188,7 @@
 
 void ForwardTask::warm(Replica &replica) {
   if (replica.Record.Draining || !replica.IsWarm ||
-      Loop.now() - FleetGrewAt < Options.WarmDelay)
+      Loop.now() - StartedAt < Options.WarmDelay)
     return;
   replica.Pool.warm(Options.WarmConnections);
 }
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -37,10 +37,14 @@
   /// Interval at which missing warm connections are opened again.
   state::Duration WarmInterval = std::chrono::seconds(1);
 
-  /// Connections are not opened ahead of need in this time after the start,
-  /// while the number of daemons is still being counted.
+  /// Connections are not opened ahead of need in this time after the start, in
+  /// which the daemons begin to be counted.
   state::Duration WarmDelay = std::chrono::milliseconds(1500);
 
+  /// The count is believed when it has not grown for this time. It grows with
+  /// each read of a relay, which is once a second.
+  state::Duration CountTime = std::chrono::milliseconds(1500);
+
   /// A replica that refused or lost a new connection is avoided for this time,
   /// when connections are too few for every replica.
   state::Duration AvoidTime = std::chrono::seconds(6);
--- a/tests/directory_reader_test.cc
+++ b/tests/directory_reader_test.cc
@@ -27,8 +27,11 @@
   Fixture it;
   CHECK(it.next() == DirectoryRead::All);
   CHECK_FALSE(it.Reader.poll(it.Now));
+  it.Now += it.Options.EarlyTime;
   CHECK_FALSE(it.Reader.onAll(40, it.Now, it.Now));
+  it.next();
   const TimePoint start = it.Now;
+  CHECK_FALSE(it.Reader.onChanges(41, it.Now, it.Now));
   CHECK(it.next() == DirectoryRead::Changes);
   CHECK(it.Now - start == it.Options.Period);
   it.Now += 300ms;
@@ -38,6 +41,22 @@
   CHECK(it.Now - start == 2 * it.Options.Period);
 }
 
+// Guards against a fleet that stays uncounted for seconds after a stop of all
+// daemons.
+TEST_CASE("the first reads follow each other faster, for a bounded time") {
+  Fixture it;
+  const TimePoint start = it.Now;
+  it.next();
+  it.Reader.onAll(40, it.Now, it.Now);
+  int reads = 0;
+  while (it.next() == DirectoryRead::Changes && it.Now - start < 10s) {
+    it.Reader.onChanges(41, it.Now, it.Now);
+    ++reads;
+  }
+  // 12 in the first 3 s, and one a second after them.
+  CHECK(reads == 12 + 7 - 1);
+}
+
 // Guards against changes that a source hides for a while: its own revision may
 // be ahead of the last change that it has shown.
 TEST_CASE("an answer without changes leaves the revision") {
--- a/tests/executor_choice_test.cc
+++ b/tests/executor_choice_test.cc
@@ -112,6 +112,15 @@
   CHECK(root.subtree(start + 5s).Daemons == 1);
 }
 
+TEST_CASE("a daemon that has changed its relay is named once") {
+  const TimePoint start{1h};
+  FleetCount root({"r", "a", 250});
+  for (const char *relay : {"x", "y"})
+    root.onRequest(relay, {2, 120, {{"s", "b", 500}}}, start);
+  CHECK(root.subtree(start).Strongest ==
+        std::vector<DaemonCapacity>{{"s", "b", 500}, {"r", "a", 250}});
+}
+
 TEST_CASE("a daemon that does not state its CPU changes no report") {
   const TimePoint start{1h};
   FleetCount root({"r", "a", 0});
