--- a/tests/fuzz/corpus_main.cc
+++ b/tests/fuzz/corpus_main.cc
@@ -1,5 +1,7 @@
 // Writes the binary part of the corpus: one valid message of each type. The
 // text inputs of the other targets are written by hand.
+#include "protocol/delegation_messages.h"
+#include "protocol/directory_messages.h"
 #include "protocol/fleet_messages.h"
 #include "protocol/records_messages.h"
 #include "protocol/writes_messages.h"
@@ -94,6 +96,38 @@
   return message;
 }
 
+void writeDirectory(const CorpusFolder &folder) {
+  using protocol::DelegationMessageType;
+  using protocol::DirectoryMessageType;
+  protocol::DirectoryRequest request{3, 4, 5, 6, {}};
+  request.Fleet = {30, 120, {{"10.0.0.1:7", "a", 500}}};
+  folder.writeMessage(static_cast<std::uint16_t>(DirectoryMessageType::Request),
+                      protocol::encodeDirectoryRequest(request));
+  protocol::DirectoryReply reply;
+  reply.Sequence = 3;
+  reply.HasContent = true;
+  reply.Executors = request.Fleet.Strongest;
+  reply.Changes.push_back({"r1", false, {}});
+  reply.Routes = "{}";
+  folder.writeMessage(static_cast<std::uint16_t>(DirectoryMessageType::Reply),
+                      protocol::encodeDirectoryReply(reply));
+  protocol::DelegatedRequest delegated;
+  delegated.Sequence = 9;
+  delegated.Route = "all";
+  delegated.Headers = {{"a", "b"}};
+  folder.writeMessage(
+      static_cast<std::uint16_t>(DelegationMessageType::Request),
+      protocol::encodeDelegatedRequest(delegated));
+  protocol::DelegatedReply answer;
+  answer.Outcome = protocol::DelegationOutcome::Merged;
+  answer.Signatures = {"s1", "s2"};
+  answer.Records = "0123456789abcdef";
+  folder.writeMessage(static_cast<std::uint16_t>(DelegationMessageType::Reply),
+                      protocol::encodeDelegatedReply(answer));
+  folder.writeMessage(static_cast<std::uint16_t>(DelegationMessageType::Cancel),
+                      protocol::encodeDelegationCancel({9}));
+}
+
 void writeWrites(const CorpusFolder &folder) {
   constexpr auto first =
       static_cast<std::uint16_t>(WriteMessageType::GrantRequest);
@@ -153,6 +187,7 @@
   }
   const std::filesystem::path root = argv[1];
   writeFleet({root, "fleet_messages"});
+  writeDirectory({root, "directory_messages"});
   writeWrites({root, "write_messages"});
   writeRecords({root, "record_messages"});
   writePeer({root, "peer_session"});
--- /dev/null
+++ b/tests/fuzz/http_response_fuzz.cc
@@ -0,0 +1,66 @@
+// Input: one byte of options, one byte of chunk length, then what a backend
+// server sends before it closes its connection. The result must not depend on
+// how the bytes are cut into reads, and nothing may be read twice or lost.
+#include "fuzz/fuzz.h"
+#include "transport/http_response_parser.h"
+
+#include <algorithm>
+
+using namespace galenaflow;
+using transport::HttpResponseParser;
+using State = HttpResponseParser::State;
+
+namespace {
+
+HttpResponseParser parse(std::string_view input,
+                         transport::HttpResponseParserOptions options,
+                         std::size_t chunk) {
+  HttpResponseParser parser(options);
+  State state = State::Incomplete;
+  while (!input.empty()) {
+    const std::size_t n = std::min(chunk, input.size());
+    state = parser.feed(input.substr(0, n));
+    input.remove_prefix(n);
+    if (state == State::Invalid)
+      return parser;
+  }
+  if (state == State::Incomplete)
+    parser.finish();
+  return parser;
+}
+
+State stateOf(HttpResponseParser &parser) {
+  return parser.finish(); // has no effect after the end
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data,
+                                      std::size_t size) {
+  std::string_view input = fuzz::asText(data, size);
+  const std::uint8_t flags = fuzz::takeByte(input);
+  const std::size_t chunk = std::max<std::size_t>(1, fuzz::takeByte(input));
+  transport::HttpResponseParserOptions options;
+  options.IsHead = (flags & 1U) != 0;
+  options.AcceptUnframed = (flags & 2U) != 0;
+  HttpResponseParser whole = parse(input, options, input.size() + 1);
+  HttpResponseParser pieces = parse(input, options, chunk);
+  const State state = stateOf(whole);
+  fuzz::require(state != State::Incomplete, "a closed connection is an end");
+  fuzz::require(stateOf(pieces) == state, "the cut does not change the result");
+  if (state == State::Invalid) {
+    fuzz::require(!whole.error().empty(), "an error has a text");
+    return 0;
+  }
+  fuzz::require(whole.response().Status == pieces.response().Status &&
+                    whole.response().Body == pieces.response().Body &&
+                    whole.response().Headers.items() ==
+                        pieces.response().Headers.items() &&
+                    whole.excess() == pieces.excess(),
+                "the cut does not change the response");
+  fuzz::require(whole.excess().empty() || !whole.isPersistent(),
+                "a connection with further bytes is not used again");
+  fuzz::require(whole.response().Body.size() <= input.size(),
+                "a body is no longer than what was sent");
+  return 0;
+}
