--- a/src/daemon/options.cc
+++ b/src/daemon/options.cc
@@ -330,6 +330,28 @@
   return findings.empty() ? 0 : 2;
 }
 
+std::string renderSettingsHelp() {
+  std::string help =
+      "galenaflowd: query tier daemon.\n\n"
+      "Usage: galenaflowd [--SETTING=VALUE ...]\n\n"
+      "Each setting is a flag and an environment variable; the flag takes "
+      "precedence.\n"
+      "  --check_settings       validate all settings and exit: 0 when all are "
+      "valid, otherwise 2\n"
+      "  --print_settings_page  print docs/settings.md and exit\n"
+      "  --flagfile=FILE        read flags from a file\n";
+  for (const Setting &setting : Settings) {
+    if (setting.Section) {
+      help += "\n" + std::string(setting.Section) + "\n";
+      continue;
+    }
+    help += "  " + flagName(setting) + "  (" + variableName(setting) +
+            ", default " + defaultText(setting) + ")\n      " + setting.Help +
+            rangeText(setting) + "\n";
+  }
+  return help;
+}
+
 std::string renderSettingsPage() {
   std::string page = PageHead;
   for (const Setting &setting : Settings) {
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -107,6 +107,9 @@
 /// standard output. Returns the exit code: 0, or 2 with findings.
 int reportSettings(const state::Findings &findings);
 
+/// What --help prints: every setting with its variable, default and bounds.
+std::string renderSettingsHelp();
+
 /// The contents of docs/settings.md.
 std::string renderSettingsPage();
 
--- a/src/daemon/options_flags.cc
+++ b/src/daemon/options_flags.cc
@@ -7,6 +7,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <map>
@@ -63,9 +64,20 @@
   return value ? std::optional<std::string>(value) : std::nullopt;
 }
 
+/// Abseil's --help shows only flags of the source file that has main().
+bool asksForHelp(int argc, char **argv) {
+  return std::any_of(argv + 1, argv + argc, [](std::string_view word) {
+    return word == "--help" || word == "-help" || word == "-h";
+  });
+}
+
 } // namespace
 
 Options parseCommandLine(int argc, char **argv, state::Findings &findings) {
+  if (asksForHelp(argc, argv)) {
+    std::fputs(renderSettingsHelp().c_str(), stdout);
+    std::exit(0);
+  }
   absl::SetProgramUsageMessage(
       "Query tier daemon. Every flag can also be given as an environment "
       "variable, GALENAFLOW_ and the name of the flag in upper case.");
--- a/tests/options_test.cc
+++ b/tests/options_test.cc
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <iterator>
 #include <map>
+#include <sstream>
 #include <unistd.h>
 
 using namespace galenaflow;
@@ -114,6 +115,32 @@
   CHECK(reports(validate(validFlags(key)), "--peer_key"));
 }
 
+// Guards against a help text that leaves settings out, as Abseil's own does.
+TEST_CASE("the help names every setting with its variable and meaning") {
+  const std::string help = renderSettingsHelp();
+  std::istringstream page(renderSettingsPage());
+  int settings = 0;
+  for (std::string line; std::getline(page, line);) {
+    if (!line.starts_with("| `--"))
+      continue;
+    // | `--flag` | `VARIABLE` | default | meaning |
+    std::vector<std::string> cells;
+    std::istringstream row(line);
+    for (std::string cell; std::getline(row, cell, '|');)
+      cells.push_back(cell);
+    REQUIRE(cells.size() >= 5);
+    const auto bare = [](const std::string &cell, std::size_t quotes) {
+      return cell.substr(1 + quotes, cell.size() - 2 - 2 * quotes);
+    };
+    INFO(line);
+    CHECK(help.find("  " + bare(cells[1], 1) + "  (" + bare(cells[2], 1)) !=
+          std::string::npos);
+    CHECK(help.find(bare(cells[4], 0)) != std::string::npos);
+    ++settings;
+  }
+  CHECK(settings > 20);
+}
+
 // Guards against a page that no longer describes the program.
 TEST_CASE("docs/settings.md is the generated page") {
   const auto tests = std::filesystem::path(__FILE__).parent_path();
--- a/tests/platform/soak.cc
+++ b/tests/platform/soak.cc
@@ -85,6 +85,7 @@
 } // namespace
 
 Soak::Soak(SoakOptions options) : Options(options), Random(options.Seed) {
+  std::ofstream(KeyPath) << "the key of the soak's daemons\n";
   startReplicas();
   publish();
   const auto store = Store.listen();
@@ -116,6 +117,7 @@
 }
 
 Soak::~Soak() {
+  std::filesystem::remove(KeyPath);
   for (const Daemon &daemon : Daemons)
     std::filesystem::remove(daemon.SettingsPath);
 }
@@ -153,7 +155,7 @@
   setenv("GALENAFLOW_BOOT", daemon.SettingsPath.c_str(), 1);
   // Each daemon has a proxy of its own before the store, so the default key,
   // which is made of the store's address, would differ.
-  setenv("GALENAFLOW_PEER_KEY", "the key of the soak", 1);
+  setenv("GALENAFLOW_PEER_KEY", KeyPath.c_str(), 1);
   daemon.Callers.clear();
   daemon.IsStopping = false;
   daemon.Process = std::make_unique<support::Process>(
--- a/tests/platform/soak.h
+++ b/tests/platform/soak.h
@@ -7,10 +7,12 @@
 #include "support/process.h"
 #include "transport/http_client.h"
 
+#include <filesystem>
 #include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 namespace galenaflow::standin {
@@ -90,6 +92,10 @@
   void report(const std::string &text);
 
   SoakOptions Options;
+  std::string KeyPath =
+      (std::filesystem::temp_directory_path() /
+       ("galenaflow-soak-" + std::to_string(getpid()) + ".key"))
+          .string();
   std::mt19937_64 Random;
   transport::EventLoop Loop;
   MetadataStore Store{Loop};
