--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -29,14 +29,14 @@
   std::vector<std::string_view> Events;
 };
 const std::array<Belief, 4> &beliefs() {
-  static const std::array<Belief, 4> all = {
+  static const std::array<Belief, 4> All = {
       Belief{"routes", {"routes_in_force", "configuration_invalid"}},
       Belief{
           "directory",
           {"directory_lost", "directory_regained", "directory_history_lost"}},
       Belief{"relay", {"relay_in_use", "relay_lost"}},
       Belief{"fleet", {"fleet_counted"}}};
-  return all;
+  return All;
 }
 
 bool isFinal(const LogLine &line) {
@@ -153,9 +153,9 @@
 } // namespace
 
 const std::string &LogLine::field(const std::string &name) const {
-  static const std::string none;
+  static const std::string None;
   const auto it = Fields.find(name);
-  return it == Fields.end() ? none : it->second;
+  return it == Fields.end() ? None : it->second;
 }
 
 std::optional<LogLine> parseLogLine(std::string_view text,
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -51,8 +51,7 @@
   for (const char *text :
        {"", "level=info", "x level=info event=y",
         "2026-03-30T21:14:59.033Z level=info",
-        "2026-99-30T21:14:59Z level=a "
-        "event=b",
+        "2026-99-30T21:14:59.033Z level=info event=b",
         "2026-03-30T21:14:59.033Z level=info event=\"unfinished"})
     if (const auto line = parseLogLine(text, "file"))
       CHECK(line->Event == "unfinished");
@@ -143,11 +142,13 @@
         "routes: routes_in_force 2028 ms before"}}};
   for (const Case &it : cases) {
     INFO(it.File);
-    const std::string file =
-        std::string("tests/walkthroughs/") + it.File + ".log";
-    CHECK(
-        has(page, std::string("galenaflowctl explain ") + it.Id + " " + file));
-    const std::string story = explain(readFile(Root + "/" + file), it.Id);
+    std::string file = "tests/walkthroughs/";
+    file.append(it.File).append(".log");
+    std::string command = "galenaflowctl explain ";
+    command.append(it.Id).append(" ").append(file);
+    CHECK(has(page, command));
+    const std::string story =
+        explain(readFile(std::string(Root).append("/").append(file)), it.Id);
     for (const std::string &quoted : it.Quoted) {
       INFO(quoted);
       CHECK(has(story, quoted));
