--- a/src/forwarding/delegation_task.cc
+++ b/src/forwarding/delegation_task.cc
@@ -7,6 +7,8 @@
 // An executor's answer has to be back before the objective, so it is told how
 // long the way takes: the mean of what the last requests took beside its work.
 //
+// With little more time left than that, a request is run here.
+//
 // A request whose executor may have begun is not run a second time here: the
 // replicas that it has asked are not known, and the route's attempts and the
 // budget of extra arrivals would be passed. Such a request is one of the few
@@ -97,7 +99,7 @@
 DelegationTask::chooseExecutor(const ForwardCall &call) {
   if (!call.Route->isSharded() || !call.Route->IsIdempotent ||
       call.Services.size() < Options.MinParts ||
-      call.Op->Body.size() > Options.MaxBodyBytes)
+      call.Op->Body.size() > Options.MaxBodyBytes || call.Left <= 2 * Overhead)
     return std::nullopt;
   return Choice.choose(
       [this](const std::string &address) { return Linked.contains(address); },
--- a/src/forwarding/delegation_task.h
+++ b/src/forwarding/delegation_task.h
@@ -60,13 +60,13 @@
 
 private:
   struct Open {
-    bool IsPending = false; ///< the executor has said that it works on it
     ForwardCall Call;
     ForwardCallback Callback;
     state::TimePoint ArrivedAt;
     state::TimePoint DeadlineAt; ///< of the caller
     ForwardId Local = 0;         ///< zero while an executor has it
     std::string Executor;        ///< its address
+    bool IsPending = false;      ///< the executor has said that it works on it
     transport::TimerId Timer = 0;
   };
 
--- a/src/protocol/directory_messages.h
+++ b/src/protocol/directory_messages.h
@@ -48,7 +48,9 @@
   std::uint64_t Revision = 0; ///< of the source, up to which this is complete
   state::Duration Age{0};     ///< since the peer knows that nothing is newer
   std::uint32_t Daemons = 0;  ///< in the whole fleet; 0: not known
-  std::vector<state::DaemonCapacity> Executors; ///< see coordination
+
+  /// The daemons that run requests for others.
+  std::vector<state::DaemonCapacity> Executors;
   bool IsFull = false;
   std::vector<state::DirectoryChange> Changes;
   std::string Routes; ///< the published document, empty when not newer
--- a/tests/delegation_task_test.cc
+++ b/tests/delegation_task_test.cc
@@ -197,16 +197,19 @@
   CHECK(it.Weak->Local.Calls.size() == 2);
 }
 
-TEST_CASE("a request for one service, or over few shards, is run here") {
+TEST_CASE("a request for one service, over few shards or with little time is "
+          "run here") {
   Pair it;
   state::Route route = it.Table->routes().front();
+  state::Duration left = 300ms;
   SECTION("one service") { route.Shards.Services.clear(); }
   SECTION("few shards") { route.Shards.Services.resize(15); }
   SECTION("not idempotent") { route.IsIdempotent = false; }
+  SECTION("little time") { left = 10ms; }
   it.Table = std::make_shared<const state::RouteTable>(
       5, std::vector<state::Route>{route}, std::vector<state::RoutedService>(),
       state::CallerLimits());
-  it.call();
+  it.call(left);
   CHECK(it.Weak->Local.Calls.size() == 1);
 }
 
