Share the reading of FlatBuffers messages, and count a fleet without listing it

Cause: four message sources had their own textOf(), two their own aligned copy and two more a second one beside it; the cancel message to an executor was written twice. A relay also merged and sorted the list of strong daemons for each answer, to state a number.

Change: flatbuffer_bytes.h has the aligned copy with its check, textOf() and bytesOf(), used by all four; DelegationTask::giveUp() sends the cancel; FleetCount::daemons() counts without the list. Behaviour is unchanged and no test was touched.

--- a/src/coordination/directory_relay.cc
+++ b/src/coordination/directory_relay.cc
@@ -91,16 +91,26 @@
   Askers[id] = {std::move(report), now};
 }
 
-protocol::FleetReport FleetCount::subtree(TimePoint now) {
+void FleetCount::forgetGone(TimePoint now) {
   std::erase_if(Askers, [now](const auto &entry) {
     return entry.second.At + Memory < now;
   });
-  protocol::FleetReport total{1, Self.Millicores, {}};
+}
+
+std::uint32_t FleetCount::daemons(TimePoint now) {
+  forgetGone(now);
+  std::uint32_t total = 1;
+  for (const auto &[id, entry] : Askers)
+    total += entry.Report.Daemons;
+  return total;
+}
+
+protocol::FleetReport FleetCount::subtree(TimePoint now) {
+  protocol::FleetReport total{daemons(now), Self.Millicores, {}};
   if (Self.Millicores != 0 && !Self.Address.empty())
     total.Strongest.push_back(Self);
   for (const auto &[id, entry] : Askers) {
     const protocol::FleetReport &report = entry.Report;
-    total.Daemons += report.Daemons;
     if (report.WeakestMillicores != 0)
       total.WeakestMillicores =
           total.WeakestMillicores == 0
--- a/src/coordination/directory_relay.h
+++ b/src/coordination/directory_relay.h
@@ -88,6 +88,9 @@
   /// This daemon and all behind it.
   protocol::FleetReport subtree(TimePoint now);
 
+  /// Their number alone, which every answer to another daemon states.
+  std::uint32_t daemons(TimePoint now);
+
   /// Daemons that a report names at most. A fleet with more strong VMs than
   /// that spreads its work over these.
   static constexpr std::size_t MaxStrongest = 32;
@@ -100,6 +103,8 @@
     protocol::FleetReport Report;
     TimePoint At;
   };
+  void forgetGone(TimePoint now);
+
   state::DaemonCapacity Self;
   std::map<std::string, Entry> Askers;
 };
--- a/src/forwarding/delegation_task.cc
+++ b/src/forwarding/delegation_task.cc
@@ -170,16 +170,21 @@
   if (it->second.Executor.empty()) {
     Local.cancel(it->second.Local);
   } else {
-    Choice.onAnswered(it->second.Executor);
-    if (const auto peer = Linked.find(it->second.Executor);
-        peer != Linked.end())
-      Links.send(peer->second,
-                 static_cast<std::uint16_t>(DelegationMessageType::Cancel),
-                 protocol::encodeDelegationCancel({id}));
+    giveUp(id, it->second.Executor);
   }
   Opens.erase(it);
 }
 
+// No answer is wanted from the executor any more.
+void DelegationTask::giveUp(ForwardId id, const std::string &executor) {
+  Choice.onAnswered(executor);
+  const auto peer = Linked.find(executor);
+  if (peer != Linked.end())
+    Links.send(peer->second,
+               static_cast<std::uint16_t>(DelegationMessageType::Cancel),
+               protocol::encodeDelegationCancel({id}));
+}
+
 bool DelegationTask::onMessage(const PeerIdentity &, std::uint16_t type,
                                std::string_view payload) {
   if (type != static_cast<std::uint16_t>(DelegationMessageType::Reply))
@@ -250,11 +255,7 @@
 void DelegationTask::fail(ForwardId id, ForwardFault fault) {
   Lost.add();
   const Open &open = Opens.at(id);
-  Choice.onAnswered(open.Executor);
-  if (const auto peer = Linked.find(open.Executor); peer != Linked.end())
-    Links.send(peer->second,
-               static_cast<std::uint16_t>(DelegationMessageType::Cancel),
-               protocol::encodeDelegationCancel({id}));
+  giveUp(id, open.Executor);
   ForwardResult result;
   result.Ended =
       coordination::ForwardFailure{fault, coordination::RanState::Unknown, {}};
--- a/src/forwarding/relay_task.cc
+++ b/src/forwarding/relay_task.cc
@@ -223,8 +223,8 @@
   reply.HasContent = View.Table != nullptr;
   reply.Revision = View.Revision;
   reply.Age = Loop.now() - ViewAt;
-  reply.Daemons = UpstreamDaemons != 0 ? UpstreamDaemons
-                                       : Fleet.subtree(Loop.now()).Daemons;
+  reply.Daemons =
+      UpstreamDaemons != 0 ? UpstreamDaemons : Fleet.daemons(Loop.now());
   reply.Executors = Executors;
   Network.send(waiter.Peer,
                static_cast<std::uint16_t>(DirectoryMessageType::Reply),
--- a/src/protocol/delegation_messages.cc
+++ b/src/protocol/delegation_messages.cc
@@ -1,7 +1,7 @@
 #include "protocol/delegation_messages.h"
 
-#include "protocol/aligned_bytes.h"
 #include "protocol/delegation_fb.h"
+#include "protocol/flatbuffer_bytes.h"
 
 // Bytes from peers are checked by the FlatBuffers verifier first. Enumerators
 // are checked where they are turned into types of the receiver.
@@ -15,10 +15,6 @@
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
-std::string textOf(const flatbuffers::String *text) {
-  return text == nullptr ? std::string() : text->str();
-}
-
 using TextList = flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
 
 std::vector<std::string> textsOf(const TextList *list) {
@@ -32,14 +28,7 @@
 std::string finish(Builder &b,
                    flatbuffers::Offset<fb::DelegationMessage> message) {
   b.Finish(message);
-  return {reinterpret_cast<const char *>(b.GetBufferPointer()), b.GetSize()};
-}
-
-const fb::DelegationMessage *verify(const AlignedBytes &bytes) {
-  flatbuffers::Verifier verifier(bytes.data(), bytes.size());
-  return fb::VerifyDelegationMessageBuffer(verifier)
-             ? fb::GetDelegationMessage(bytes.data())
-             : nullptr;
+  return bytesOf(b);
 }
 
 tl::unexpected<state::Error> malformed() {
@@ -110,7 +99,7 @@
 
 state::Result<DelegatedRequest> decodeDelegatedRequest(std::string_view bytes) {
   const AlignedBytes aligned(bytes);
-  const fb::DelegationMessage *in = verify(aligned);
+  const auto *in = aligned.verifiedRoot<fb::DelegationMessage>();
   if (in == nullptr)
     return malformed();
   DelegatedRequest request;
@@ -133,7 +122,7 @@
 
 state::Result<DelegatedReply> decodeDelegatedReply(std::string_view bytes) {
   const AlignedBytes aligned(bytes);
-  const fb::DelegationMessage *in = verify(aligned);
+  const auto *in = aligned.verifiedRoot<fb::DelegationMessage>();
   if (in == nullptr ||
       in->outcome() > static_cast<std::uint8_t>(DelegationOutcome::Pending))
     return malformed();
@@ -157,7 +146,7 @@
 
 state::Result<DelegationCancel> decodeDelegationCancel(std::string_view bytes) {
   const AlignedBytes aligned(bytes);
-  const fb::DelegationMessage *in = verify(aligned);
+  const auto *in = aligned.verifiedRoot<fb::DelegationMessage>();
   if (in == nullptr)
     return malformed();
   return DelegationCancel{in->sequence()};
--- a/src/protocol/directory_messages.cc
+++ b/src/protocol/directory_messages.cc
@@ -1,7 +1,7 @@
 #include "protocol/directory_messages.h"
 
-#include "protocol/aligned_bytes.h"
 #include "protocol/directory_fb.h"
+#include "protocol/flatbuffer_bytes.h"
 
 // Bytes from peers are checked by the FlatBuffers verifier first and against
 // the limits afterwards.
@@ -13,21 +13,10 @@
 
 namespace {
 
-std::string textOf(const flatbuffers::String *text) {
-  return text == nullptr ? std::string() : text->str();
-}
-
 std::string finish(flatbuffers::FlatBufferBuilder &b,
                    flatbuffers::Offset<fb::DirectoryMessage> message) {
   b.Finish(message);
-  return {reinterpret_cast<const char *>(b.GetBufferPointer()), b.GetSize()};
-}
-
-const fb::DirectoryMessage *verify(const AlignedBytes &bytes) {
-  flatbuffers::Verifier verifier(bytes.data(), bytes.size());
-  return fb::VerifyDirectoryMessageBuffer(verifier)
-             ? fb::GetDirectoryMessage(bytes.data())
-             : nullptr;
+  return bytesOf(b);
 }
 
 tl::unexpected<state::Error> malformed() {
@@ -127,7 +116,7 @@
 
 state::Result<DirectoryRequest> decodeDirectoryRequest(std::string_view bytes) {
   const AlignedBytes aligned(bytes);
-  const fb::DirectoryMessage *in = verify(aligned);
+  const auto *in = aligned.verifiedRoot<fb::DirectoryMessage>();
   if (in == nullptr)
     return malformed();
   DirectoryRequest request;
@@ -142,7 +131,7 @@
 
 state::Result<DirectoryReply> decodeDirectoryReply(std::string_view bytes) {
   const AlignedBytes aligned(bytes);
-  const fb::DirectoryMessage *in = verify(aligned);
+  const auto *in = aligned.verifiedRoot<fb::DirectoryMessage>();
   if (in == nullptr)
     return malformed();
   DirectoryReply reply;
--- a/src/protocol/records_messages.cc
+++ b/src/protocol/records_messages.cc
@@ -1,5 +1,6 @@
 #include "protocol/records_messages.h"
 
+#include "protocol/flatbuffer_bytes.h"
 #include "protocol/records_fb.h"
 
 // All messages share one table, of which each type sets some fields. Bytes from
@@ -13,10 +14,6 @@
 
 namespace {
 
-std::string textOf(const flatbuffers::String *text) {
-  return text == nullptr ? std::string() : text->str();
-}
-
 bool unpackRecords(const fb::RecordMessage &in, RecordMessage &out) {
   if (in.records() == nullptr)
     return true;
@@ -50,21 +47,17 @@
   const auto id = b.CreateString(message.Id);
   b.Finish(fb::CreateRecordMessage(b, message.Sequence, records, message.Query,
                                    id, message.ReachMs));
-  return {reinterpret_cast<const char *>(b.GetBufferPointer()), b.GetSize()};
+  return bytesOf(b);
 }
 
 state::Result<RecordMessage> decodeRecordMessage(std::uint16_t type,
                                                  std::string_view bytes) {
-  // FlatBuffers reads numbers in place, which needs aligned memory.
-  std::vector<std::uint64_t> aligned(bytes.size() / sizeof(std::uint64_t) + 1);
-  bytes.copy(reinterpret_cast<char *>(aligned.data()), bytes.size());
-  const auto *data = reinterpret_cast<const std::uint8_t *>(aligned.data());
-  flatbuffers::Verifier verifier(data, bytes.size());
-  RecordMessage out;
-  if (!isRecordMessageType(type) ||
-      !verifier.VerifyBuffer<fb::RecordMessage>(nullptr))
+  const AlignedBytes aligned(bytes);
+  const auto *root = aligned.verifiedRoot<fb::RecordMessage>();
+  if (!isRecordMessageType(type) || root == nullptr)
     return makeError(ErrorCode::InvalidArgument, "malformed record message");
-  const auto &in = *flatbuffers::GetRoot<fb::RecordMessage>(data);
+  const fb::RecordMessage &in = *root;
+  RecordMessage out;
   out.Type = static_cast<RecordMessageType>(type);
   out.Sequence = in.sequence();
   out.Query = in.query();
--- a/src/protocol/writes_messages.cc
+++ b/src/protocol/writes_messages.cc
@@ -1,5 +1,6 @@
 #include "protocol/writes_messages.h"
 
+#include "protocol/flatbuffer_bytes.h"
 #include "protocol/writes_fb.h"
 
 // All messages share one table, of which each type sets some fields; absent
@@ -31,10 +32,6 @@
 template <typename T>
 using Vector = flatbuffers::Vector<flatbuffers::Offset<T>>;
 
-std::string textOf(const flatbuffers::String *text) {
-  return text == nullptr ? std::string() : text->str();
-}
-
 Offset<fb::Member> pack(Builder &b, const WriteMember &m) {
   return fb::CreateMember(b, b.CreateString(m.VmId),
                           b.CreateString(m.Instance));
@@ -203,7 +200,7 @@
       b, &key, m.Attempt, hash, static_cast<std::uint8_t>(m.Verdict), holder,
       retired, knowledge, static_cast<std::uint8_t>(m.State), m.Status, result,
       member, m.Part, m.Parts, grants));
-  return {reinterpret_cast<const char *>(b.GetBufferPointer()), b.GetSize()};
+  return bytesOf(b);
 }
 
 state::Result<WriteMessage> decodeWriteMessage(std::uint16_t type,
@@ -211,18 +208,11 @@
   const auto bad = [] {
     return makeError(ErrorCode::InvalidArgument, "malformed write message");
   };
-  // FlatBuffers reads numbers in place, which needs aligned memory.
-  const std::vector<std::uint64_t> aligned = [&] {
-    std::vector<std::uint64_t> words(bytes.size() / 8 + 1);
-    bytes.copy(reinterpret_cast<char *>(words.data()), bytes.size());
-    return words;
-  }();
-  const auto *data = reinterpret_cast<const std::uint8_t *>(aligned.data());
-  flatbuffers::Verifier verifier(data, bytes.size());
-  if (!isWriteMessageType(type) ||
-      !verifier.VerifyBuffer<fb::WriteMessage>(nullptr))
+  const AlignedBytes aligned(bytes);
+  const auto *root = aligned.verifiedRoot<fb::WriteMessage>();
+  if (!isWriteMessageType(type) || root == nullptr)
     return bad();
-  const auto &in = *flatbuffers::GetRoot<fb::WriteMessage>(data);
+  const fb::WriteMessage &in = *root;
   if (in.key() == nullptr || in.member() == nullptr ||
       in.verdict() > static_cast<std::uint8_t>(WriteVerdict::Full) ||
       in.state() > static_cast<std::uint8_t>(WriteState::NotHeld))
