Run timers and messages inside h2o's loop

Timers and messages ran between two runs of h2o's loop, so a write that they made stayed pending over the next registration with epoll. A socket that had been blocked before was registered for output a second time; when the write was completed without a notice of output, as with a send buffer that is nearly full, the peer's next read reported output for a socket without a write. Relays of a large fleet fill the sockets to slow peers, so they were hit.

Ruled out: garbled input from peers (the assertion stands in the path of EPOLLOUT only), and the order in which peer links flush, which is right.

Change: EventLoop runs its tasks from a timeout of h2o, after which h2o completes the writes that they made. The extra turn without a wait, which did so before, is gone.

--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -8,6 +8,12 @@
 // Timers are kept in an ordered map of due time and id instead of h2o's timeout
 // lists, because an h2o list holds one duration and deadlines have many. The
 // loop waits in epoll at most until the first timer is due.
+//
+// Timers and messages run inside a timeout of h2o, after which h2o completes
+// the writes that they made. Between two runs of h2o's loop, a write stays
+// pending over the next registration with epoll: a socket that had been blocked
+// is registered for output once more, and ends the process by an assertion when
+// the peer makes room after the write was completed.
 
 namespace galenaflow::transport {
 
@@ -15,14 +21,29 @@
 constexpr std::int32_t MaxWaitMs = 1000;
 } // namespace
 
-EventLoop::EventLoop() : Handle(h2o_evloop_create()) {
+struct EventLoop::TaskTimeout {
+  h2o_timeout_t Timeout{};
+  h2o_timeout_entry_t Entry{};
+  EventLoop *Loop = nullptr;
+};
+
+EventLoop::EventLoop()
+    : Handle(h2o_evloop_create()), Tasks(std::make_unique<TaskTimeout>()) {
+  h2o_timeout_init(Handle, &Tasks->Timeout, 0);
+  Tasks->Loop = this;
+  Tasks->Entry.cb = [](h2o_timeout_entry_t *entry) {
+    EventLoop *loop = H2O_STRUCT_FROM_MEMBER(TaskTimeout, Entry, entry)->Loop;
+    loop->runDueTimers();
+    loop->runPosted();
+  };
   // A write to a closed connection is reported by its error code.
   std::signal(SIGPIPE, SIG_IGN);
 }
 
 // h2o_evloop_destroy() of h2o 2.2 is not implemented for epoll sockets that are
-// still registered, so the loop lives as long as the process.
-EventLoop::~EventLoop() = default;
+// still registered, so the loop lives as long as the process. It must not keep
+// the timeout, which ends here.
+EventLoop::~EventLoop() { h2o_timeout_dispose(Handle, &Tasks->Timeout); }
 
 state::TimePoint EventLoop::now() const { return System.now(); }
 
@@ -82,17 +103,15 @@
 
 void EventLoop::turn(std::int32_t maxWaitMs) {
   h2o_evloop_run(Handle, maxWaitMs);
-  runDueTimers();
-  runPosted();
+  h2o_timeout_link(Handle, &Tasks->Timeout, &Tasks->Entry);
+  h2o_timeout_run(Handle, &Tasks->Timeout, h2o_now(Handle));
 }
 
 void EventLoop::runDueTimers() {
   const state::TimePoint current = now();
-  RanTask = false;
   while (!Timers.empty() && Timers.begin()->first.first <= current) {
     auto node = Timers.extract(Timers.begin());
     DueTimes.erase(node.key().second);
-    RanTask = true;
     node.mapped()();
   }
 }
@@ -102,16 +121,12 @@
   // not starved by tasks that post to each other.
   std::deque<std::function<void()>> batch;
   batch.swap(Posted);
-  RanTask |= !batch.empty();
   for (auto &task : batch)
     task();
 }
 
 std::int32_t EventLoop::waitMs() const {
-  // h2o calls the completion callback of a write only after its next wait, and
-  // reads the response only from there. A write that a task made must not wait
-  // for an unrelated event.
-  if (!Posted.empty() || RanTask)
+  if (!Posted.empty())
     return 0;
   if (Timers.empty())
     return MaxWaitMs;
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -60,15 +60,17 @@
   st_h2o_evloop_t *handle() const { return Handle; }
 
 private:
+  struct TaskTimeout;
+
   void turn(std::int32_t maxWaitMs);
   void runDueTimers();
   void runPosted();
   std::int32_t waitMs() const;
 
   st_h2o_evloop_t *Handle;
+  std::unique_ptr<TaskTimeout> Tasks; ///< h2o runs timers and messages from it
   state::SystemClock System;
   bool Stopped = false;
-  bool RanTask = false; ///< a timer or message ran in the last turn
   TimerId LastTimer = 0;
   std::deque<std::function<void()>> Posted;
   std::map<std::pair<state::TimePoint, TimerId>, std::function<void()>> Timers;
