--- a/tests/event_loop_test.cc
+++ b/tests/event_loop_test.cc
@@ -19,7 +19,7 @@
 /// A socket of the loop whose other end the test reads.
 class FilledSocket {
 public:
-  explicit FilledSocket(EventLoop &loop) : Loop(loop) {
+  explicit FilledSocket(EventLoop &loop) {
     int ends[2];
     REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, ends) == 0);
     Reader = ends[1];
@@ -53,7 +53,6 @@
   }
 
 private:
-  EventLoop &Loop;
   h2o_socket_t *Socket = nullptr;
   int Reader = -1;
   std::string Bytes;
