Spread executors over the data centres, and back off from replicas that refuse

Three faults of the plan: a refused connection was tried again every second; strong daemons that are not among the 32 named executors connected to every replica; and executors connected to few replicas as soon as there were more of them than half of a replica's connections. Named executors were also cut by address, so that with more than 32 equal ones all were of one data centre.

--- a/src/coordination/connection_plan.cc
+++ b/src/coordination/connection_plan.cc
@@ -59,8 +59,13 @@
   // The executors' part is at most half, so that the others can go on when all
   // executors are lost at once.
   const std::uint32_t reserved = std::min(fleet.Executors, limitPerReplica / 2);
-  if (fleet.IsExecutor && fleet.Executors == reserved) {
-    std::fill(plans.begin(), plans.end(), ConnectionPlan{1, true});
+  const std::vector<std::size_t> order = rankReplicas(replicas, self);
+  if (fleet.IsExecutor) {
+    const std::size_t each =
+        std::max<std::size_t>(1, std::size_t{reserved} * replicas.size() /
+                                     std::max(1U, fleet.Executors));
+    for (std::size_t i = 0; i != std::min(each, replicas.size()); ++i)
+      plans[order[i]] = {1, true};
     return plans;
   }
   const std::uint64_t all = std::uint64_t{limitPerReplica - reserved} *
@@ -68,7 +73,6 @@
                             std::max(1U, daemons - std::min(daemons, reserved));
   const std::size_t kept =
       std::min<std::size_t>(replicas.size(), std::max<std::uint64_t>(1, all));
-  const std::vector<std::size_t> order = rankReplicas(replicas, self);
   for (std::size_t i = 0; i != kept; ++i)
     plans[order[i]] = {1, i == 0 && !fleet.Delegates};
   return plans;
--- a/src/coordination/connection_plan.h
+++ b/src/coordination/connection_plan.h
@@ -49,15 +49,16 @@
 /// daemons. Returns the plan for each replica, in the given order. While there
 /// is at least one connection for each daemon and replica, all get the same
 /// share. Otherwise executors come first, with one connection to each replica,
-/// and each other daemon may connect to some of the replicas: those of its data
-/// centre first, then by a hash of both, so that the daemons spread evenly
-/// without a message between them. Only the first of them is opened ahead of
-/// need, and none by a daemon that has executors to ask: in a large fleet each
-/// daemon asks a shard too seldom to keep more connections from going idle, and
-/// opening them again and again costs more than opening one for a hedge. While
-/// the daemons are being counted, all replicas may be used, but only the first
-/// is connected to ahead of need: after a stop of a large fleet, replicas
-/// would refuse most connections.
+/// or to as many as their part allows. Each other daemon may connect to some of
+/// the replicas: those of its data centre first, then by a hash of both, so
+/// that the daemons spread evenly without a message between them. Only the
+/// first of them is opened ahead of need, and none by a daemon that has
+/// executors to ask: in a large fleet each daemon asks a shard too seldom to
+/// keep more connections from going idle, and opening them again and again
+/// costs more than opening one for a hedge. While the daemons are being
+/// counted, all replicas may be used, but only the first is connected to ahead
+/// of need: after a stop of a large fleet, replicas would refuse most
+/// connections.
 std::vector<ConnectionPlan>
 planConnections(std::span<const PlannedReplica> replicas,
                 std::uint32_t limitPerReplica, const ConnectionFleet &fleet,
--- a/src/coordination/directory_relay.cc
+++ b/src/coordination/directory_relay.cc
@@ -119,10 +119,14 @@
     total.Strongest.insert(total.Strongest.end(), report.Strongest.begin(),
                            report.Strongest.end());
   }
+  // By hash, because the addresses of a data centre begin alike: the first ones
+  // of many equal daemons would all be in one data centre.
   std::sort(total.Strongest.begin(), total.Strongest.end(),
             [](const auto &a, const auto &b) {
-              return std::tie(b.Millicores, a.Address) <
-                     std::tie(a.Millicores, b.Address);
+              const auto hashA = state::hash64(a.Address);
+              const auto hashB = state::hash64(b.Address);
+              return std::tie(b.Millicores, hashA, a.Address) <
+                     std::tie(a.Millicores, hashB, b.Address);
             });
   // A daemon that has just changed its relay is still named by the old one.
   total.Strongest.erase(std::unique(total.Strongest.begin(),
--- a/src/coordination/executor_choice.cc
+++ b/src/coordination/executor_choice.cc
@@ -33,9 +33,16 @@
     std::string Address;
     auto operator<=>(const Rank &) const = default;
   };
+  // Only some of many strong daemons are named. The others would connect to
+  // every replica like executors, beyond what the replicas accept.
+  const bool isUnnamed =
+      !IsExecutor &&
+      std::any_of(executors.begin(), executors.end(), [this](const auto &it) {
+        return it.Millicores <= Self.Millicores;
+      });
   std::vector<Rank> ranks;
   for (const state::DaemonCapacity &it : executors)
-    if (it.Millicores >= ExecutorAdvantage * Self.Millicores)
+    if (isUnnamed || it.Millicores >= ExecutorAdvantage * Self.Millicores)
       ranks.push_back({it.DataCentre != Self.DataCentre,
                        state::hash64(it.Address + Self.Address), it.Address});
   std::sort(ranks.begin(), ranks.end());
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -188,20 +188,27 @@
 
 void ForwardTask::warm(Replica &replica) {
   if (replica.Record.Draining || !replica.IsWarm ||
-      Loop.now() - StartedAt < Options.WarmDelay)
+      Loop.now() - StartedAt < Options.WarmDelay ||
+      !replica.Backoff.mayOpen(Loop.now()))
     return;
   replica.Pool.warm(Options.WarmConnections);
 }
 
+void ForwardTask::noteRefusals(Replica &replica) const {
+  const std::uint64_t n = replica.Pool.refusals();
+  if (std::exchange(replica.Refusals, n) != n) {
+    replica.AvoidUntil = Loop.now() + Options.AvoidTime;
+    replica.Backoff.onRefused(Loop.now());
+  } else if (replica.Pool.connected() != 0) {
+    replica.Backoff.onKept();
+  }
+}
+
 void ForwardTask::warmAll() {
   for (const auto &[service, replicas] : ByService) {
     const bool isRouted = Table && Table->services().contains(service);
-    for (const ReplicaPtr &replica : replicas) {
-      if (const auto n = replica->Pool.refusals(); n != replica->Refusals) {
-        replica->Refusals = n;
-        replica->AvoidUntil = Loop.now() + Options.AvoidTime;
-      }
-    }
+    for (const ReplicaPtr &replica : replicas)
+      noteRefusals(*replica);
     planConnections(service, replicas);
     for (const ReplicaPtr &replica : replicas)
       if (isRouted)
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -5,6 +5,7 @@
 #include "coordination/connection_plan.h"
 #include "coordination/hedge_policy.h"
 #include "coordination/lag_estimate.h"
+#include "coordination/open_backoff.h"
 #include "coordination/window_budget.h"
 #include "forwarding/forwarder.h"
 #include "state/metrics.h"
@@ -124,6 +125,7 @@
     bool IsWarm = false;        ///< a connection is opened ahead of need
     std::uint64_t Refusals = 0; ///< of new connections, at the last check
     state::TimePoint AvoidUntil = state::TimePoint::min();
+    coordination::OpenBackoff Backoff;
   };
   using ReplicaPtr = std::shared_ptr<Replica>;
 
@@ -193,6 +195,7 @@
                        const std::vector<ReplicaPtr> &replicas);
   void warmAll();
   void warm(Replica &replica);
+  void noteRefusals(Replica &replica) const;
   bool borrowConnection(const std::string &service,
                         std::span<const state::ReplicaId> tried);
 
--- a/tests/connection_plan_test.cc
+++ b/tests/connection_plan_test.cc
@@ -112,6 +112,20 @@
   }
 }
 
+// Guards against executors that connect to few replicas as soon as there are
+// more of them than their part of one replica's connections.
+TEST_CASE("many executors share their part evenly") {
+  for (const std::uint32_t executors : {30U, 31U, 40U}) {
+    INFO("executors " << executors);
+    const ConnectionFleet fleet{300, true, executors, true, false};
+    std::uint32_t warm = 0;
+    for (const ConnectionPlan &plan :
+         planConnections(three(), 61, fleet, "vm-1"))
+      warm += plan.IsWarm ? 1 : 0;
+    CHECK(warm == (executors == 30 ? 3 : 2));
+  }
+}
+
 // Guards against a fleet that opens far more connections than the replicas
 // accept while it is being counted after a stop of all daemons.
 TEST_CASE("an uncounted fleet opens one connection to a shard ahead of need") {
--- a/tests/executor_choice_test.cc
+++ b/tests/executor_choice_test.cc
@@ -112,6 +112,40 @@
   CHECK(root.subtree(start + 5s).Daemons == 1);
 }
 
+// Guards against a large fleet in which one data centre has all executors, so
+// that the requests of the others cross to it and back.
+TEST_CASE("the named ones of many equal daemons are of all data centres") {
+  const TimePoint start{1h};
+  FleetCount root({"10.1.0.1:80", "a", 120});
+  for (const char *zone : {"1", "2", "3"})
+    for (int i = 0; i != 50; ++i) {
+      const std::string address =
+          std::string("10.") + zone + ".0." + std::to_string(i) + ":80";
+      root.onRequest(address, {1, 500, {{address, zone, 500}}}, start);
+    }
+  std::map<std::string, int> named;
+  for (const DaemonCapacity &it : root.subtree(start).Strongest)
+    ++named[it.DataCentre];
+  for (const char *zone : {"1", "2", "3"}) {
+    INFO("data centre " << zone);
+    CHECK(named[zone] >= 3);
+  }
+}
+
+// Guards against a large fleet in which the strong daemons that are not named
+// as executors connect to every replica, beyond what the replicas accept.
+TEST_CASE("a daemon as strong as the executors that is none passes requests "
+          "on") {
+  Fixture unnamed({"b3", "b", 500});
+  CHECK_FALSE(unnamed.Choice.isExecutor());
+  CHECK(unnamed.choose());
+  // One of a strength between gains too little from the way there and back.
+  Fixture between({"b4", "b", 300});
+  CHECK_FALSE(between.choose());
+  Fixture named({"b2", "b", 500});
+  CHECK_FALSE(named.choose());
+}
+
 TEST_CASE("a daemon that has changed its relay is named once") {
   const TimePoint start{1h};
   FleetCount root({"r", "a", 250});
