Keep executors known while relays change, and count every daemon once

A daemon whose relay was lost took its own, empty list of executors until a new relay had heard of them: 1,341 times in 34 s, and each time it planned a connection to every shard. And a daemon that had just changed its relay was counted by both: 464 to 585 of 300, so shares of limits were too small.

Change: NamedExecutors keeps executors for two seconds after they were named last; a daemon counts as one that passes requests on for ten seconds after it had a link to an executor.

A longer memory of executors would break the bound of 8 s within which relay_task_test wants a lost one forgotten; the check is unchanged.

The list of an empty memory after a restart stays short for 1 to 3 s, which is open.

--- a/src/coordination/directory_relay.cc
+++ b/src/coordination/directory_relay.cc
@@ -12,6 +12,30 @@
 
 namespace galenaflow::coordination {
 
+namespace {
+
+/// Keeps the strongest, each once: a daemon that has just changed its relay is
+/// still named by the old one. Equal ones are ordered by hash, because the
+/// addresses of a data centre begin alike: the first ones would all be in one
+/// data centre.
+void keepStrongest(std::vector<state::DaemonCapacity> &daemons) {
+  const auto isStronger = [](const auto &a, const auto &b) {
+    const auto hashA = state::hash64(a.Address);
+    const auto hashB = state::hash64(b.Address);
+    return std::tie(b.Millicores, hashA, a.Address) <
+           std::tie(a.Millicores, hashB, b.Address);
+  };
+  std::sort(daemons.begin(), daemons.end(), isStronger);
+  const auto last = std::unique(
+      daemons.begin(), daemons.end(),
+      [](const auto &a, const auto &b) { return a.Address == b.Address; });
+  daemons.erase(last, daemons.end());
+  if (daemons.size() > FleetCount::MaxStrongest)
+    daemons.resize(FleetCount::MaxStrongest);
+}
+
+} // namespace
+
 void DirectoryLog::update(
     const std::map<std::string, state::ReplicaRecord, std::less<>> &records) {
   const auto add = [this](state::DirectoryChange change) {
@@ -97,16 +121,29 @@
   });
 }
 
-std::uint32_t FleetCount::daemons(TimePoint now) {
+state::DistinctCount FleetCount::unite(TimePoint now) {
   forgetGone(now);
-  std::uint32_t total = 1;
-  for (const auto &[id, entry] : Askers)
-    total += entry.Report.Daemons;
-  return total;
+  state::DistinctCount self;
+  self.add(Self.Address);
+  std::vector<std::uint32_t> values(self.values().begin(), self.values().end());
+  for (const auto &[id, entry] : Askers) {
+    const auto reported = entry.Report.Daemons.values();
+    values.insert(values.end(), reported.begin(), reported.end());
+  }
+  auto all = state::DistinctCount::of(std::move(values));
+  Counted = all.count();
+  CountedAt = now;
+  return all;
+}
+
+std::uint32_t FleetCount::daemons(TimePoint now) {
+  if (CountedAt + CountLife <= now)
+    unite(now);
+  return Counted;
 }
 
 protocol::FleetReport FleetCount::subtree(TimePoint now) {
-  protocol::FleetReport total{daemons(now), Self.Millicores, {}};
+  protocol::FleetReport total{unite(now), Self.Millicores, {}};
   if (Self.Millicores != 0 && !Self.Address.empty())
     total.Strongest.push_back(Self);
   for (const auto &[id, entry] : Askers) {
@@ -119,25 +156,29 @@
     total.Strongest.insert(total.Strongest.end(), report.Strongest.begin(),
                            report.Strongest.end());
   }
-  // By hash, because the addresses of a data centre begin alike: the first ones
-  // of many equal daemons would all be in one data centre.
-  std::sort(total.Strongest.begin(), total.Strongest.end(),
-            [](const auto &a, const auto &b) {
-              const auto hashA = state::hash64(a.Address);
-              const auto hashB = state::hash64(b.Address);
-              return std::tie(b.Millicores, hashA, a.Address) <
-                     std::tie(a.Millicores, hashB, b.Address);
-            });
-  // A daemon that has just changed its relay is still named by the old one.
-  total.Strongest.erase(std::unique(total.Strongest.begin(),
-                                    total.Strongest.end(),
-                                    [](const auto &a, const auto &b) {
-                                      return a.Address == b.Address;
-                                    }),
-                        total.Strongest.end());
-  if (total.Strongest.size() > MaxStrongest)
-    total.Strongest.resize(MaxStrongest);
+  keepStrongest(total.Strongest);
   return total;
 }
 
+void NamedExecutors::onNamed(
+    const std::vector<state::DaemonCapacity> &executors, TimePoint now) {
+  for (const state::DaemonCapacity &it : executors)
+    ByAddress[it.Address] = {it, now};
+  std::erase_if(ByAddress, [now](const auto &it) {
+    return it.second.NamedAt + Memory < now;
+  });
+}
+
+std::vector<state::DaemonCapacity>
+NamedExecutors::current(TimePoint now) const {
+  std::vector<state::DaemonCapacity> executors;
+  for (const auto &[address, entry] : ByAddress)
+    if (entry.NamedAt + Memory >= now)
+      executors.push_back(entry.Daemon);
+  keepStrongest(executors);
+  std::sort(executors.begin(), executors.end(),
+            [](const auto &a, const auto &b) { return a.Address < b.Address; });
+  return executors;
+}
+
 } // namespace galenaflow::coordination
--- a/src/coordination/directory_relay.h
+++ b/src/coordination/directory_relay.h
@@ -76,7 +76,8 @@
   std::map<std::string, TimePoint> AvoidUntil;
 };
 
-/// Sums up the daemons that read the directory here, and those behind them.
+/// Sums up the daemons that read the directory here, and those behind them. A
+/// daemon that has just changed its relay is reported by both and counts once.
 class FleetCount {
 public:
   explicit FleetCount(state::DaemonCapacity self) : Self(std::move(self)) {}
@@ -88,7 +89,8 @@
   /// This daemon and all behind it.
   protocol::FleetReport subtree(TimePoint now);
 
-  /// Their number alone, which every answer to another daemon states.
+  /// Their number alone, which every answer to another daemon states. May be
+  /// as old as CountLife.
   std::uint32_t daemons(TimePoint now);
 
   /// Daemons that a report names at most. A fleet with more strong VMs than
@@ -99,14 +101,44 @@
   /// A daemon that has not asked for this long is gone.
   static constexpr Duration Memory = std::chrono::seconds(4);
 
+  /// The number is kept for this long: a relay of 300 daemons gives as many
+  /// answers a second, and uniting all reports for each would take the VM.
+  static constexpr Duration CountLife = std::chrono::milliseconds(100);
+
   struct Entry {
     protocol::FleetReport Report;
     TimePoint At;
   };
   void forgetGone(TimePoint now);
+  state::DistinctCount unite(TimePoint now);
 
   state::DaemonCapacity Self;
   std::map<std::string, Entry> Askers;
+  std::uint32_t Counted = 1;
+  TimePoint CountedAt = TimePoint::min();
+};
+
+/// The executors that were named lately. A daemon that changes its relay, or
+/// whose relay has just started, hears of few or none for a second or two; they
+/// still run requests in the meantime.
+class NamedExecutors {
+public:
+  void onNamed(const std::vector<state::DaemonCapacity> &executors,
+               TimePoint now);
+
+  /// By address, at most FleetCount::MaxStrongest.
+  std::vector<state::DaemonCapacity> current(TimePoint now) const;
+
+private:
+  /// Two reads at a relay. An executor that has gone is kept as much longer,
+  /// without a link to it.
+  static constexpr Duration Memory = std::chrono::seconds(2);
+
+  struct Entry {
+    state::DaemonCapacity Daemon;
+    TimePoint NamedAt;
+  };
+  std::map<std::string, Entry> ByAddress;
 };
 
 } // namespace galenaflow::coordination
--- a/src/forwarding/delegation_task.cc
+++ b/src/forwarding/delegation_task.cc
@@ -84,11 +84,23 @@
 
 void DelegationTask::setExecutors(
     const std::vector<state::DaemonCapacity> &executors) {
+  noteLinked();
   Choice.setExecutors(executors);
   Links.setOtherLinks(Choice.wanted());
 }
 
+void DelegationTask::noteLinked() {
+  if (isLinkedToExecutor())
+    LinkedAt = Loop.now();
+}
+
 bool DelegationTask::delegates() const {
+  return !Choice.isExecutor() &&
+         (isLinkedToExecutor() ||
+          LinkedAt + Options.DelegatesMemory >= Loop.now());
+}
+
+bool DelegationTask::isLinkedToExecutor() const {
   const auto wanted = Choice.wanted();
   return std::any_of(
       wanted.begin(), wanted.end(),
@@ -283,6 +295,7 @@
   const auto linked = Linked.find(peer.Address);
   if (linked == Linked.end() || linked->second != peer)
     return;
+  noteLinked();
   Linked.erase(linked);
   std::vector<ForwardId> lost;
   for (const auto &[id, open] : Opens)
--- a/src/forwarding/delegation_task.h
+++ b/src/forwarding/delegation_task.h
@@ -28,6 +28,11 @@
   /// some were measured.
   state::Duration InitialOverhead = std::chrono::milliseconds(5);
 
+  /// A daemon counts as one that passes requests on for this long after it had
+  /// a link to an executor: several changes of its relay, each of which takes a
+  /// second or two. A daemon that counts as none connects to every shard.
+  state::Duration DelegatesMemory = std::chrono::seconds(10);
+
   std::uint64_t Seed = 1;
 };
 
@@ -47,7 +52,7 @@
 
   bool isExecutor() const { return Choice.isExecutor(); }
 
-  /// Whether a link to an executor is up.
+  /// Whether a link to an executor is up, or was lately.
   bool delegates() const;
 
   ForwardId forward(ForwardCall call, ForwardCallback callback) override;
@@ -70,6 +75,8 @@
     transport::TimerId Timer = 0;
   };
 
+  bool isLinkedToExecutor() const;
+  void noteLinked();
   std::optional<std::string> chooseExecutor(const ForwardCall &call);
   bool sendTo(const std::string &executor, ForwardId id, const Open &open);
   void runHere(ForwardId id);
@@ -87,6 +94,7 @@
   std::unordered_map<std::string, transport::PeerIdentity> Linked;
   std::unordered_map<ForwardId, Open> Opens;
   ForwardId LastId = 0;
+  state::TimePoint LinkedAt = state::TimePoint::min(); ///< the last time noted
   state::Duration Overhead; ///< mean of the time beside the executor's work
   state::Counter &Delegated;
   state::Counter &RunHere;
--- a/src/forwarding/relay_task.cc
+++ b/src/forwarding/relay_task.cc
@@ -225,7 +225,7 @@
   reply.Age = Loop.now() - ViewAt;
   reply.Daemons =
       UpstreamDaemons != 0 ? UpstreamDaemons : Fleet.daemons(Loop.now());
-  reply.Executors = Executors;
+  reply.Executors = NamedHere;
   Network.send(waiter.Peer,
                static_cast<std::uint16_t>(DirectoryMessageType::Reply),
                protocol::encodeDirectoryReply(reply));
@@ -296,7 +296,8 @@
   PeerIndex = reply.Index;
   UpstreamDaemons = reply.Daemons;
   noteDaemons(reply.Daemons);
-  Executors = std::move(reply.Executors);
+  NamedHere = std::move(reply.Executors);
+  Named.onNamed(NamedHere, Loop.now());
   content.Changes = std::move(reply.Changes);
   content.Revision = reply.Revision;
   content.IsFull = reply.IsFull;
@@ -319,8 +320,9 @@
   }
   if (!ReadsAtRelay) {
     const protocol::FleetReport fleet = Fleet.subtree(Loop.now());
-    noteDaemons(fleet.Daemons);
-    Executors = coordination::executorsOf(fleet);
+    noteDaemons(fleet.Daemons.count());
+    NamedHere = coordination::executorsOf(fleet);
+    Named.onNamed(NamedHere, Loop.now());
   }
   answerAll();
 }
--- a/src/forwarding/relay_task.h
+++ b/src/forwarding/relay_task.h
@@ -75,9 +75,9 @@
   /// Daemons of the fleet; zero while not known.
   std::uint32_t daemons() const;
 
-  /// The daemons that run requests for others, as last heard.
-  const std::vector<state::DaemonCapacity> &executors() const {
-    return Executors;
+  /// The daemons that run requests for others, as heard lately.
+  std::vector<state::DaemonCapacity> executors() const {
+    return Named.current(Loop.now());
   }
 
   /// Addresses to which links are kept besides those to the relays.
@@ -146,7 +146,8 @@
   bool HasRead = false;
   bool ReadsAtRelay = false;
   std::uint32_t UpstreamDaemons = 0;
-  std::vector<state::DaemonCapacity> Executors;
+  std::vector<state::DaemonCapacity> NamedHere; ///< executors, as last heard
+  coordination::NamedExecutors Named;
   std::vector<std::string> OtherLinks;
   std::map<transport::LinkClose, std::uint64_t> RefusedPeers; ///< logged
   std::vector<PeerListener *> Listeners;
--- a/src/protocol/directory_generated.h
+++ b/src/protocol/directory_generated.h
@@ -271,7 +271,8 @@
     VT_REPLICAS = 22,
     VT_ROUTES = 24,
     VT_WEAKEST_MILLICORES = 26,
-    VT_STRONGEST = 28
+    VT_STRONGEST = 28,
+    VT_MEMBERS = 30
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -312,6 +313,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>> *strongest() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>> *>(VT_STRONGEST);
   }
+  const flatbuffers::Vector<uint32_t> *members() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_MEMBERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -332,6 +336,8 @@
            VerifyOffset(verifier, VT_STRONGEST) &&
            verifier.VerifyVector(strongest()) &&
            verifier.VerifyVectorOfTables(strongest()) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyVector(members()) &&
            verifier.EndTable();
   }
 };
@@ -379,6 +385,9 @@
   void add_strongest(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>>> strongest) {
     fbb_.AddOffset(DirectoryMessage::VT_STRONGEST, strongest);
   }
+  void add_members(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> members) {
+    fbb_.AddOffset(DirectoryMessage::VT_MEMBERS, members);
+  }
   explicit DirectoryMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -404,7 +413,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryReplica>>> replicas = 0,
     flatbuffers::Offset<flatbuffers::String> routes = 0,
     uint32_t weakest_millicores = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>>> strongest = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>>> strongest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> members = 0) {
   DirectoryMessageBuilder builder_(_fbb);
   builder_.add_age_us(age_us);
   builder_.add_version(version);
@@ -412,6 +422,7 @@
   builder_.add_index(index);
   builder_.add_log(log);
   builder_.add_sequence(sequence);
+  builder_.add_members(members);
   builder_.add_strongest(strongest);
   builder_.add_weakest_millicores(weakest_millicores);
   builder_.add_routes(routes);
@@ -436,10 +447,12 @@
     const std::vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryReplica>> *replicas = nullptr,
     const char *routes = nullptr,
     uint32_t weakest_millicores = 0,
-    const std::vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>> *strongest = nullptr) {
+    const std::vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>> *strongest = nullptr,
+    const std::vector<uint32_t> *members = nullptr) {
   auto replicas__ = replicas ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryReplica>>(*replicas) : 0;
   auto routes__ = routes ? _fbb.CreateString(routes) : 0;
   auto strongest__ = strongest ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>>(*strongest) : 0;
+  auto members__ = members ? _fbb.CreateVector<uint32_t>(*members) : 0;
   return galenaflow::protocol::fb::CreateDirectoryMessage(
       _fbb,
       sequence,
@@ -454,7 +467,8 @@
       replicas__,
       routes__,
       weakest_millicores,
-      strongest__);
+      strongest__,
+      members__);
 }
 
 inline const galenaflow::protocol::fb::DirectoryMessage *GetDirectoryMessage(const void *buf) {
--- a/src/protocol/directory_messages.cc
+++ b/src/protocol/directory_messages.cc
@@ -72,12 +72,14 @@
 std::string encodeDirectoryRequest(const DirectoryRequest &request) {
   flatbuffers::FlatBufferBuilder b;
   const auto strongest = pack(b, request.Fleet.Strongest);
+  const std::span<const std::uint32_t> values = request.Fleet.Daemons.values();
+  const auto members = b.CreateVector(values.data(), values.size());
   fb::DirectoryMessageBuilder message(b);
   message.add_sequence(request.Sequence);
   message.add_log(request.Log);
   message.add_index(request.Index);
   message.add_version(request.RouteVersion);
-  message.add_daemons(request.Fleet.Daemons);
+  message.add_members(members);
   message.add_weakest_millicores(request.Fleet.WeakestMillicores);
   message.add_strongest(strongest);
   return finish(b, message.Finish());
@@ -124,8 +126,14 @@
   request.Log = in->log();
   request.Index = in->index();
   request.RouteVersion = in->version();
-  request.Fleet = {in->daemons(), in->weakest_millicores(),
-                   unpack(in->strongest())};
+  if (in->members() != nullptr) {
+    if (in->members()->size() > state::DistinctCount::MaxValues)
+      return malformed();
+    request.Fleet.Daemons = state::DistinctCount::of(
+        {in->members()->begin(), in->members()->end()});
+  }
+  request.Fleet.WeakestMillicores = in->weakest_millicores();
+  request.Fleet.Strongest = unpack(in->strongest());
   return request;
 }
 
--- a/src/protocol/directory_messages.h
+++ b/src/protocol/directory_messages.h
@@ -2,6 +2,7 @@
 #define GALENAFLOW_PROTOCOL_DIRECTORY_MESSAGES_H
 
 #include "state/daemon_capacity.h"
+#include "state/distinct_count.h"
 #include "state/error.h"
 #include "state/replica_directory.h"
 
@@ -22,7 +23,7 @@
 /// The daemons that read the directory at one daemon, directly or through
 /// others, and that daemon itself.
 struct FleetReport {
-  std::uint32_t Daemons = 1;
+  state::DistinctCount Daemons;                 ///< by their addresses
   std::uint32_t WeakestMillicores = 0;          ///< zero: not known
   std::vector<state::DaemonCapacity> Strongest; ///< by CPU, the strongest first
 
--- a/tests/delegation_task_test.cc
+++ b/tests/delegation_task_test.cc
@@ -257,6 +257,22 @@
   CHECK(it.Weak->Local.Calls.size() == 1);
 }
 
+// Guards against a large fleet whose daemons connect to every shard whenever
+// they hear of no executor for a second.
+TEST_CASE("a daemon that has lost its executor lately still counts as one that "
+          "passes requests on") {
+  Pair it;
+  it.Weak->Delegation.setExecutors({});
+  it.settle(50ms);
+  CHECK(it.Weak->Delegation.delegates());
+  it.Weak->Delegation.setExecutors({{it.StrongAddress, "dc", 500}});
+  it.Strong.reset();
+  it.settle(50ms);
+  CHECK(it.Weak->Delegation.delegates());
+  it.call();
+  CHECK(it.Weak->Local.Calls.size() == 1);
+}
+
 TEST_CASE("the work for a daemon that is lost ends at the executor") {
   Pair it;
   it.Strong->Local.Answers = false;
