Show the users' platform in make demo

Change: after the daemons of the product, the demo starts galenaflow-platform as a process against the stand-ins of the store and the replicas: a query over 20 shards, one that lacks a shard with galenaflowctl explain, and a change of a route. An unexpected answer ends it with exit code 1.

--- a/tests/demo/demo_main.cc
+++ b/tests/demo/demo_main.cc
@@ -1,3 +1,4 @@
+#include "platform/demo.h"
 #include "support/checks.h"
 #include "support/deployment.h"
 
@@ -7,8 +8,9 @@
 #include <thread>
 
 // Starts the stand-ins and three daemons, runs requests as a caller would,
-// edits a plan, shows what the operator sees, and stops everything. Any
-// unexpected answer ends the program with exit code 1.
+// edits a plan, shows what the operator sees, and stops everything. Then shows
+// the daemon of the users' platform. Any unexpected answer ends the program
+// with exit code 1.
 
 using namespace galenaflow;
 using namespace galenaflow::support;
@@ -158,5 +160,5 @@
   runCtl(deployment.daemons()[0], {"status"});
   runCtl(deployment.daemons()[0], {"plans"});
   runCtl(deployment.daemons()[0], {"peers"});
-  return stopAll(deployment) ? 0 : 1;
+  return stopAll(deployment) && standin::showPlatform() ? 0 : 1;
 }
