Limit everything that a server may send as a response

Cause: HttpResponseParser called itself once for each interim response, with a table of 100 headers on the stack, so 2,600 of them in one read ended the process. Chunk extensions and trailers, and responses to earlier requests, were not limited at all, and the limits on a response applied to each connection, so that a request over 180 shards could hold 720 MB on a VM of 160 MB. Any backend server could end any daemon.

Change: heads are parsed in a loop; interim responses (16, within the limit on the head), framing of chunks (1 MiB) and skipped responses (4) are limited, and ReceiveLimits limits the bytes of all open responses of a process (32 MiB, on the users' platform an eighth of the VM's memory), with a quarter reserved for small responses. A response at a limit fails its attempt, closes the connection, is logged (response_limit_exceeded) and counted by limit. The limits apply to sums that only grow, so the split into reads does not matter; the fuzz target now reaches them with inputs of its length.

Callers: a test shows that requests without end are ended by h2o's limits or the request timeout.

Ruled out: a limit on the receive buffers of sockets, which costs a call for each connection; a turn of the loop is bounded by the kernel's buffer, and the test shows another exchange served meanwhile.

--- a/src/daemon/operator_service.cc
+++ b/src/daemon/operator_service.cc
@@ -86,6 +86,7 @@
 HttpResponse OperatorService::metrics() const {
   HttpResponse response;
   response.Headers.add("content-type", "text/plain; version=0.0.4");
+  Loop.receiveLimits().exportTo(Sources.Metrics);
   response.Body = Sources.Metrics.exposition();
   return response;
 }
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -2,6 +2,7 @@
 #define GALENAFLOW_TRANSPORT_EVENT_LOOP_H
 
 #include "state/clock.h"
+#include "transport/receive_limits.h"
 
 #include <cstdint>
 #include <deque>
@@ -59,6 +60,9 @@
   /// The h2o loop, for the sources of this layer only.
   st_h2o_evloop_t *handle() const { return Handle; }
 
+  /// Limits shared by all connections of the process, which run on this loop.
+  ReceiveLimits &receiveLimits() { return Limits; }
+
 private:
   struct TaskTimeout;
 
@@ -70,6 +74,7 @@
   st_h2o_evloop_t *Handle;
   std::unique_ptr<TaskTimeout> Tasks; ///< runs timers and posted tasks in h2o
   state::SystemClock System;
+  ReceiveLimits Limits;
   bool Stopped = false;
   TimerId LastTimer = 0;
   std::deque<std::function<void()>> Posted;
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -1,5 +1,6 @@
 #include "transport/http_client.h"
 
+#include "state/log.h"
 #include "transport/h2o_api.h"
 #include "transport/http_response_parser.h"
 
@@ -15,6 +16,11 @@
 // complete responses to its own requests is closed, so that no leftover bytes
 // can be mistaken for the response to a later request.
 //
+// A peer may send bytes without end. Everything that is held of a response is
+// limited, for the response and for the process, and the connection is closed
+// when a limit is exceeded. One turn of the event loop reads at most what the
+// socket's receive buffer holds.
+//
 // Results are delivered by a posted task, so that callbacks may destroy the
 // connection or send again.
 
@@ -94,6 +100,8 @@
   std::string EchoValue;
   HttpResponseParserOptions ParserOptions;
   std::unique_ptr<HttpResponseParser> Parser;
+  std::size_t SkippedResponses = 0;
+  std::size_t HeldBytes = 0; ///< counted in EventLoop::receiveLimits()
   HttpCallback Callback;
   SendPredicate MaySend;
   std::function<void()> IdleChangeCallback;
@@ -110,7 +118,10 @@
   Impl(EventLoop &loop, const SocketAddress &address)
       : Loop(loop), Address(address), Authority(address.toText()),
         LastUsed(loop.now()) {}
-  ~Impl() { closeSocket(); }
+  ~Impl() {
+    closeSocket();
+    releaseHeldBytes();
+  }
 
   void connect();
   void closeSocket();
@@ -119,6 +130,9 @@
   void fail(ErrorCode code, const std::string &text);
   void consumeInput();
   void onParsed(HttpResponseParser::State state);
+  bool holdParsedBytes();
+  void releaseHeldBytes();
+  void failAtLimit(ResponseLimit limit, const std::string &reason);
   bool hasMismatchedEcho(const HttpResponse &response) const;
   void completeExchange();
   void armIdleTimer();
@@ -240,15 +254,15 @@
   h2o_buffer_t *&input = Sock->input;
   if (input->size == 0)
     return;
-  const std::string bytes(input->bytes, input->size);
-  h2o_buffer_consume(&input, input->size);
   if (!Busy || ResultPosted) {
     // No exchange is waiting for a response, so the bytes belong to none.
     closeSocket();
     notifyIdleChange();
     return;
   }
-  onParsed(Parser->feed(bytes));
+  const auto state = Parser->feed({input->bytes, input->size});
+  h2o_buffer_consume(&input, input->size);
+  onParsed(state);
 }
 
 bool HttpConnection::Impl::hasMismatchedEcho(
@@ -264,19 +278,57 @@
          hasMismatchedEcho(Parser->response())) {
     // This is a duplicate or late response to an earlier request. The response
     // to this request follows.
-    const std::string rest = Parser->excess();
-    Parser = std::make_unique<HttpResponseParser>(ParserOptions);
-    state = Parser->feed(rest);
+    if (++SkippedResponses > MaxSkippedResponses) {
+      failAtLimit(ResponseLimit::SkippedResponses,
+                  "got " + std::to_string(SkippedResponses) +
+                      " responses to other requests, expected at most " +
+                      std::to_string(MaxSkippedResponses));
+      return;
+    }
+    const auto skipped = std::exchange(
+        Parser, std::make_unique<HttpResponseParser>(ParserOptions));
+    state = Parser->feed(skipped->excess());
   }
-  if (state == HttpResponseParser::State::Incomplete)
-    return;
   if (state == HttpResponseParser::State::Invalid) {
-    const std::string text = Parser->error();
-    closeSocket();
-    fail(ErrorCode::Unavailable, text);
+    failAtLimit(Parser->exceededLimit(), Parser->error());
     return;
   }
-  completeExchange();
+  if (!holdParsedBytes()) {
+    failAtLimit(ResponseLimit::ProcessBytes,
+                "got " + std::to_string(Parser->heldBytes()) +
+                    " bytes of a response beside " +
+                    std::to_string(Loop.receiveLimits().heldBytes()) +
+                    " of all open ones, expected at most " +
+                    std::to_string(Loop.receiveLimits().processBytes()));
+    return;
+  }
+  if (state == HttpResponseParser::State::Complete)
+    completeExchange();
+}
+
+bool HttpConnection::Impl::holdParsedBytes() {
+  const std::size_t n = Parser->heldBytes();
+  if (!Loop.receiveLimits().tryGrow(HeldBytes, n))
+    return false;
+  HeldBytes = n;
+  return true;
+}
+
+void HttpConnection::Impl::releaseHeldBytes() {
+  Loop.receiveLimits().release(std::exchange(HeldBytes, 0));
+}
+
+void HttpConnection::Impl::failAtLimit(ResponseLimit limit,
+                                       const std::string &reason) {
+  if (limit != ResponseLimit::None) {
+    Loop.receiveLimits().countExceeded(limit);
+    state::log::warning("response_limit_exceeded",
+                        {{"peer", Authority},
+                         {"limit", responseLimitName(limit)},
+                         {"reason", reason}});
+  }
+  closeSocket();
+  fail(ErrorCode::Unavailable, reason);
 }
 
 void HttpConnection::Impl::completeExchange() {
@@ -294,6 +346,7 @@
 
 void HttpConnection::Impl::finish(HttpResult result) {
   ResultPosted = true;
+  Parser.reset();
   Loop.cancel(DeadlineTimer);
   DeadlineTimer = 0;
   const std::uint64_t exchange = ExchangeNumber;
@@ -304,6 +357,7 @@
     self->Busy = false;
     self->ResultPosted = false;
     self->MaySend = nullptr;
+    self->releaseHeldBytes();
     self->LastUsed = self->Loop.now();
     self->armIdleTimer();
     const HttpCallback callback = std::move(self->Callback);
@@ -367,6 +421,7 @@
   self.ParserOptions.AcceptUnframed = request.Rules.AcceptUnframed;
   self.ParserOptions.MaxBodyBytes = MaxResponseBytes;
   self.Parser = std::make_unique<HttpResponseParser>(self.ParserOptions);
+  self.SkippedResponses = 0;
   self.Callback = std::move(callback);
   self.MaySend = std::move(maySend);
   self.DeadlineTimer = self.Loop.schedule(timeout, [impl = Self.get()] {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -40,7 +40,9 @@
   /// Sends a request and calls `callback` exactly once, never before send()
   /// returns. Must not be called while busy. After `timeout` the exchange
   /// fails with DeadlineExceeded and the connection is closed. A response that
-  /// ends before its announced length fails with Unavailable.
+  /// ends before its announced length fails with Unavailable. So does one that
+  /// exceeds a ResponseLimit, which is logged and counted, and closes the
+  /// connection.
   void send(const HttpRequest &request, state::Duration timeout,
             HttpCallback callback, SendPredicate maySend = nullptr);
 
@@ -80,6 +82,10 @@
   /// Largest accepted response body in bytes.
   static constexpr std::size_t MaxResponseBytes = std::size_t{4} << 20;
 
+  /// Most responses to earlier requests that are skipped before the response
+  /// to a request.
+  static constexpr std::size_t MaxSkippedResponses = 4;
+
   struct Impl;
 
 private:
--- a/src/transport/http_response_parser.cc
+++ b/src/transport/http_response_parser.cc
@@ -16,6 +16,11 @@
 // then chunked; then content-length; otherwise the body is delimited by the end
 // of the connection. Contradictory lengths are an error, since either could be
 // wrong.
+//
+// A peer may send bytes without end. Everything that does not add to the body
+// is therefore limited as well: heads, interim responses, and the framing of
+// chunks. The limits apply to sums that only grow, so the result does not
+// depend on how the bytes are split into reads.
 
 namespace galenaflow::transport {
 
@@ -39,6 +44,15 @@
   return CurrentState = State::Invalid;
 }
 
+HttpResponseParser::State HttpResponseParser::failAtLimit(ResponseLimit limit,
+                                                          std::size_t got,
+                                                          std::size_t max) {
+  ExceededLimit = limit;
+  return fail("response exceeds " + std::string(responseLimitName(limit)) +
+              ": got " + std::to_string(got) + ", expected at most " +
+              std::to_string(max));
+}
+
 HttpResponseParser::State
 HttpResponseParser::complete(std::string_view excess) {
   Excess = excess;
@@ -55,7 +69,7 @@
   Started = true;
   if (!HeadParsed) {
     Buffer += bytes;
-    return parseHead();
+    return parseHeads();
   }
   switch (BodyFraming) {
   case Framing::ContentLength:
@@ -67,7 +81,8 @@
   case Framing::UntilClose:
     Response.Body += bytes;
     if (Response.Body.size() > Options.MaxBodyBytes)
-      return fail("response is too large");
+      return failAtLimit(ResponseLimit::BodyBytes, Response.Body.size(),
+                         Options.MaxBodyBytes);
     return CurrentState;
   case Framing::None:
     break;
@@ -85,7 +100,18 @@
                       : "the connection was closed before a response");
 }
 
-HttpResponseParser::State HttpResponseParser::parseHead() {
+// Interim responses are discarded; the final one follows.
+HttpResponseParser::State HttpResponseParser::parseHeads() {
+  HeadResult result = parseHead();
+  while (result == HeadResult::Interim && !Buffer.empty())
+    result = parseHead();
+  if (result != HeadResult::Final)
+    return CurrentState;
+  HeadParsed = true;
+  return chooseFraming();
+}
+
+HttpResponseParser::HeadResult HttpResponseParser::parseHead() {
   std::array<phr_header, MaxHeaders> headers{};
   std::size_t count = headers.size();
   int status = 0;
@@ -94,32 +120,46 @@
   const int n = phr_parse_response(Buffer.data(), Buffer.size(), &MinorVersion,
                                    &status, &message, &messageSize,
                                    headers.data(), &count, LastHeadSize);
-  if (n == -1)
-    return fail("the bytes are not an HTTP response");
-  if (n == -2) {
+  if (n == -1) {
+    fail("the bytes are not an HTTP response");
+    return HeadResult::Invalid;
+  }
+  const bool isComplete = n >= 0;
+  const std::size_t size =
+      HeadBytes + (isComplete ? static_cast<std::size_t>(n) : Buffer.size());
+  if (size > Options.MaxHeadBytes) {
+    failAtLimit(ResponseLimit::HeadBytes, size, Options.MaxHeadBytes);
+    return HeadResult::Invalid;
+  }
+  if (!isComplete) {
     LastHeadSize = Buffer.size();
-    if (Buffer.size() > Options.MaxHeadBytes)
-      return fail("response head is too large");
-    return CurrentState;
+    return HeadResult::Incomplete;
+  }
+  HeadBytes = size;
+  LastHeadSize = 0;
+  if (status < 100 || status > 599) {
+    fail("invalid status: got " + std::to_string(status) +
+         ", expected 100 to 599");
+    return HeadResult::Invalid;
+  }
+  const bool isInterim = status < 200 && status != 101;
+  if (isInterim && ++InterimResponses > Options.MaxInterimResponses) {
+    failAtLimit(ResponseLimit::InterimResponses, InterimResponses,
+                Options.MaxInterimResponses);
+    return HeadResult::Invalid;
   }
-  if (status < 100 || status > 599)
-    return fail("invalid status");
-  Response.Status = status;
   for (std::size_t i = 0; i != count; ++i) {
-    if (headers[i].name == nullptr)
-      return fail("folded header line");
-    Response.Headers.add({headers[i].name, headers[i].name_len},
-                         {headers[i].value, headers[i].value_len});
+    if (headers[i].name == nullptr) {
+      fail("folded header line");
+      return HeadResult::Invalid;
+    }
+    if (!isInterim)
+      Response.Headers.add({headers[i].name, headers[i].name_len},
+                           {headers[i].value, headers[i].value_len});
   }
+  Response.Status = status;
   Buffer.erase(0, static_cast<std::size_t>(n));
-  if (status >= 100 && status < 200 && status != 101) {
-    // Discard an interim response; the final one follows.
-    Response = HttpResponse{};
-    LastHeadSize = 0;
-    return Buffer.empty() ? CurrentState : parseHead();
-  }
-  HeadParsed = true;
-  return chooseFraming();
+  return isInterim ? HeadResult::Interim : HeadResult::Final;
 }
 
 HttpResponseParser::State HttpResponseParser::chooseFraming() {
@@ -156,7 +196,8 @@
   }
   if (length) {
     if (*length > Options.MaxBodyBytes)
-      return fail("response is too large");
+      return failAtLimit(ResponseLimit::BodyBytes, *length,
+                         Options.MaxBodyBytes);
     BodyFraming = Framing::ContentLength;
     ContentLength = *length;
     return readSizedBody();
@@ -197,7 +238,12 @@
                      : std::string();
   Response.Body.resize(decoded + n);
   if (Response.Body.size() > Options.MaxBodyBytes)
-    return fail("response is too large");
+    return failAtLimit(ResponseLimit::BodyBytes, Response.Body.size(),
+                       Options.MaxBodyBytes);
+  FramingBytes += newBytes - n - excess.size();
+  if (FramingBytes > Options.MaxFramingBytes)
+    return failAtLimit(ResponseLimit::FramingBytes, FramingBytes,
+                       Options.MaxFramingBytes);
   return unconsumed >= 0 ? complete(excess) : CurrentState;
 }
 
--- a/src/transport/http_response_parser.h
+++ b/src/transport/http_response_parser.h
@@ -3,6 +3,7 @@
 
 #include "state/error.h"
 #include "transport/http_message.h"
+#include "transport/receive_limits.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -24,8 +25,16 @@
   /// Largest accepted body in bytes.
   std::size_t MaxBodyBytes = std::size_t{4} << 20;
 
-  /// Largest accepted head in bytes.
+  /// Largest accepted head in bytes, including the interim (1xx) responses
+  /// before it.
   std::size_t MaxHeadBytes = std::size_t{64} << 10;
+
+  /// Most interim responses that are skipped before the final one.
+  std::size_t MaxInterimResponses = 16;
+
+  /// Largest framing of a chunked body in bytes: the sizes and extensions of
+  /// its chunks and the trailer section.
+  std::size_t MaxFramingBytes = std::size_t{1} << 20;
 };
 
 /// Parses one HTTP/1.x response from the bytes of a connection. Any input from
@@ -50,22 +59,29 @@
 
   HttpResponse &response() { return Response; }
   const std::string &error() const { return Error; }
+  ResponseLimit exceededLimit() const { return ExceededLimit; }
   const std::string &excess() const { return Excess; }
 
+  /// Bytes that the parser holds of the response and of what follows it.
+  std::size_t heldBytes() const {
+    return HeadBytes + Buffer.size() + Response.Body.size() + Excess.size();
+  }
+
   /// Whether the connection can carry another request after this response.
   bool isPersistent() const { return Persistent; }
 
-  /// Whether any byte has arrived.
-  bool hasStarted() const { return Started; }
-
 private:
   enum class Framing { None, ContentLength, Chunked, UntilClose };
 
-  State parseHead();
+  enum class HeadResult { Incomplete, Interim, Final, Invalid };
+
+  State parseHeads();
+  HeadResult parseHead();
   State chooseFraming();
   State readSizedBody();
   State decodeChunks(std::size_t newBytes);
   State fail(std::string text);
+  State failAtLimit(ResponseLimit limit, std::size_t got, std::size_t max);
   State complete(std::string_view excess);
 
   HttpResponseParserOptions Options;
@@ -77,9 +93,13 @@
   Framing BodyFraming = Framing::None;
   std::size_t ContentLength = 0;
   std::size_t LastHeadSize = 0;
+  std::size_t HeadBytes = 0; ///< of the heads that have been parsed
+  std::size_t InterimResponses = 0;
+  std::size_t FramingBytes = 0;
   std::string Buffer; ///< bytes of the head, or of a body with a length
   HttpResponse Response;
   std::string Error;
+  ResponseLimit ExceededLimit = ResponseLimit::None;
   std::string Excess;
 
   /// State of the chunked decoder, with the members of phr_chunked_decoder.
--- a/tests/fuzz/http_response_fuzz.cc
+++ b/tests/fuzz/http_response_fuzz.cc
@@ -43,6 +43,13 @@
   transport::HttpResponseParserOptions options;
   options.IsHead = (flags & 1U) != 0;
   options.AcceptUnframed = (flags & 2U) != 0;
+  if ((flags & 4U) != 0) {
+    // Limits that inputs of the fuzzer's length reach.
+    options.MaxHeadBytes = 200;
+    options.MaxInterimResponses = 3;
+    options.MaxBodyBytes = 100;
+    options.MaxFramingBytes = 60;
+  }
   HttpResponseParser whole = parse(input, options, input.size() + 1);
   HttpResponseParser pieces = parse(input, options, chunk);
   const State state = finalState(whole);
@@ -50,6 +57,9 @@
                 "a closed connection ends the response");
   fuzz::require(finalState(pieces) == state,
                 "the split into reads does not change the result");
+  fuzz::require(whole.heldBytes() <= input.size() &&
+                    pieces.heldBytes() <= input.size(),
+                "a parser holds no more than the input");
   if (state == State::Invalid) {
     fuzz::require(!whole.error().empty(), "an error has a text");
     return 0;
--- a/tests/http_response_parser_test.cc
+++ b/tests/http_response_parser_test.cc
@@ -118,6 +118,112 @@
         State::Invalid);
 }
 
+namespace {
+
+std::string repeat(std::string_view text, std::size_t n) {
+  std::string all;
+  all.reserve(text.size() * n);
+  for (std::size_t i = 0; i != n; ++i)
+    all += text;
+  return all;
+}
+
+/// Feeds copies of `text` until the parser ends or has got `limit` bytes, as
+/// from a peer that sends until its connection is closed. Returns the bytes
+/// that were fed.
+std::size_t feedForever(HttpResponseParser &parser, std::string_view text,
+                        std::size_t limit) {
+  std::size_t n = 0;
+  while (n < limit && parser.feed(text) == State::Incomplete)
+    n += text.size();
+  return n;
+}
+
+constexpr std::size_t EndlessBytes = std::size_t{64} << 20;
+
+} // namespace
+
+// Guards against a backend server that ends the process by many interim
+// responses in one read, each of which used a frame of the stack.
+TEST_CASE("interim responses are limited in number, also in one read") {
+  constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  for (const std::size_t n : {std::size_t{17}, std::size_t{200'000}}) {
+    HttpResponseParser parser({});
+    REQUIRE(parser.feed(repeat(interim, n) + std::string(Plain)) ==
+            State::Invalid);
+    CHECK(parser.exceededLimit() == ResponseLimit::InterimResponses);
+  }
+  HttpResponseParser parser({});
+  REQUIRE(parser.feed(repeat(interim, 16) + std::string(Plain)) ==
+          State::Complete);
+  CHECK(parser.response().Body == "hello");
+}
+
+TEST_CASE("the heads of interim responses count towards the head limit") {
+  const std::string interim =
+      "HTTP/1.1 103 Early Hints\r\nLink: " + std::string(6000, 'a') +
+      "\r\n\r\n";
+  for (const std::size_t step : {std::size_t{1000}, std::size_t{1'000'000}}) {
+    HttpResponseParser parser({});
+    REQUIRE(feedInSteps(parser, repeat(interim, 12), step) == State::Invalid);
+    CHECK(parser.exceededLimit() == ResponseLimit::HeadBytes);
+  }
+}
+
+// Guards against bytes that never end a response and so occupy the process
+// until the deadline.
+TEST_CASE("a response without end is ended by a limit") {
+  struct Case {
+    std::string Start;
+    std::string Repeated;
+    ResponseLimit Limit;
+    std::size_t MaxBytes;
+  };
+  const HttpResponseParserOptions limits;
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<Case> cases = {
+      {"HTTP/1.1 200 OK\r\nX: ", "aaaaaaaa", ResponseLimit::HeadBytes,
+       limits.MaxHeadBytes},
+      {"HTTP/1.1 ", "2000", ResponseLimit::HeadBytes, limits.MaxHeadBytes},
+      {"HTTP/1.1 200 OK\r\n", "X: a\r\n", ResponseLimit::HeadBytes,
+       limits.MaxHeadBytes},
+      {chunked + "1;", "extension", ResponseLimit::FramingBytes,
+       limits.MaxFramingBytes},
+      {chunked, "1;extension=value\r\nx\r\n", ResponseLimit::FramingBytes,
+       2 * limits.MaxFramingBytes},
+      {chunked + "0\r\n", "Trailer: value\r\n", ResponseLimit::FramingBytes,
+       limits.MaxFramingBytes},
+      {chunked + "0\r\nTrailer: ", "value", ResponseLimit::FramingBytes,
+       limits.MaxFramingBytes},
+      {chunked, "400\r\n" + std::string(1024, 'a') + "\r\n",
+       ResponseLimit::BodyBytes, 2 * limits.MaxBodyBytes},
+      {"HTTP/1.1 200 OK\r\n\r\n", "body", ResponseLimit::BodyBytes,
+       limits.MaxBodyBytes}};
+  for (const Case &it : cases)
+    for (const std::size_t copies : {std::size_t{1}, std::size_t{4096}}) {
+      INFO(it.Start << it.Repeated.substr(0, 20) << " times " << copies);
+      HttpResponseParserOptions options;
+      options.AcceptUnframed = true;
+      HttpResponseParser parser(options);
+      parser.feed(it.Start);
+      const std::string text = repeat(it.Repeated, copies);
+      const std::size_t n = feedForever(parser, text, EndlessBytes);
+      CHECK(n <= it.MaxBytes + text.size());
+      CHECK_FALSE(parser.error().empty());
+      CHECK(parser.exceededLimit() == it.Limit);
+    }
+}
+
+TEST_CASE("the limit on framing admits a body in small chunks") {
+  const std::size_t n = 50'000;
+  HttpResponseParser parser({});
+  parser.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  parser.feed(repeat("1\r\nx\r\n", n));
+  REQUIRE(parser.feed("0\r\n\r\n") == State::Complete);
+  CHECK(parser.response().Body.size() == n);
+}
+
 TEST_CASE("connections that the peer will close are not persistent") {
   HttpResponseParser closing({});
   closing.feed("HTTP/1.1 200 OK\r\nConnection: x, Close\r\n"
--- a/tests/http_transport_test.cc
+++ b/tests/http_transport_test.cc
@@ -201,6 +201,8 @@
   std::vector<std::string> Responses;
   bool CloseAfterwards = false;
   bool ResetAfterwards = false;
+  /// Sent after the response without end, until the connection is closed.
+  std::string Endless;
   int Accepted = 0;
   std::size_t Next = 0;
   int Listener = -1;
@@ -225,6 +227,8 @@
     }
     for (int &sock : Sockets) {
       char buf[4096];
+      if (sock >= 0 && Next != 0)
+        sendEndless(sock);
       if (sock < 0 || recv(sock, buf, sizeof(buf), 0) <= 0)
         continue;
       const std::string &response =
@@ -244,6 +248,22 @@
     Loop.schedule(1ms, [this] { serve(); });
   }
 
+  /// Sends as much as the socket takes, so that the receiver always has more to
+  /// read.
+  void sendEndless(int &sock) {
+    while (!Endless.empty()) {
+      const ssize_t n =
+          ::send(sock, Endless.data(), Endless.size(), MSG_NOSIGNAL);
+      if (n < 0 && errno == EAGAIN)
+        return;
+      if (n < 0) {
+        close(std::exchange(sock, -1));
+        return;
+      }
+      // A part that was cut off does not matter to the tests.
+    }
+  }
+
   HttpResult get(HttpConnection &connection, const std::string &id = "1") {
     Exchange exchange{Loop, {}};
     HttpRequest request{"GET", "/", {}, ""};
@@ -312,6 +332,122 @@
   CHECK(second->Body == "two");
 }
 
+// Guards against a backend server that occupies a connection and the processor
+// with responses to other requests until the deadline.
+TEST_CASE("responses to other requests are skipped up to a limit") {
+  RawServer server;
+  const auto late = [](std::size_t n) {
+    std::string text;
+    for (std::size_t i = 0; i != n; ++i)
+      text += makeResponse("0", "late");
+    return text;
+  };
+  HttpConnection connection(server.Loop, server.Address);
+  SECTION("at the limit") {
+    server.Responses = {late(HttpConnection::MaxSkippedResponses) +
+                        makeResponse("1", "one")};
+    const HttpResult result = server.get(connection);
+    REQUIRE(result.has_value());
+    CHECK(result->Body == "one");
+  }
+  SECTION("above the limit") {
+    server.Responses = {late(HttpConnection::MaxSkippedResponses + 1) +
+                        makeResponse("1", "one")};
+    const HttpResult result = server.get(connection);
+    REQUIRE_FALSE(result.has_value());
+    CHECK(result.error().MaybeSent);
+    CHECK_FALSE(connection.isConnected());
+    CHECK(server.Loop.receiveLimits().exceeded(
+              ResponseLimit::SkippedResponses) == 1);
+  }
+}
+
+// Guards against bytes without end, which the deadline alone would bound.
+TEST_CASE("a server that sends without end fails its exchange long before the "
+          "deadline, and no other") {
+  struct Case {
+    std::string Start;
+    std::string Endless;
+    ResponseLimit Limit;
+  };
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const Case it = GENERATE_COPY(
+      Case{"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n",
+           ResponseLimit::InterimResponses},
+      Case{"HTTP/1.1 200 OK\r\nX: ", std::string(1024, 'a'),
+           ResponseLimit::HeadBytes},
+      Case{"HTTP/1.1 200 OK\r\n\r\n", std::string(1024, 'a'),
+           ResponseLimit::BodyBytes},
+      Case{chunked + "fffffff\r\n", std::string(1024, 'a'),
+           ResponseLimit::BodyBytes},
+      Case{chunked + "1;", std::string(1024, 'a'), ResponseLimit::FramingBytes},
+      Case{chunked + "0\r\nTrailer: ", std::string(1024, 'a'),
+           ResponseLimit::FramingBytes});
+  INFO(responseLimitName(it.Limit) << ": " << it.Start);
+  RawServer endless;
+  endless.Responses = {it.Start};
+  endless.Endless = it.Endless;
+  HttpServer other(endless.Loop, {},
+                   [](const HttpRequest &, const auto &responder) {
+                     responder->send(jsonResponse(200, "{}"));
+                   });
+  const auto address = other.listen(anyPort());
+  HttpConnection bad(endless.Loop, endless.Address);
+  HttpConnection good(endless.Loop, *address);
+  Exchange failing{endless.Loop, {}};
+  Exchange served{endless.Loop, {}};
+  HttpRequest request{"GET", "/", {}, ""};
+  request.Rules.AcceptUnframed = true;
+  bad.send(request, TestLimit, failing.callback());
+  good.send(request, TestLimit, served.callback());
+  REQUIRE(failing.waitForResult());
+  REQUIRE(served.waitForResult());
+  CHECK(served.Result->has_value());
+  REQUIRE_FALSE(failing.Result->has_value());
+  CHECK(failing.Result->error().Cause.Code == state::ErrorCode::Unavailable);
+  CHECK(endless.Loop.receiveLimits().exceeded(it.Limit) == 1);
+  CHECK(endless.Loop.receiveLimits().heldBytes() == 0);
+  CHECK_FALSE(bad.isConnected());
+}
+
+// Guards against a process that is killed for its memory: each response is
+// within its own limit, but there are as many as a request has shards.
+TEST_CASE("the responses of all servers together are limited, and small ones "
+          "have a reserve") {
+  RawServer server;
+  server.Loop.receiveLimits().setProcessBytes(std::size_t{4} << 20);
+  server.Responses = {"HTTP/1.1 200 OK\r\nContent-Length: 4000000\r\n\r\n" +
+                      std::string(100'000, 'a')};
+  std::vector<std::unique_ptr<HttpConnection>> connections;
+  std::vector<std::unique_ptr<Exchange>> exchanges;
+  for (int i = 0; i != 60; ++i) {
+    connections.push_back(
+        std::make_unique<HttpConnection>(server.Loop, server.Address));
+    exchanges.push_back(std::make_unique<Exchange>(Exchange{server.Loop, {}}));
+    connections.back()->send({"GET", "/", {}, ""}, TestLimit,
+                             exchanges.back()->callback());
+  }
+  // At most 31 of the 60 responses fit beside the reserve.
+  const auto &limits = server.Loop.receiveLimits();
+  REQUIRE(server.Loop.runUntil(
+      [&] { return limits.exceeded(ResponseLimit::ProcessBytes) >= 29; },
+      TestLimit));
+  CHECK(limits.heldBytes() <= limits.processBytes());
+  HttpServer other(server.Loop, {},
+                   [](const HttpRequest &, const auto &responder) {
+                     responder->send(jsonResponse(200, std::string(1000, 'b')));
+                   });
+  const auto address = other.listen(anyPort());
+  HttpConnection connection(server.Loop, *address);
+  Exchange served{server.Loop, {}};
+  connection.send({"GET", "/", {}, ""}, TestLimit, served.callback());
+  REQUIRE(served.waitForResult());
+  CHECK(served.Result->has_value());
+  connections.clear();
+  CHECK(limits.heldBytes() == 0);
+}
+
 TEST_CASE("a response without a length is complete only after a clean close") {
   RawServer server;
   server.Responses = {"HTTP/1.1 200 OK\r\n\r\nbody"};
@@ -350,6 +486,91 @@
   CHECK_FALSE(connection.isConnected());
 }
 
+namespace {
+
+/// A caller's connection that sends `repeated` after `start` until the server
+/// closes it.
+struct EndlessCaller {
+  EventLoop &Loop;
+  int Socket = -1;
+  std::string Repeated;
+  state::Duration Interval;
+  std::size_t SentBytes = 0;
+  bool IsClosed = false;
+  std::string Received;
+
+  EndlessCaller(EventLoop &loop, const SocketAddress &address,
+                const std::string &start, std::string repeated,
+                state::Duration interval)
+      : Loop(loop), Repeated(std::move(repeated)), Interval(interval) {
+    Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    connect(Socket, address.data(), address.Length);
+    Loop.schedule(5ms, [this, start] {
+      ::send(Socket, start.data(), start.size(), MSG_NOSIGNAL);
+      tick();
+    });
+  }
+  ~EndlessCaller() { close(Socket); }
+
+  void tick() {
+    char buf[1024];
+    const ssize_t received = recv(Socket, buf, sizeof(buf), 0);
+    if (received > 0)
+      Received.append(buf, static_cast<std::size_t>(received));
+    const ssize_t n =
+        ::send(Socket, Repeated.data(), Repeated.size(), MSG_NOSIGNAL);
+    if (n > 0)
+      SentBytes += static_cast<std::size_t>(n);
+    IsClosed = received == 0 || (n < 0 && errno != EAGAIN);
+    if (!IsClosed)
+      Loop.schedule(Interval, [this] { tick(); });
+  }
+};
+
+} // namespace
+
+// Guards against callers that occupy memory or connections by requests that
+// never end.
+TEST_CASE("a request without end is ended by a limit or a timeout") {
+  struct Case {
+    std::string Start;
+    std::string Repeated;
+    state::Duration Interval;
+    /// Otherwise only the time is limited. h2o discards such bytes at once.
+    bool HasByteLimit = true;
+  };
+  const std::string line = "GET / HTTP/1.1\r\nHost: h\r\n";
+  const std::string chunked =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string block(16384, 'a');
+  const Case it = GENERATE_COPY(
+      Case{line + "X: ", block, 1ms}, Case{"GET /", block, 1ms},
+      Case{chunked + "1;", block, 1ms, false},
+      Case{chunked + "0\r\nTrailer: ", block, 1ms, false},
+      Case{chunked + "fffffff\r\n", block, 1ms},
+      Case{"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n", "a",
+           20ms},
+      Case{line + "X: ", "a", 20ms}, Case{chunked + "1;", "a", 20ms});
+  INFO(it.Start << it.Repeated.substr(0, 10));
+  EventLoop loop;
+  HttpServerOptions options;
+  options.RequestTimeout = 300ms;
+  int handled = 0;
+  HttpServer server(loop, options,
+                    [&](const HttpRequest &, const auto &responder) {
+                      ++handled;
+                      responder->send(jsonResponse(200, "{}"));
+                    });
+  const auto address = server.listen(anyPort());
+  REQUIRE(address);
+  EndlessCaller caller(loop, *address, it.Start, it.Repeated, it.Interval);
+  CHECK(loop.runUntil([&] { return caller.IsClosed; }, 2s));
+  if (it.HasByteLimit)
+    CHECK(caller.SentBytes <= std::size_t{4} << 20);
+  CHECK(handled == 0);
+  CHECK(loop.runUntil([&] { return server.openConnections() == 0; }, 5s));
+}
+
 TEST_CASE("the caller's host is sent, or the peer's address if there is none") {
   EventLoop loop;
   std::vector<std::string> hosts;
--- a/tests/logs_doc_test.cc
+++ b/tests/logs_doc_test.cc
@@ -31,7 +31,7 @@
   const fs::path root = GALENAFLOW_SOURCE_DIR;
   std::set<std::string> logged;
   const std::regex call(R"re(log::(?:debug|info|warning|error)\(\s*"(\w+)")re");
-  for (const char *folder : {"src/forwarding", "platform"})
+  for (const char *folder : {"src/forwarding", "src/transport", "platform"})
     for (const auto &entry : fs::directory_iterator(root / folder))
       if (entry.path().extension() == ".cc")
         collectMatches(logged, readFile(entry.path()), call);
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -46,6 +46,20 @@
         std::vector<std::string>{"10.1.0.9:7380", "10.2.0.21:7380"});
 }
 
+TEST_CASE("the memory limit is read, and is unknown when it is not stated") {
+  const auto unknown = parseSettings(CompleteSettings);
+  REQUIRE(unknown);
+  CHECK(unknown->MemoryBytes == 0);
+  const auto known = parseSettings(std::string(CompleteSettings) +
+                                   "limits:\n  memory_mb: 160\n");
+  REQUIRE(known);
+  CHECK(known->MemoryBytes == std::uint64_t{160} << 20);
+  const auto malformed = parseSettings(std::string(CompleteSettings) +
+                                       "limits:\n  memory_mb: much\n");
+  REQUIRE_FALSE(malformed);
+  CHECK(malformed.error().items().front().Place == "limits.memory_mb");
+}
+
 TEST_CASE("every missing or malformed field is reported with its place") {
   const auto settings = parseSettings(R"(
 node_name: [1]
