Keep only what the merge needs of the parts of a request

Cause: the complete responses of all shards, with headers and up to 4 MiB of body each, were kept until the request ended, and each signature was sent to the caller whatever its length. 180 servers could fill a VM within their limits.

Change: a part's headers are dropped, a body of more than twice the records of the merge is reduced to the greatest ones, and a signature above 256 bytes fails the attempt. Test: 179 parts with 1 MiB of body and of headers are held in less than 1 KiB each (before: all 358 MiB), and the merge is unchanged.

Ruled out: reducing every body on arrival, which would cost a selection for each part of ordinary size (1,000 bytes, 62 records, of which 50 are needed).

--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -3,6 +3,7 @@
 #include "coordination/record_merge.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 // Each part (the single service, or one shard) has a primary attempt, at most
@@ -12,6 +13,10 @@
 // kind; it never exceeds the route's limit. An attempt that was rejected,
 // misdirected or not sent is subtracted again.
 //
+// A response of a shard is kept until the request ends, for all shards at once.
+// Only what the merge needs is kept, so that a request's memory follows from
+// the route and not from what the replicas send.
+//
 // One slow shard delays the whole answer, while the value of an answer falls
 // only with the square of the fraction of parts in it. Therefore, after
 // PartialAt an answer with the minimum of parts is worth more than a complete
@@ -30,6 +35,20 @@
 /// line.
 constexpr std::size_t MaxNamedServices = 5;
 
+/// Longest signature of a part. All signatures are sent to the caller.
+constexpr std::size_t MaxPartSignatureBytes = 256;
+
+/// Removes from the response of a shard what a merge of the greatest `topK`
+/// records does not need. A body of up to twice these records is left as it is,
+/// since selecting records takes time.
+void trimPart(BackendResponse &response, std::size_t topK) {
+  response.Headers = {};
+  if (response.Body.size() <= 2 * topK * RecordBytes)
+    return;
+  const std::array<std::string_view, 1> whole{response.Body};
+  response.Body = mergeRecords(whole, topK);
+}
+
 /// Whether an attempt with this end has certainly not run at its service.
 bool certainlyNotRun(AttemptEnd end) {
   return end == AttemptEnd::Rejected || end == AttemptEnd::Misdirected ||
@@ -142,6 +161,11 @@
   if (!isFinal)
     return onFailure(number, {AttemptEnd::Failed, std::move(response), {}},
                      now);
+  if (Options.Route->isSharded() &&
+      response.Signature.size() > MaxPartSignatureBytes)
+    return onFailure(
+        number, {AttemptEnd::Failed, {}, "signature of the part is too long"},
+        now);
   Attempt *attempt = openAttempt(number);
   if (attempt == nullptr)
     return {};
@@ -149,6 +173,8 @@
   attempt->Open = false;
   --part.Open;
   part.HedgeAt = TimePoint::max();
+  if (Options.Route->isSharded())
+    trimPart(response, Options.Route->Shards.TopK);
   part.Response = std::move(response);
   ++AnsweredParts;
   for (AttemptNumber other = 0; other != Attempts.size(); ++other)
@@ -243,6 +269,18 @@
   LastFault = fault;
 }
 
+std::size_t ForwardExecution::heldBytes() const {
+  std::size_t n = 0;
+  for (const Part &part : Parts) {
+    if (!part.Response)
+      continue;
+    n += part.Response->Body.capacity() + part.Response->Signature.capacity();
+    for (const auto &[name, value] : part.Response->Headers)
+      n += name.capacity() + value.capacity();
+  }
+  return n;
+}
+
 bool ForwardExecution::hasEnoughParts(std::size_t n) const {
   constexpr double rounding = 1e-9;
   return n > 0 && static_cast<double>(n) + rounding >=
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -172,6 +172,9 @@
   const ForwardCounts &counts() const { return Counts; }
   bool finished() const { return Finished; }
 
+  /// Bytes of the responses that are kept until the request finishes.
+  std::size_t heldBytes() const;
+
 private:
   struct Attempt {
     std::uint32_t Part = 0;
--- a/tests/forward_execution_test.cc
+++ b/tests/forward_execution_test.cc
@@ -187,6 +187,48 @@
   CHECK(it.failure().Fault == ForwardFault::RejectedByServer);
 }
 
+// Guards against a process that is killed for its memory because the replicas
+// of many shards send more than the merge needs.
+TEST_CASE("a request keeps only the records and signatures that its merge "
+          "needs") {
+  constexpr std::size_t shards = 180;
+  Fixture it(shards);
+  it.start();
+  it.markAllSent();
+  std::string body(std::size_t{1} << 20, 'a');
+  for (AttemptNumber i = 0; i != shards - 1; ++i) {
+    // The greatest record stands at the end.
+    std::string greatest = "z" + std::to_string(i);
+    greatest.resize(16, '.');
+    body.replace(body.size() - greatest.size(), greatest.size(), greatest);
+    BackendResponse response{200, {{"x-large", body}}, body, "sig"};
+    it.executeActions(it.Execution->onResponse(i, std::move(response), it.Now));
+  }
+  CHECK(it.Execution->heldBytes() < shards * 1024);
+  it.respond(shards - 1);
+  REQUIRE(it.Finished);
+  const auto &merged = std::get<MergedAnswer>(it.Finished->Result);
+  CHECK(merged.Signatures.size() == shards);
+  CHECK(merged.Records.substr(0, 16) == "z99.............");
+  CHECK(merged.Records.size() == 160);
+}
+
+TEST_CASE("a part with a signature that is too long is a failed attempt") {
+  Fixture it(4);
+  it.start();
+  it.markAllSent();
+  it.executeActions(it.Execution->onResponse(
+      0, {200, {}, std::string(16, 'a'), std::string(257, 's')}, it.Now));
+  REQUIRE(it.Attempts.size() == 5);
+  it.markSent(4);
+  it.executeActions(it.Execution->onResponse(
+      4, {200, {}, std::string(16, 'a'), std::string(256, 's')}, it.Now));
+  for (AttemptNumber i = 1; i != 4; ++i)
+    it.respond(i);
+  REQUIRE(it.Finished);
+  CHECK(std::get<MergedAnswer>(it.Finished->Result).Signatures.size() == 4);
+}
+
 TEST_CASE("a client error of the replica is final") {
   Fixture it;
   it.start();
