--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -87,6 +87,30 @@
 
 } // namespace
 
+// Guards against a peer that fills the memory with one frame.
+TEST_CASE("a frame above the limit ends the session before it is received") {
+  const auto announce = [](std::uint32_t n) {
+    std::string header;
+    for (int shift = 24; shift >= 0; shift -= 8)
+      header.push_back(static_cast<char>((n >> shift) & 0xff));
+    return header + std::string(12, '\0');
+  };
+  std::vector<PeerFrame> frames;
+  PeerSession fresh(sessionOptions("a"), false, randomNonce());
+  CHECK(fresh.receive(announce(4096), frames) == LinkCloseReason::None);
+  PeerSession other(sessionOptions("a"), false, randomNonce());
+  CHECK(other.receive(announce(4097), frames) == LinkCloseReason::TooLarge);
+  SessionPair up(sessionOptions("a"), sessionOptions("b"));
+  up.exchange();
+  REQUIRE(up.A.isUp());
+  CHECK(up.A.receive(announce(MaxFramePayload), frames) ==
+        LinkCloseReason::None);
+  SessionPair next(sessionOptions("a"), sessionOptions("b"));
+  next.exchange();
+  CHECK(next.A.receive(announce(MaxFramePayload + 1), frames) ==
+        LinkCloseReason::TooLarge);
+}
+
 // Guards against sessions that disagree on the version or on each other's
 // identity, and against messages that are altered or too large.
 TEST_CASE("sessions agree on a version, identities and messages") {
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -281,6 +281,42 @@
   CHECK(failed.Status == 502);
 }
 
+// Guards against a server that ends the process, or holds it up, by bytes that
+// are no answer and never end.
+TEST_CASE("replicas that send without end cost only their own parts") {
+  Site site;
+  site.Settings.MemoryBytes = std::uint64_t{160} << 20;
+  site.start();
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  std::string manyInterim;
+  while (manyInterim.size() < 100'000)
+    manyInterim += interim;
+  const std::string kilobytes(std::size_t{64} << 10, 'a');
+  struct Case {
+    std::string Start;
+    std::string Repeated;
+  };
+  const Case it = GENERATE_COPY(
+      Case{manyInterim, manyInterim}, Case{"HTTP/1.1 200 OK\r\nX: ", kilobytes},
+      Case{"HTTP/1.1 200 OK\r\n\r\n", kilobytes},
+      Case{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+           kilobytes},
+      Case{"no answer", kilobytes});
+  INFO(it.Start.substr(0, 60));
+  for (const char *id : {"s0a", "s0b"}) {
+    site.replica(id).behaviour().EndlessStart = it.Start;
+    site.replica(id).behaviour().EndlessRepeated = it.Repeated;
+  }
+  for (int i = 0; i != 5; ++i) {
+    const auto answer = site.call("/all/x");
+    CHECK(answer.Status == 200);
+    CHECK(answer.Headers.find("X-Missing-Parts") == "1");
+    CHECK(site.call("/one/x").Status == 200);
+  }
+  const transport::ReceiveLimits &limits = site.Loop.receiveLimits();
+  CHECK(limits.heldBytes() <= limits.processBytes());
+}
+
 // Guards against a request that runs twice, and against an answer that states
 // that a request has not run although it has.
 TEST_CASE("a request that is not idempotent runs at most once under every "
--- a/tests/platform/replica_standin.cc
+++ b/tests/platform/replica_standin.cc
@@ -50,6 +50,11 @@
        std::strtoll(header("X-Deadline-Ms").c_str(), nullptr, 10), Loop.now()});
   if (Behaviour.Silent)
     return;
+  if (!Behaviour.EndlessRepeated.empty()) {
+    connection->respondEndlessly(Behaviour.EndlessStart,
+                                 Behaviour.EndlessRepeated);
+    return;
+  }
   if (Behaviour.ResetConnection) {
     connection->reset();
     return;
--- a/tests/platform/replica_standin.h
+++ b/tests/platform/replica_standin.h
@@ -16,6 +16,9 @@
   bool Silent = false;          ///< runs the request and never responds
   bool ResetConnection = false; ///< runs the request and resets the connection
   bool Truncate = false;        ///< runs the request and truncates the response
+  /// Runs the request and sends these bytes, then the second ones without end.
+  std::string EndlessStart;
+  std::string EndlessRepeated;
   int FailStatus = 0; ///< runs the request and responds with this status
 };
 
--- a/tests/standin/raw_http_server.cc
+++ b/tests/standin/raw_http_server.cc
@@ -123,6 +123,11 @@
   write(encodeHead(response) + response.Body.substr(0, bytes), true);
 }
 
+void RawConnection::respondEndlessly(std::string start, std::string repeated) {
+  Repeated = std::move(repeated);
+  write(std::move(start), false);
+}
+
 void RawConnection::write(std::string text, bool closeAfter) {
   if (Sock == nullptr || !IsHandling || IsWriting)
     return;
@@ -137,6 +142,10 @@
   const auto self =
       static_cast<RawConnection *>(sock->data)->shared_from_this();
   self->IsWriting = false;
+  if (err == nullptr && !self->Repeated.empty()) {
+    self->write(self->Repeated, false);
+    return;
+  }
   self->IsHandling = false;
   if (err != nullptr || self->CloseAfterWrite) {
     self->close();
--- a/tests/standin/raw_http_server.h
+++ b/tests/standin/raw_http_server.h
@@ -32,6 +32,9 @@
   void respondTruncated(const transport::HttpResponse &response,
                         std::size_t bytes);
 
+  /// Sends `start` and then `repeated` without end, until the peer closes.
+  void respondEndlessly(std::string start, std::string repeated);
+
   /// Closes with a TCP reset.
   void reset();
 
@@ -50,6 +53,7 @@
   st_h2o_socket_t *Sock;
   std::string Input;
   std::string Output;
+  std::string Repeated; ///< sent after each write, if not empty
   bool IsHandling = false;
   bool IsWriting = false;
   bool CloseAfterWrite = false;
