Do not count the answered request in the load that its response reports

Cause: a replica reads its load while the request that it answers still runs. A replica that had just become free was therefore taken for one with a request, and one with a single other request in two slots for a full one.

The codec test fails before (2 == 1).

--- a/src/coordination/replica_placement.h
+++ b/src/coordination/replica_placement.h
@@ -12,7 +12,8 @@
 namespace galenaflow::coordination {
 
 /// The load that a replica reports in its responses. It includes the load by
-/// other callers, and it is as old as the response.
+/// other callers but not the request that was answered, and it is as old as the
+/// response.
 struct ServerLoad {
   std::uint32_t Running = 0;
   std::uint32_t Waiting = 0;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -144,6 +144,27 @@
     CHECK_FALSE(decodeLoad(bad));
 }
 
+// Guards against a replica that counts as busy although the only request that
+// it reported is the one that it has just answered.
+TEST_CASE("a reported load does not include the request that was answered") {
+  const auto runningAfter = [](int status, transport::HttpHeaders headers) {
+    headers.add("X-Server-Load", "2,1,2,100");
+    const forwarding::ReplicaResult decoded = ReplicaCodec().decode(
+        {}, transport::HttpResponse{status, std::move(headers), ""});
+    REQUIRE(decoded.Load);
+    CHECK(decoded.Load->Waiting == 1);
+    return decoded.Load->Running;
+  };
+  transport::HttpHeaders isSigned;
+  isSigned.add("X-Response-Seal", "s");
+  CHECK(runningAfter(200, isSigned) == 1);
+  CHECK(runningAfter(500, isSigned) == 1);
+  transport::HttpHeaders notRun;
+  notRun.add("X-Not-Executed", "1");
+  CHECK(runningAfter(503, notRun) == 2);
+  CHECK(runningAfter(421, {}) == 2);
+}
+
 // Guards against a second execution: what a response states about its request
 // decides whether the request may be sent again.
 TEST_CASE("a response is classified as run, not run or unknown") {
