Link to relays within half a second of a start, and read as soon as linked

A first packet to a VM that is still off is repeated only after a second, and a daemon whose link to a relay has come up waited for its next read, up to a second later. Until then it knew no executors and no fleet, and ran requests over all shards on an eighth of a core.

Change: a dial that has not connected after 300 ms is repeated with the usual backoff, and a daemon that uses no relay reads at once when a link to one comes up. A daemon that has not used a relay before now logs why it finds none.

Failing first, with each of the two conditions off: 'a dial without an answer is repeated' (peer_link_test, not within the test's limit of 20 s) and 'a daemon reads from a relay as soon as the link to it is up' (relay_task_test).

--- a/src/coordination/directory_reader.cc
+++ b/src/coordination/directory_reader.cc
@@ -19,6 +19,7 @@
   if (IsReadOpen || now < NextAt)
     return std::nullopt;
   IsReadOpen = true;
+  IsReadRequested = false;
   ReadStartedAt = now;
   return HasContent ? DirectoryRead::Changes : DirectoryRead::Full;
 }
@@ -30,7 +31,7 @@
   Backoff = Options.MinBackoff;
   const Duration period =
       now < StartupUntil ? Options.StartupPeriod : Options.Period;
-  NextAt = std::max(now, ReadStartedAt + period);
+  NextAt = IsReadRequested ? now : std::max(now, ReadStartedAt + period);
   return wasOut;
 }
 
@@ -61,6 +62,7 @@
 }
 
 void DirectoryReader::requestRead(TimePoint now) {
+  IsReadRequested = IsReadOpen;
   NextAt = std::min(NextAt, now);
 }
 
--- a/src/coordination/directory_reader.h
+++ b/src/coordination/directory_reader.h
@@ -71,8 +71,8 @@
   void onHistoryLost(TimePoint now);
   void onFailure(TimePoint now);
 
-  /// Makes the next read due immediately, for example after a reload of
-  /// settings.
+  /// Makes the next read due immediately, or as soon as the open read has
+  /// succeeded.
   void requestRead(TimePoint now);
 
   bool hasContent() const { return HasContent; }
@@ -86,6 +86,7 @@
   DirectoryReaderOptions Options;
   std::mt19937_64 Random;
   bool IsReadOpen = false;
+  bool IsReadRequested = false; ///< while a read is open
   bool HasContent = false;
   std::uint64_t Revision = 0;
   TimePoint StartupUntil;
--- a/src/forwarding/directory_task.cc
+++ b/src/forwarding/directory_task.cc
@@ -36,6 +36,11 @@
 
 void DirectoryTask::start() { tick(); }
 
+void DirectoryTask::requestRead() {
+  Reader.requestRead(Loop.now());
+  tick();
+}
+
 void DirectoryTask::tick() {
   const state::TimePoint now = Loop.now();
   if (Directory.expire(now)) {
--- a/src/forwarding/directory_task.h
+++ b/src/forwarding/directory_task.h
@@ -86,6 +86,9 @@
 
   void start();
 
+  /// Reads immediately, or as soon as the open read has succeeded.
+  void requestRead();
+
   /// Whether routes and replicas have been read.
   bool isReady() const { return Table != nullptr && Reader.hasContent(); }
 
--- a/src/forwarding/relay_task.cc
+++ b/src/forwarding/relay_task.cc
@@ -33,10 +33,7 @@
     : Loop(loop), Source(source), Options(std::move(options)),
       Network(
           loop, Options.Network,
-          {[this](const PeerIdentity &peer) {
-             for (PeerListener *it : Listeners)
-               it->onLinkUp(peer);
-           },
+          {[this](const PeerIdentity &peer) { onLinkUp(peer); },
            [this](const PeerIdentity &peer, transport::LinkCloseReason reason) {
              onLinkLost(peer, reason);
            },
@@ -136,6 +133,19 @@
   failPendingRead("no link");
 }
 
+// After a stop of the whole fleet, the relays may start last. The other daemons
+// learn the fleet and its executors only from them, so they do not wait for the
+// next read.
+void RelayTask::onLinkUp(const PeerIdentity &peer) {
+  for (PeerListener *it : Listeners)
+    it->onLinkUp(peer);
+  const auto &relays = Selector.preferred();
+  const bool isRelay =
+      std::find(relays.begin(), relays.end(), peer.Address) != relays.end();
+  if (isRelay && !IsReadingFromRelay && RelayAvailableCallback)
+    Loop.post(RelayAvailableCallback);
+}
+
 void RelayTask::onLinkLost(const PeerIdentity &peer,
                            transport::LinkCloseReason reason) {
   state::log::info("peer_lost",
@@ -177,7 +187,7 @@
   PendingRead read = std::move(*Pending);
   Pending.reset();
   Loop.cancel(read.Timer);
-  if (IsReadingFromRelay || View.Table == nullptr)
+  if (!std::exchange(IsLossLogged, true))
     state::log::info("relay_lost", {{"relay", read.Relay}, {"reason", reason}});
   Selector.onFailure(read.Relay, Loop.now());
   readSource(read.After, std::move(read.Callback));
@@ -310,6 +320,7 @@
     state::log::info("relay_in_use",
                      {{"relay", Pending->Relay}, {"revision", reply.Revision}});
   IsReadingFromRelay = true;
+  IsLossLogged = false;
   RelayLogId = reply.Log;
   RelayLogIndex = reply.Index;
   UpstreamDaemons = reply.Daemons;
--- a/src/forwarding/relay_task.h
+++ b/src/forwarding/relay_task.h
@@ -74,6 +74,12 @@
   void readChanges(std::uint64_t after, DirectoryCallback callback) override;
   state::RouteTablePtr decodeRoutes(std::string_view document) const override;
 
+  /// Calls `callback` when a link to a relay comes up while none is in use, so
+  /// that the owner reads at once instead of when the next read is due.
+  void onRelayAvailable(std::function<void()> callback) {
+    RelayAvailableCallback = std::move(callback);
+  }
+
   /// Call when this daemon's view has been read or has changed. Replies to the
   /// requests that wait for it.
   void onView(const DirectoryView &view);
@@ -121,6 +127,7 @@
   std::optional<transport::PeerIdentity>
   findLink(const std::string &address) const;
   void failPendingRead(const char *reason);
+  void onLinkUp(const transport::PeerIdentity &peer);
   void onLinkLost(const transport::PeerIdentity &peer,
                   transport::LinkCloseReason reason);
   void onMessage(const transport::PeerIdentity &peer, std::uint16_t type,
@@ -154,6 +161,8 @@
   std::uint64_t RelayLogIndex = 0; ///< position in the relay's log
   bool HasStartedRead = false;
   bool IsReadingFromRelay = false;
+  bool IsLossLogged = false; ///< since a relay was last in use
+  std::function<void()> RelayAvailableCallback;
   std::uint32_t UpstreamDaemons = 0; ///< count of the relay; zero without one
 
   /// Executors of the last report; Executors keeps those of earlier ones too.
--- a/src/transport/peer_link.cc
+++ b/src/transport/peer_link.cc
@@ -320,7 +320,9 @@
 void PeerNetwork::Impl::checkLink(const LinkPtr &link, state::TimePoint now) {
   if (link->Socket == nullptr)
     return;
-  if (!link->Registered && now - link->Created > Options.ReceiveTimeout)
+  if (link->Connecting && now - link->Created > Options.ConnectTimeout)
+    close(link, LinkCloseReason::ConnectFailed);
+  else if (!link->Registered && now - link->Created > Options.ReceiveTimeout)
     close(link, LinkCloseReason::HandshakeTimeout);
   else if (link->Registered &&
            now - link->LastReceived > Options.ReceiveTimeout)
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -17,6 +17,9 @@
   /// A link on which nothing is received for this time is closed. Also limits
   /// the time of a handshake.
   state::Duration ReceiveTimeout = std::chrono::seconds(2);
+  /// A dial that has not connected after this time is repeated. The system
+  /// repeats the first packet to a VM that is still off only after a second.
+  state::Duration ConnectTimeout = std::chrono::milliseconds(300);
   /// Limit on the bytes queued for one peer. A peer that does not read is
   /// disconnected when its queue exceeds the limit.
   std::size_t MaxOutputBytes = 8U << 20;
--- a/tests/directory_reader_test.cc
+++ b/tests/directory_reader_test.cc
@@ -59,6 +59,22 @@
 
 // Guards against skipping changes that the source returns with a delay: its own
 // revision may be ahead of the last change that it has returned.
+TEST_CASE("a read that is requested while one is open follows it at once") {
+  const TimePoint start{1h};
+  DirectoryReaderOptions options;
+  options.StartupDuration = 0s;
+  DirectoryReader reader(options, std::mt19937_64(1), start);
+  REQUIRE(reader.poll(start) == DirectoryRead::Full);
+  reader.requestRead(start + 5ms);
+  CHECK_FALSE(reader.poll(start + 5ms));
+  reader.onFullRead(7, start, start + 10ms);
+  REQUIRE(reader.poll(start + 10ms) == DirectoryRead::Changes);
+  reader.onChanges(8, start + 10ms, start + 20ms);
+  CHECK(reader.nextAt() == start + 10ms + options.Period);
+  reader.requestRead(start + 30ms);
+  CHECK(reader.poll(start + 30ms) == DirectoryRead::Changes);
+}
+
 TEST_CASE("a read without changes keeps the revision") {
   Fixture it;
   it.next();
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -1,6 +1,7 @@
 #include "transport/peer_link.h"
 
 #include <catch2/catch.hpp>
+#include <netinet/in.h>
 #include <random>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -87,6 +88,38 @@
 
 } // namespace
 
+// Guards against a link that comes up a second late, since the first packet to
+// a VM that was still off is repeated only then.
+TEST_CASE("a dial without an answer is repeated") {
+  // Packets to a listener whose queue is full are dropped, as those to a VM
+  // that is off.
+  const int silent = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  REQUIRE(bind(silent, reinterpret_cast<sockaddr *>(&address), size) == 0);
+  REQUIRE(listen(silent, 0) == 0);
+  getsockname(silent, reinterpret_cast<sockaddr *>(&address), &size);
+  const std::string target =
+      "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  const int queued = rawConnect(target);
+  EventLoop loop;
+  PeerNetworkOptions options = Node::networkOptions(sessionOptions("a"), 1024);
+  // Only ConnectTimeout can end a dial within the limit of the test.
+  options.ReceiveTimeout = 10 * TestLimit;
+  PeerNetwork network(loop, options,
+                      {[](const auto &) {},
+                       [](const auto &, LinkCloseReason) {},
+                       [](const auto &, std::uint16_t, std::string_view) {}});
+  network.setTargets({target});
+  CHECK(loop.runUntil(
+      [&] { return network.closeCount(LinkCloseReason::ConnectFailed) >= 2; },
+      TestLimit));
+  close(queued);
+  close(silent);
+}
+
 // Guards against a peer that fills the memory with one frame.
 TEST_CASE("a frame above the limit ends the session before it is received") {
   const auto announce = [](std::uint32_t n) {
--- a/tests/relay_task_test.cc
+++ b/tests/relay_task_test.cc
@@ -80,10 +80,11 @@
 struct Daemon {
   Daemon(transport::EventLoop &loop, FakeSource &shared,
          const std::string &address, std::uint64_t seed,
-         const std::string &key = "a key of the deployment, long enough")
+         const std::string &key = "a key of the deployment, long enough",
+         const coordination::DirectoryReaderOptions &reads = {})
       : Source(loop, &shared),
         Relay(loop, Source, makeOptions(address, seed, key), Metrics),
-        Directory(loop, Relay, {}, std::mt19937_64(seed),
+        Directory(loop, Relay, reads, std::mt19937_64(seed),
                   {[this](const auto &table) { Version = table->version(); },
                    [this](const auto &records) { Records = records; },
                    [this](const DirectoryView &view) {
@@ -91,6 +92,7 @@
                      Age = view.Age;
                    }},
                   Metrics) {
+    Relay.onRelayAvailable([this] { Directory.requestRead(); });
     REQUIRE(Relay.listen(*transport::parseSocketAddress(address)));
   }
 
@@ -223,6 +225,27 @@
 }
 
 // Guards against daemons that cannot start during an outage of the source.
+// Guards against a fleet that starts again after a stop, with its relays last:
+// the other daemons found no executors for two seconds.
+TEST_CASE("a daemon reads from a relay as soon as the link to it is up") {
+  Fleet fleet(0);
+  fleet.Addresses = {support::reserveAddress(), support::reserveAddress()};
+  coordination::DirectoryReaderOptions rare;
+  rare.Period = 1h;
+  rare.StartupDuration = 0s;
+  Daemon daemon(fleet.Loop, fleet.Source, fleet.Addresses[1], 2,
+                "a key of the deployment, long enough", rare);
+  daemon.Relay.setRelays({fleet.Addresses[0]});
+  daemon.Directory.start();
+  REQUIRE(fleet.Loop.runUntil([&] { return daemon.Version != 0; }, TestLimit));
+  Daemon relay(fleet.Loop, fleet.Source, fleet.Addresses[0], 1);
+  relay.Relay.setRelays({fleet.Addresses[0]});
+  relay.Directory.start();
+  CHECK(fleet.Loop.runUntil([&] { return daemon.Relay.daemonCount() == 2; },
+                            TestLimit));
+  CHECK(daemon.Source.Reads == 1);
+}
+
 TEST_CASE("a daemon that starts during an outage of the source reads from a "
           "relay") {
   Fleet fleet(3, 1);
