Limit an unframed body that arrives together with its head

Found by the fuzz target since it reaches the limits: a body without a length was compared with the limit only when a further read arrived, so one read could hold a body above it, and the result depended on the split into reads (input unframed-body-above-limit, 'the split into reads does not change the result').

Second input (invalid-status-with-body): the bytes of a head with an invalid status were counted twice in heldBytes(). Only the count was wrong.

--- a/src/transport/http_response_parser.cc
+++ b/src/transport/http_response_parser.cc
@@ -80,10 +80,7 @@
     return decodeChunks(bytes.size());
   case Framing::UntilClose:
     Response.Body += bytes;
-    if (Response.Body.size() > Options.MaxBodyBytes)
-      return failAtLimit(ResponseLimit::BodyBytes, Response.Body.size(),
-                         Options.MaxBodyBytes);
-    return CurrentState;
+    return checkBodySize();
   case Framing::None:
     break;
   }
@@ -135,7 +132,6 @@
     LastHeadSize = Buffer.size();
     return HeadResult::Incomplete;
   }
-  HeadBytes = size;
   LastHeadSize = 0;
   if (status < 100 || status > 599) {
     fail("invalid status: got " + std::to_string(status) +
@@ -159,6 +155,7 @@
   }
   Response.Status = status;
   Buffer.erase(0, static_cast<std::size_t>(n));
+  HeadBytes = size;
   return isInterim ? HeadResult::Interim : HeadResult::Final;
 }
 
@@ -207,6 +204,13 @@
   Persistent = false;
   BodyFraming = Framing::UntilClose;
   Response.Body = std::exchange(Buffer, {});
+  return checkBodySize();
+}
+
+HttpResponseParser::State HttpResponseParser::checkBodySize() {
+  if (Response.Body.size() > Options.MaxBodyBytes)
+    return failAtLimit(ResponseLimit::BodyBytes, Response.Body.size(),
+                       Options.MaxBodyBytes);
   return CurrentState;
 }
 
@@ -237,9 +241,8 @@
                            decoded + n, static_cast<std::size_t>(unconsumed))
                      : std::string();
   Response.Body.resize(decoded + n);
-  if (Response.Body.size() > Options.MaxBodyBytes)
-    return failAtLimit(ResponseLimit::BodyBytes, Response.Body.size(),
-                       Options.MaxBodyBytes);
+  if (checkBodySize() == State::Invalid)
+    return CurrentState;
   FramingBytes += newBytes - n - excess.size();
   if (FramingBytes > Options.MaxFramingBytes)
     return failAtLimit(ResponseLimit::FramingBytes, FramingBytes,
--- a/src/transport/http_response_parser.h
+++ b/src/transport/http_response_parser.h
@@ -80,6 +80,7 @@
   State chooseFraming();
   State readSizedBody();
   State decodeChunks(std::size_t newBytes);
+  State checkBodySize();
   State fail(std::string text);
   State failAtLimit(ResponseLimit limit, std::size_t got, std::size_t max);
   State complete(std::string_view excess);
--- a/tests/http_response_parser_test.cc
+++ b/tests/http_response_parser_test.cc
@@ -224,6 +224,20 @@
   CHECK(parser.response().Body.size() == n);
 }
 
+// Guards against a body that escapes the limit because it arrives together with
+// its head. Found by the fuzz target.
+TEST_CASE("an unframed body above the limit is an error, also in one read") {
+  const std::string text = "HTTP/1.1 200 OK\r\n\r\n" + std::string(101, 'a');
+  HttpResponseParserOptions options;
+  options.AcceptUnframed = true;
+  options.MaxBodyBytes = 100;
+  for (const std::size_t step : {std::size_t{1}, text.size()}) {
+    HttpResponseParser parser(options);
+    REQUIRE(feedInSteps(parser, text, step) == State::Invalid);
+    CHECK(parser.exceededLimit() == ResponseLimit::BodyBytes);
+  }
+}
+
 TEST_CASE("connections that the peer will close are not persistent") {
   HttpResponseParser closing({});
   closing.feed("HTTP/1.1 200 OK\r\nConnection: x, Close\r\n"
