--- a/tests/http_transport_test.cc
+++ b/tests/http_transport_test.cc
@@ -504,7 +504,7 @@
                 state::Duration interval)
       : Loop(loop), Repeated(std::move(repeated)), Interval(interval) {
     Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    connect(Socket, address.data(), address.Length);
+    static_cast<void>(connect(Socket, address.data(), address.Length));
     Loop.schedule(5ms, [this, start] {
       ::send(Socket, start.data(), start.size(), MSG_NOSIGNAL);
       tick();
