Hold requests at a relay until it has routes

Cause: a relay replied to waiting requests after each of its reads, also before the first routes were published. Since daemons read as soon as a link to a relay is up, all of them got a reply without routes at the start of the fleet, took the relay for lost for 3 s and read the whole directory at the store meanwhile. With logs: 294 of 295 daemons logged relay_lost 'its view is old' at second -13.

Change: a relay replies after its reads only once it has routes; a waiting request gets its reply after MaxReplyDelay as before.

Failing first: 'daemons that start before the first routes get them from relays' (relay_task_test, 3 reads at the source where 2 are expected).

--- a/src/forwarding/relay_task.cc
+++ b/src/forwarding/relay_task.cc
@@ -353,7 +353,10 @@
     ReportedExecutors = coordination::selectExecutors(fleet);
     Executors.update(ReportedExecutors, Loop.now());
   }
-  sendAllReplies();
+  // A reply without routes would make the requesting daemons read everything at
+  // the source. They wait for the routes, up to MaxReplyDelay.
+  if (View.Table != nullptr)
+    sendAllReplies();
 }
 
 void RelayTask::recordDaemonCount(std::uint32_t n) {
--- a/tests/relay_task_test.cc
+++ b/tests/relay_task_test.cc
@@ -29,6 +29,7 @@
   std::uint64_t Revision = 10;
   std::uint64_t Version = 1;
   bool IsUnavailable = false;
+  bool HasRoutes = true; ///< false: none have been published yet
   int Reads = 0;
 
   void readAll(DirectoryCallback callback) override {
@@ -46,8 +47,10 @@
       content.IsFull = true;
       for (const auto &[id, record] : Records)
         content.Changes.push_back({id, false, record});
-      content.Document = std::to_string(Version);
-      content.Table = makeTable(Version);
+      if (HasRoutes) {
+        content.Document = std::to_string(Version);
+        content.Table = makeTable(Version);
+      }
       content.Revision = Revision;
       callback(std::move(content));
     });
@@ -225,6 +228,25 @@
 }
 
 // Guards against daemons that cannot start during an outage of the source.
+// Guards against reads of the whole directory by each daemon of a fleet that
+// starts before the first routes are published.
+TEST_CASE("daemons that start before the first routes get them from relays") {
+  Fleet fleet(0);
+  fleet.Source.HasRoutes = false;
+  fleet.Source.put("a");
+  for (int i = 0; i != 12; ++i)
+    fleet.Addresses.push_back(support::reserveAddress());
+  std::sort(fleet.Addresses.begin(), fleet.Addresses.end());
+  for (std::size_t i = 0; i != fleet.Addresses.size(); ++i)
+    fleet.add(i);
+  for (std::size_t i = 0; i != fleet.Addresses.size(); ++i)
+    fleet.start(i, 3);
+  fleet.Loop.schedule(500ms, [&] { fleet.Source.HasRoutes = true; });
+  REQUIRE(fleet.runUntilAll([](const Daemon &it) { return it.Version == 1; }));
+  for (std::size_t i = 3; i != fleet.Daemons.size(); ++i)
+    CHECK(fleet.Daemons[i]->Source.Reads <= 2);
+}
+
 // Guards against a fleet that starts again after a stop, with its relays last:
 // the other daemons found no executors for two seconds.
 TEST_CASE("a daemon reads from a relay as soon as the link to it is up") {
