--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -132,7 +132,7 @@
   void onParsed(HttpResponseParser::State state);
   bool holdParsedBytes();
   void releaseHeldBytes();
-  void failAtLimit(ResponseLimit limit, const std::string &reason);
+  void rejectResponse(ResponseLimit limit, const std::string &reason);
   bool hasMismatchedEcho(const HttpResponse &response) const;
   void completeExchange();
   void armIdleTimer();
@@ -279,10 +279,10 @@
     // This is a duplicate or late response to an earlier request. The response
     // to this request follows.
     if (++SkippedResponses > MaxSkippedResponses) {
-      failAtLimit(ResponseLimit::SkippedResponses,
-                  "got " + std::to_string(SkippedResponses) +
-                      " responses to other requests, expected at most " +
-                      std::to_string(MaxSkippedResponses));
+      rejectResponse(ResponseLimit::SkippedResponses,
+                     "got " + std::to_string(SkippedResponses) +
+                         " responses to other requests, expected at most " +
+                         std::to_string(MaxSkippedResponses));
       return;
     }
     const auto skipped = std::exchange(
@@ -290,16 +290,16 @@
     state = Parser->feed(skipped->excess());
   }
   if (state == HttpResponseParser::State::Invalid) {
-    failAtLimit(Parser->exceededLimit(), Parser->error());
+    rejectResponse(Parser->exceededLimit(), Parser->error());
     return;
   }
   if (!holdParsedBytes()) {
-    failAtLimit(ResponseLimit::ProcessBytes,
-                "got " + std::to_string(Parser->heldBytes()) +
-                    " bytes of a response beside " +
-                    std::to_string(Loop.receiveLimits().heldBytes()) +
-                    " of all open ones, expected at most " +
-                    std::to_string(Loop.receiveLimits().processBytes()));
+    rejectResponse(ResponseLimit::ProcessBytes,
+                   "got " + std::to_string(Parser->heldBytes()) +
+                       " bytes of a response beside " +
+                       std::to_string(Loop.receiveLimits().heldBytes()) +
+                       " of all open ones, expected at most " +
+                       std::to_string(Loop.receiveLimits().processBytes()));
     return;
   }
   if (state == HttpResponseParser::State::Complete)
@@ -318,8 +318,9 @@
   Loop.receiveLimits().release(std::exchange(HeldBytes, 0));
 }
 
-void HttpConnection::Impl::failAtLimit(ResponseLimit limit,
-                                       const std::string &reason) {
+// `limit` is None when the response is invalid without exceeding one.
+void HttpConnection::Impl::rejectResponse(ResponseLimit limit,
+                                          const std::string &reason) {
   if (limit != ResponseLimit::None) {
     Loop.receiveLimits().countExceeded(limit);
     state::log::warning("response_limit_exceeded",
--- a/tests/http_response_parser_test.cc
+++ b/tests/http_response_parser_test.cc
@@ -131,8 +131,8 @@
 /// Feeds copies of `text` until the parser ends or has got `limit` bytes, as
 /// from a peer that sends until its connection is closed. Returns the bytes
 /// that were fed.
-std::size_t feedForever(HttpResponseParser &parser, std::string_view text,
-                        std::size_t limit) {
+std::size_t feedUntilEnd(HttpResponseParser &parser, std::string_view text,
+                         std::size_t limit) {
   std::size_t n = 0;
   while (n < limit && parser.feed(text) == State::Incomplete)
     n += text.size();
@@ -208,7 +208,7 @@
       HttpResponseParser parser(options);
       parser.feed(it.Start);
       const std::string text = repeat(it.Repeated, copies);
-      const std::size_t n = feedForever(parser, text, EndlessBytes);
+      const std::size_t n = feedUntilEnd(parser, text, EndlessBytes);
       CHECK(n <= it.MaxBytes + text.size());
       CHECK_FALSE(parser.error().empty());
       CHECK(parser.exceededLimit() == it.Limit);
--- a/tests/http_transport_test.cc
+++ b/tests/http_transport_test.cc
@@ -249,7 +249,7 @@
   }
 
   /// Sends as much as the socket takes, so that the receiver always has more to
-  /// read.
+  /// read. The last copy may be cut off.
   void sendEndless(int &sock) {
     while (!Endless.empty()) {
       const ssize_t n =
@@ -260,7 +260,6 @@
         close(std::exchange(sock, -1));
         return;
       }
-      // A part that was cut off does not matter to the tests.
     }
   }
 
--- a/tests/relay_task_test.cc
+++ b/tests/relay_task_test.cc
@@ -79,11 +79,13 @@
   FakeSource *Shared;
 };
 
+constexpr const char *FleetKey = "a key of the deployment, long enough";
+
 /// The parts of a daemon that read and relay the directory.
 struct Daemon {
   Daemon(transport::EventLoop &loop, FakeSource &shared,
          const std::string &address, std::uint64_t seed,
-         const std::string &key = "a key of the deployment, long enough",
+         const std::string &key = FleetKey,
          const coordination::DirectoryReaderOptions &reads = {})
       : Source(loop, &shared),
         Relay(loop, Source, makeOptions(address, seed, key), Metrics),
@@ -233,7 +235,6 @@
 TEST_CASE("daemons that start before the first routes get them from relays") {
   Fleet fleet(0);
   fleet.Source.HasRoutes = false;
-  fleet.Source.put("a");
   for (int i = 0; i != 12; ++i)
     fleet.Addresses.push_back(support::reserveAddress());
   std::sort(fleet.Addresses.begin(), fleet.Addresses.end());
@@ -255,8 +256,8 @@
   coordination::DirectoryReaderOptions rare;
   rare.Period = 1h;
   rare.StartupDuration = 0s;
-  Daemon daemon(fleet.Loop, fleet.Source, fleet.Addresses[1], 2,
-                "a key of the deployment, long enough", rare);
+  Daemon daemon(fleet.Loop, fleet.Source, fleet.Addresses[1], 2, FleetKey,
+                rare);
   daemon.Relay.setRelays({fleet.Addresses[0]});
   daemon.Directory.start();
   REQUIRE(fleet.Loop.runUntil([&] { return daemon.Version != 0; }, TestLimit));
--- a/tools/sites.py
+++ b/tools/sites.py
@@ -26,6 +26,9 @@
 # Differences up to this are noise: the bench measures processor time.
 NOISE = 0.03
 
+# The figures that are kept for each site.
+FIGURES = ("mean_worth", "worst_windows", "prices")
+
 
 def summarize(entry):
     """Returns the figures of a score from its journal entry."""
@@ -68,7 +71,7 @@
 def row(site, kept, now, regressions):
     """Returns one line of the table."""
     figures = []
-    for name in ("mean_worth", "worst_windows", "prices"):
+    for name in FIGURES:
         before = f"{kept[name]:.3f}" if kept else "-"
         figures.append(f"{before} -> {now[name]:.3f}")
     return " | ".join([site, *figures, "; ".join(regressions) or "ok"])
@@ -122,8 +125,7 @@
         print(row(site, kept.get(site), now, regressions), flush=True)
         if regressions:
             code = max(code, 1)
-        kept[site] = {name: now[name]
-                      for name in ("mean_worth", "worst_windows", "prices")}
+        kept[site] = {name: now[name] for name in FIGURES}
     if arguments.update and code == 0:
         KEPT.write_text(json.dumps(kept, indent=2) + "\n")
     return code
