Log the request limits that replicas state

Callers saw nothing; replicas in need got more requests than they had named (LIMIT). Neither logs nor metrics told whether a daemon knew of a limit. The events replica_limited and replica_limit_ended and the counter galenaflow_limited_attempts_total do.

No decision is changed yet.

--- a/src/forwarding/forward_protocol.h
+++ b/src/forwarding/forward_protocol.h
@@ -26,6 +26,13 @@
   std::variant<coordination::BackendResponse, coordination::AttemptFailure>
       Outcome;
   std::optional<coordination::ServerLoad> Load; ///< when the replica states it
+
+  /// Whether the result is a response of the replica itself, so that a missing
+  /// RequestLimit means that there is none.
+  bool IsLimitKnown = false;
+
+  /// Requests a second that the replica accepts from all daemons together.
+  std::optional<double> RequestLimit{};
 };
 
 /// Encodes requests to replicas and decodes their responses.
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -71,7 +71,10 @@
       Rejections(metrics.counter("galenaflow_replica_rejections_total",
                                  "Attempts that replicas did not run")),
       FailedAttempts(metrics.counter("galenaflow_broken_attempts_total",
-                                     "Attempts without a usable response")) {
+                                     "Attempts without a usable response")),
+      LimitedAttempts(
+          metrics.counter("galenaflow_limited_attempts_total",
+                          "Attempts at replicas with a request limit")) {
   warmAll();
 }
 
@@ -488,6 +491,8 @@
   if (attempt.Exchange == 0)
     return false;
   request.Attempts.emplace(key.Number, id);
+  if (target->RequestLimit)
+    LimitedAttempts.add();
   Placement.onSent(target->Record.Id, attempt.ExpectedLatency, now);
   Attempts.emplace(id, std::move(attempt));
   executeActions(key.Request,
@@ -512,6 +517,21 @@
        {"waiting", result.Load ? result.Load->Waiting : 0}});
 }
 
+void ForwardTask::recordLimit(Replica &replica, const ReplicaResult &result) {
+  if (!result.IsLimitKnown || result.RequestLimit == replica.RequestLimit)
+    return;
+  if (result.RequestLimit)
+    state::log::info("replica_limited", {{"replica", replica.Record.Id},
+                                         {"service", replica.Record.Service},
+                                         {"per_second", *result.RequestLimit},
+                                         {"daemons", Fleet.Daemons}});
+  else
+    state::log::info("replica_limit_ended",
+                     {{"replica", replica.Record.Id},
+                      {"service", replica.Record.Service}});
+  replica.RequestLimit = result.RequestLimit;
+}
+
 void ForwardTask::onAttemptEnded(AttemptId id, transport::HttpResult result) {
   const auto node = Attempts.extract(id);
   if (node.empty())
@@ -533,6 +553,7 @@
   } else if (outcome == AttemptOutcome::Failed) {
     FailedAttempts.add();
   }
+  recordLimit(*attempt.Target, decoded);
   Placement.onEnded(attempt.Target->Record.Id, attempt.SentAt,
                     attempt.ExpectedLatency, outcome, now);
   if (isMisdirected(decoded)) {
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -131,6 +131,7 @@
     std::uint64_t SeenRefusals = 0; ///< refused connections at the last check
     state::TimePoint CooldownUntil = state::TimePoint::min();
     coordination::ConnectBackoff Backoff;
+    std::optional<double> RequestLimit; ///< in requests a second
   };
   using ReplicaPtr = std::shared_ptr<Replica>;
 
@@ -199,6 +200,7 @@
   void onAttemptEnded(AttemptId id, transport::HttpResult result);
   void logFailedAttempt(const Attempt &attempt,
                         const ReplicaResult &result) const;
+  void recordLimit(Replica &replica, const ReplicaResult &result);
   double fleetExtraShare() const;
   void planConnections();
   void planConnections(std::string_view service,
@@ -234,6 +236,7 @@
   state::Counter &BudgetRefusals;
   state::Counter &Rejections;
   state::Counter &FailedAttempts;
+  state::Counter &LimitedAttempts;
 };
 
 } // namespace galenaflow::forwarding
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -144,6 +144,35 @@
     CHECK_FALSE(decodeLoad(bad));
 }
 
+TEST_CASE("the request limit of a replica is a decimal number") {
+  CHECK(decodeLimit("21.7") == Approx(21.7));
+  CHECK(decodeLimit(" 3 ") == Approx(3));
+  for (const std::string_view bad : {"", "-1", "inf", "nan", "3 a second"})
+    CHECK_FALSE(decodeLimit(bad));
+}
+
+// Guards against a limit that counts as ended because something other than the
+// replica's own response did not state it.
+TEST_CASE("only a response of the replica itself tells that it has no limit") {
+  const auto decode = [](int status, auto headers) {
+    return ReplicaCodec().decode({}, response(status, headers));
+  };
+  using Headers = std::vector<std::pair<std::string, std::string>>;
+  const auto limited = decode(
+      200, Headers{{"X-Response-Seal", "s"}, {"Server-Limit", "2.5"}});
+  CHECK(limited.IsLimitKnown);
+  CHECK(limited.RequestLimit == Approx(2.5));
+  const auto ended = decode(200, Headers{{"X-Response-Seal", "s"}});
+  CHECK(ended.IsLimitKnown);
+  CHECK_FALSE(ended.RequestLimit);
+  CHECK_FALSE(decode(200, Headers{}).IsLimitKnown);
+  CHECK_FALSE(decode(503, Headers{{"X-Not-Executed", "1"}}).IsLimitKnown);
+  CHECK_FALSE(decode(421, Headers{{"Server-Limit", "1"}}).IsLimitKnown);
+  CHECK_FALSE(ReplicaCodec()
+                  .decode({}, tl::unexpected(transport::HttpFailure{}))
+                  .IsLimitKnown);
+}
+
 // Guards against a replica that counts as busy although the only request that
 // it reported is the one that it has just answered.
 TEST_CASE("a reported load does not include the request that was answered") {
