Keep the request limits that replicas state

Cause: no part of the system read the limit. The class of fault is a shared bound that no daemon divides: a replica's connections and the extra attempts were divided, its requests were not.

Each daemon now uses its fraction of the limit (RequestLimiter). Few daemons have a token bucket each; many, whose part is below one request a second, draw turns, so that saved tokens are no burst. Executors get most of the limit of shards, since they run the requests for the others. Hedges, retries and parts count. A request whose services are at their limits is rejected at once and before any attempt, with 503 and Retry-After; a shard at its limit is left out while the others make up the minimum. The daemons report limits and their ends with the reads of the directory (LimitRegistry), so that a daemon with a small part does not keep to a limit that has ended.

--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -52,7 +52,7 @@
 /// Whether an attempt with this end has certainly not run at its service.
 bool certainlyNotRun(AttemptEnd end) {
   return end == AttemptEnd::Rejected || end == AttemptEnd::Misdirected ||
-         end == AttemptEnd::NotSent;
+         end == AttemptEnd::NotSent || end == AttemptEnd::AtLimit;
 }
 
 /// A hedge for which the budget has no token is tried again after this time.
@@ -69,6 +69,8 @@
     return "misdirected";
   case AttemptEnd::NotSent:
     return "not_sent";
+  case AttemptEnd::AtLimit:
+    return "at_limit";
   case AttemptEnd::Failed:
     return "failed";
   case AttemptEnd::Unknown:
@@ -91,6 +93,8 @@
     return "deadline_exceeded";
   case ForwardFault::TooFewParts:
     return "too_few_parts";
+  case ForwardFault::ServerLimit:
+    return "server_limit";
   case ForwardFault::CallerGone:
     break;
   }
@@ -105,11 +109,24 @@
 }
 
 ForwardActions ForwardExecution::start(TimePoint now) {
-  for (std::uint32_t part = 0; part != Parts.size(); ++part)
-    sendAttempt(part, AttemptKind::Primary);
+  sendPrimaries();
+  tryFinish(now);
   return completeEvent(now);
 }
 
+// No attempt is sent unless the request can succeed: a part of a request that
+// fails for want of others would use up the limit of its replica.
+void ForwardExecution::sendPrimaries() {
+  for (std::uint32_t part = 0; part != Parts.size(); ++part)
+    if (Policy.isAtLimit(Options.Services[part]))
+      failPart(part, ForwardFault::ServerLimit);
+  if (!hasEnoughParts(Parts.size() - FailedParts))
+    return;
+  for (std::uint32_t part = 0; part != Parts.size(); ++part)
+    if (!Parts[part].Failed)
+      sendAttempt(part, AttemptKind::Primary);
+}
+
 void ForwardExecution::sendAttempt(std::uint32_t part, AttemptKind kind) {
   const auto number = static_cast<AttemptNumber>(Attempts.size());
   Attempts.push_back({part, kind, true, false});
@@ -214,6 +231,8 @@
                                  : ForwardFault::BackendFailed;
     else if (failure.End == AttemptEnd::Rejected)
       fault = ForwardFault::RejectedByServer;
+    else if (failure.End == AttemptEnd::AtLimit)
+      fault = ForwardFault::ServerLimit;
     failPart(index, fault);
   }
   tryFinish(now);
@@ -239,8 +258,9 @@
   // A request that was not sent, or that reached another service, is no load
   // for this service and takes no token. A replica can lose its address to
   // another one only once, so the number of such retries is bounded.
-  const bool needsToken =
-      end != AttemptEnd::NotSent && end != AttemptEnd::Misdirected;
+  const bool needsToken = end != AttemptEnd::NotSent &&
+                          end != AttemptEnd::AtLimit &&
+                          end != AttemptEnd::Misdirected;
   if (needsToken && !Policy.tryTakeExtra(service))
     return false;
   part.HedgeAt = TimePoint::max();
@@ -302,7 +322,9 @@
   }
   const std::size_t total = Parts.size();
   if (!hasEnoughParts(total - FailedParts)) {
-    fail(FailedParts == total ? LastFault : ForwardFault::TooFewParts);
+    const bool isRejected =
+        FailedParts == total || LastFault == ForwardFault::ServerLimit;
+    fail(isRejected ? LastFault : ForwardFault::TooFewParts);
     return;
   }
   const bool allEnded = AnsweredParts + FailedParts == total;
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -29,6 +29,7 @@
   Rejected,    ///< received; the replica states that the request did not run
   Misdirected, ///< another replica has the address, and did not run the request
   NotSent,     ///< certainly no byte reached the replica
+  AtLimit,     ///< not sent: the replicas' request limits are used up
   Failed,      ///< ran, and the replica responded with a failure
   Unknown,     ///< sent; the request may have run
 };
@@ -67,6 +68,7 @@
   BackendFailed,    ///< replicas failed, or connections to them broke
   DeadlineExceeded,
   TooFewParts, ///< parts failed, and fewer than the minimum can still succeed
+  ServerLimit, ///< the replicas' request limits are used up
   CallerGone,
 };
 
@@ -114,9 +116,14 @@
   /// Takes a token for one extra attempt at the service.
   virtual bool tryTakeExtra(std::string_view service) = 0;
 
-  /// Whether the service has a usable replica other than these.
+  /// Whether the service has a usable replica other than these whose request
+  /// limit allows a request now.
   virtual bool hasOther(std::string_view service,
                         std::span<const state::ReplicaId> tried) = 0;
+
+  /// Whether the request limits of the service's usable replicas allow no
+  /// further request now. False when it has no usable replica.
+  virtual bool isAtLimit(std::string_view service) = 0;
 };
 
 struct ForwardOptions {
@@ -143,6 +150,10 @@
 /// within the route's limit of attempts and the shared budget; others are sent
 /// again only when they certainly did not run.
 ///
+/// A request whose services are at their request limits is rejected at once,
+/// before any attempt. A set of shards is served without the parts that are at
+/// their limits if the others make up the minimum.
+///
 /// Each event returns actions, which the owner executes in order. The owner
 /// calls start() once, reports each sent attempt by onSent() and its end by
 /// onResponse() or onFailure(), and calls onTimer() at the time of the last
@@ -195,6 +206,7 @@
   };
 
   Attempt *openAttempt(AttemptNumber number);
+  void sendPrimaries();
   void sendAttempt(std::uint32_t part, AttemptKind kind);
   bool mayRunAgain(const Part &part) const;
   bool retry(std::uint32_t part, AttemptEnd end);
--- a/src/coordination/replica_placement.cc
+++ b/src/coordination/replica_placement.cc
@@ -124,10 +124,10 @@
   return total + (replica.IsLocal ? 0 : Options.RemotePenalty);
 }
 
-std::optional<state::ReplicaId> ReplicaPlacement::choose(
-    std::string_view service, std::span<const state::ReplicaId> tried,
-    const std::function<bool(std::string_view)> &hasFreeConnection,
-    TimePoint now) {
+std::optional<state::ReplicaId>
+ReplicaPlacement::choose(std::string_view service,
+                         std::span<const state::ReplicaId> tried,
+                         const ReplicaPredicate &canSend, TimePoint now) {
   const auto listed = Services.find(service);
   if (listed == Services.end())
     return std::nullopt;
@@ -137,8 +137,7 @@
                                                 1 + TieRange / 2);
   for (const state::ReplicaId &id : listed->second) {
     const ReplicaState &replica = Replicas.find(id)->second;
-    if (contains(tried, id) || !isUsable(replica, now) ||
-        !hasFreeConnection(id))
+    if (contains(tried, id) || !isUsable(replica, now) || !canSend(id))
       continue;
     const double candidate = cost(replica, now) * jitter(Random);
     if (best == nullptr || candidate < bestCost) {
@@ -151,16 +150,25 @@
 
 bool ReplicaPlacement::hasOther(std::string_view service,
                                 std::span<const state::ReplicaId> tried,
+                                const ReplicaPredicate &accepts,
                                 TimePoint now) const {
   const auto listed = Services.find(service);
   return listed != Services.end() &&
          std::any_of(listed->second.begin(), listed->second.end(),
                      [&](const state::ReplicaId &id) {
                        return !contains(tried, id) &&
-                              isUsable(Replicas.find(id)->second, now);
+                              isUsable(Replicas.find(id)->second, now) &&
+                              accepts(id);
                      });
 }
 
+bool ReplicaPlacement::hasOther(std::string_view service,
+                                std::span<const state::ReplicaId> tried,
+                                TimePoint now) const {
+  return hasOther(
+      service, tried, [](std::string_view) { return true; }, now);
+}
+
 void ReplicaPlacement::onSent(std::string_view replica, Duration expected,
                               TimePoint now) {
   const auto it = Replicas.find(replica);
--- a/src/coordination/replica_placement.h
+++ b/src/coordination/replica_placement.h
@@ -78,16 +78,22 @@
       const std::map<std::string, state::ReplicaRecord, std::less<>> &records,
       TimePoint now);
 
-  /// Returns the replica for a new attempt, or nothing if no usable replica
-  /// besides `tried` has a free connection. `hasFreeConnection` states whether
-  /// a connection to the replica is free.
+  /// States whether the owner can send a request to the replica.
+  using ReplicaPredicate = std::function<bool(std::string_view replica)>;
+
+  /// Returns the replica for a new attempt, or nothing if `canSend` is true for
+  /// no usable replica besides `tried`.
   std::optional<state::ReplicaId>
   choose(std::string_view service, std::span<const state::ReplicaId> tried,
-         const std::function<bool(std::string_view)> &hasFreeConnection,
-         TimePoint now);
+         const ReplicaPredicate &canSend, TimePoint now);
+
+  /// Whether a usable replica besides `tried` exists for which `accepts` is
+  /// true.
+  bool hasOther(std::string_view service,
+                std::span<const state::ReplicaId> tried,
+                const ReplicaPredicate &accepts, TimePoint now) const;
 
-  /// Whether a usable replica besides `tried` exists, with or without a free
-  /// connection.
+  /// Whether a usable replica besides `tried` exists.
   bool hasOther(std::string_view service,
                 std::span<const state::ReplicaId> tried, TimePoint now) const;
 
--- a/src/forwarding/delegation_task.cc
+++ b/src/forwarding/delegation_task.cc
@@ -112,8 +112,7 @@
 
 std::optional<std::string>
 DelegationTask::chooseExecutor(const ForwardCall &call) {
-  if (!call.Route->isSharded() || !call.Route->IsIdempotent ||
-      call.Services.size() < Options.MinParts ||
+  if (!isDelegable(*call.Route) ||
       call.Message->Body.size() > Options.MaxBodyBytes ||
       call.Remaining <= 2 * Overhead)
     return std::nullopt;
--- a/src/forwarding/delegation_task.h
+++ b/src/forwarding/delegation_task.h
@@ -14,10 +14,6 @@
   coordination::ExecutorSelectorOptions Selector;
   state::DaemonCapacity Self;
 
-  /// Requests over fewer shards are executed locally: delegating one costs as
-  /// much as a few sub-requests.
-  std::size_t MinParts = 16;
-
   /// Requests with larger bodies are executed locally, so that they do not
   /// delay other messages of the link.
   std::size_t MaxBodyBytes = std::size_t{64} << 10;
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -86,6 +86,11 @@
 
 void ForwardTask::setRoutes(const state::RouteTablePtr &table) {
   Table = table;
+  DelegatedServices.clear();
+  for (const state::Route &route : table->routes())
+    if (isDelegable(route))
+      DelegatedServices.insert(route.Shards.Services.begin(),
+                               route.Shards.Services.end());
   planConnections();
 }
 
@@ -100,9 +105,80 @@
   if (fleet.Daemons > Fleet.Daemons)
     LastFleetGrowthAt = Loop.now();
   Fleet = fleet;
+  if (fleet.Daemons != 0)
+    LastKnownDaemons = fleet.Daemons;
   planConnections();
 }
 
+coordination::FleetComposition ForwardTask::fleetComposition() const {
+  return {Fleet.Daemons == 0 ? Options.AssumedDaemons : Fleet.Daemons,
+          Fleet.Daemons != 0 &&
+              Loop.now() - LastFleetGrowthAt >= Options.CountSettleTime,
+          Fleet.Executors, Fleet.IsExecutor, Fleet.IsDelegating};
+}
+
+// A daemon that has lost its relays still shares the replicas with the fleet
+// that it last knew.
+coordination::LimitShare ForwardTask::limitShare(const Replica &replica) const {
+  coordination::FleetComposition fleet = fleetComposition();
+  if (Fleet.Daemons == 0)
+    fleet.Daemons = std::max(Options.AssumedDaemons, LastKnownDaemons);
+  const bool isDelegated = DelegatedServices.contains(replica.Record.Service);
+  return {coordination::limitFraction(fleet, isDelegated), replica.Rank};
+}
+
+bool ForwardTask::allowsRequest(Replica &replica) {
+  return !replica.Limiter ||
+         replica.Limiter->available(limitShare(replica), Loop.now()) != 0;
+}
+
+void ForwardTask::setRequestLimit(std::string_view replica, double perSecond) {
+  const auto it = Replicas.find(replica);
+  if (it == Replicas.end())
+    return;
+  Replica &limited = *it->second;
+  const double before = limited.Limiter ? limited.Limiter->perSecond() : 0;
+  if (perSecond == before)
+    return;
+  if (perSecond == 0) {
+    limited.Limiter.reset();
+    state::log::info(
+        "replica_limit_ended",
+        {{"replica", replica}, {"service", limited.Record.Service}});
+    scheduleDispatch(limited.Record.Service);
+  } else {
+    if (limited.Limiter)
+      limited.Limiter->setLimit(perSecond, Loop.now());
+    else
+      limited.Limiter.emplace(perSecond, Options.Seed, Loop.now());
+    state::log::info("replica_limited",
+                     {{"replica", replica},
+                      {"service", limited.Record.Service},
+                      {"per_second", perSecond},
+                      {"daemons", Fleet.Daemons},
+                      {"fraction", limitShare(limited).Fraction}});
+  }
+  countLimited();
+}
+
+void ForwardTask::countLimited() {
+  LimitedReplicas = static_cast<std::size_t>(
+      std::count_if(Replicas.begin(), Replicas.end(), [](const auto &it) {
+        return it.second->Limiter.has_value();
+      }));
+}
+
+void ForwardTask::recordLimit(const Replica &replica,
+                              const ReplicaResult &result) {
+  if (!result.IsLimitKnown || (!result.RequestLimit && !replica.Limiter))
+    return;
+  const std::string id = replica.Record.Id;
+  const double perSecond = result.RequestLimit.value_or(0);
+  setRequestLimit(id, perSecond);
+  if (LimitStatedCallback)
+    LimitStatedCallback(id, perSecond);
+}
+
 double ForwardTask::fleetExtraShare() const {
   return Fleet.Daemons == 0 ? 0 : Options.FleetExtraAttempts / Fleet.Daemons;
 }
@@ -130,13 +206,8 @@
                        replica->Record.DataCentre == Options.DataCentre,
                        replica->CooldownUntil > Loop.now()});
   }
-  const coordination::FleetComposition fleet{
-      Fleet.Daemons == 0 ? Options.AssumedDaemons : Fleet.Daemons,
-      Fleet.Daemons != 0 &&
-          Loop.now() - LastFleetGrowthAt >= Options.CountSettleTime,
-      Fleet.Executors, Fleet.IsExecutor, Fleet.IsDelegating};
   const auto plans = coordination::planConnections(
-      planned, limit, fleet, Options.Name, Options.Connections);
+      planned, limit, fleetComposition(), Options.Name, Options.Connections);
   for (std::size_t i = 0; i != usable.size(); ++i) {
     usable[i]->Pool.setLimit(plans[i].Limit);
     usable[i]->IsWarm = plans[i].IsWarm;
@@ -178,8 +249,13 @@
     Replicas.emplace(id, std::move(replica));
   }
   ReplicasByService.clear();
-  for (const auto &[id, replica] : Replicas)
-    ReplicasByService[replica->Record.Service].push_back(replica);
+  for (const auto &[id, replica] : Replicas) {
+    std::vector<ReplicaPtr> &replicas =
+        ReplicasByService[replica->Record.Service];
+    replica->Rank = static_cast<std::uint32_t>(replicas.size());
+    replicas.push_back(replica);
+  }
+  countLimited();
   planConnections();
   for (const auto &[id, replica] : Replicas)
     warm(*replica);
@@ -311,7 +387,37 @@
 
 bool ForwardTask::hasOther(std::string_view service,
                            std::span<const state::ReplicaId> tried) {
-  return Placement.hasOther(service, tried, Loop.now());
+  return Placement.hasOther(
+      service, tried,
+      [this](std::string_view id) {
+        const auto it = Replicas.find(id);
+        return it == Replicas.end() || allowsRequest(*it->second);
+      },
+      Loop.now());
+}
+
+// Attempts that wait for a connection have not used their tokens yet.
+bool ForwardTask::isAtLimit(std::string_view service) {
+  if (LimitedReplicas == 0)
+    return false;
+  const auto queue = WaitingAttempts.find(service);
+  const std::size_t waiting =
+      queue == WaitingAttempts.end() ? 0 : queue->second.size();
+  std::size_t tokens = 0;
+  bool isUsable = false;
+  const bool hasRoom = Placement.hasOther(
+      service, {},
+      [&](std::string_view id) {
+        isUsable = true;
+        const auto it = Replicas.find(id);
+        if (it == Replicas.end() || !it->second->Limiter)
+          return true;
+        Replica &replica = *it->second;
+        tokens += replica.Limiter->available(limitShare(replica), Loop.now());
+        return tokens > waiting;
+      },
+      Loop.now());
+  return isUsable && !hasRoom;
 }
 
 void ForwardTask::executeActions(ForwardId id,
@@ -427,22 +533,24 @@
     return true;
   Request &request = *it->second;
   const auto tried = request.Execution.triedReplicas(key.Part);
-  const auto hasFreeConnection = [this](std::string_view id) {
+  const auto canSend = [this](std::string_view id) {
     const auto replica = Replicas.find(id);
-    return replica != Replicas.end() && replica->second->Pool.hasFree();
+    return replica != Replicas.end() && replica->second->Pool.hasFree() &&
+           allowsRequest(*replica->second);
   };
-  const auto chosen =
-      Placement.choose(service, tried, hasFreeConnection, Loop.now());
+  const auto chosen = Placement.choose(service, tried, canSend, Loop.now());
   if (chosen)
     return send(request, key, Replicas.at(*chosen));
-  if (Placement.hasOther(service, tried, Loop.now())) {
+  if (hasOther(service, tried)) {
     if (allowTemporaryConnection(service, tried))
       scheduleDispatch(service);
     return false;
   }
-  executeActions(key.Request,
-                 request.Execution.onFailure(
-                     key.Number, {AttemptEnd::NotSent, {}, {}}, Loop.now()));
+  const AttemptEnd end = Placement.hasOther(service, tried, Loop.now())
+                             ? AttemptEnd::AtLimit
+                             : AttemptEnd::NotSent;
+  executeActions(key.Request, request.Execution.onFailure(
+                                  key.Number, {end, {}, {}}, Loop.now()));
   return true;
 }
 
@@ -457,7 +565,7 @@
     const bool wasTried = std::find(tried.begin(), tried.end(),
                                     replica->Record.Id) != tried.end();
     if (wasTried || replica->Record.Draining || replica->Pool.limit() != 0 ||
-        replica->CooldownUntil > Loop.now())
+        replica->CooldownUntil > Loop.now() || !allowsRequest(*replica))
       continue;
     replica->Pool.setLimit(1);
     return true;
@@ -491,8 +599,10 @@
   if (attempt.Exchange == 0)
     return false;
   request.Attempts.emplace(key.Number, id);
-  if (target->RequestLimit)
+  if (target->Limiter) {
     LimitedAttempts.add();
+    target->Limiter->onSent(limitShare(*target), now);
+  }
   Placement.onSent(target->Record.Id, attempt.ExpectedLatency, now);
   Attempts.emplace(id, std::move(attempt));
   executeActions(key.Request,
@@ -517,21 +627,6 @@
        {"waiting", result.Load ? result.Load->Waiting : 0}});
 }
 
-void ForwardTask::recordLimit(Replica &replica, const ReplicaResult &result) {
-  if (!result.IsLimitKnown || result.RequestLimit == replica.RequestLimit)
-    return;
-  if (result.RequestLimit)
-    state::log::info("replica_limited", {{"replica", replica.Record.Id},
-                                         {"service", replica.Record.Service},
-                                         {"per_second", *result.RequestLimit},
-                                         {"daemons", Fleet.Daemons}});
-  else
-    state::log::info("replica_limit_ended",
-                     {{"replica", replica.Record.Id},
-                      {"service", replica.Record.Service}});
-  replica.RequestLimit = result.RequestLimit;
-}
-
 void ForwardTask::onAttemptEnded(AttemptId id, transport::HttpResult result) {
   const auto node = Attempts.extract(id);
   if (node.empty())
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -6,6 +6,7 @@
 #include "coordination/connection_plan.h"
 #include "coordination/hedge_policy.h"
 #include "coordination/lag_estimate.h"
+#include "coordination/request_limiter.h"
 #include "coordination/window_budget.h"
 #include "forwarding/forwarder.h"
 #include "state/metrics.h"
@@ -102,6 +103,18 @@
 
   void setFleet(const FleetView &fleet);
 
+  /// A replica has stated its request limit to this or another daemon; zero:
+  /// that it has none. Unknown replicas are ignored.
+  void setRequestLimit(std::string_view replica, double perSecond);
+
+  /// Called with each statement of a replica about its limit, except that a
+  /// replica without a limit still has none.
+  using LimitCallback =
+      std::function<void(std::string_view replica, double perSecond)>;
+  void onLimitStated(LimitCallback callback) {
+    LimitStatedCallback = std::move(callback);
+  }
+
   ForwardId forward(ForwardCall call, ForwardCallback callback) override;
   void cancel(ForwardId id) override;
 
@@ -131,7 +144,8 @@
     std::uint64_t SeenRefusals = 0; ///< refused connections at the last check
     state::TimePoint CooldownUntil = state::TimePoint::min();
     coordination::ConnectBackoff Backoff;
-    std::optional<double> RequestLimit; ///< in requests a second
+    std::uint32_t Rank = 0; ///< position among the replicas of its service
+    std::optional<coordination::RequestLimiter> Limiter;
   };
   using ReplicaPtr = std::shared_ptr<Replica>;
 
@@ -181,6 +195,7 @@
   bool tryTakeExtra(std::string_view service) override;
   bool hasOther(std::string_view service,
                 std::span<const state::ReplicaId> tried) override;
+  bool isAtLimit(std::string_view service) override;
 
   RequestClass &requestClass(const RequestClassKey &key);
   state::Duration expectedLatency(const RequestClassKey &key);
@@ -200,7 +215,11 @@
   void onAttemptEnded(AttemptId id, transport::HttpResult result);
   void logFailedAttempt(const Attempt &attempt,
                         const ReplicaResult &result) const;
-  void recordLimit(Replica &replica, const ReplicaResult &result);
+  void recordLimit(const Replica &replica, const ReplicaResult &result);
+  coordination::FleetComposition fleetComposition() const;
+  coordination::LimitShare limitShare(const Replica &replica) const;
+  bool allowsRequest(Replica &replica);
+  void countLimited();
   double fleetExtraShare() const;
   void planConnections();
   void planConnections(std::string_view service,
@@ -217,6 +236,12 @@
   coordination::ReplicaPlacement Placement;
   state::RouteTablePtr Table;
   FleetView Fleet;
+  std::uint32_t LastKnownDaemons = 0;
+
+  /// Services of shard sets whose requests are delegated to executors.
+  std::set<std::string, std::less<>> DelegatedServices;
+  std::size_t LimitedReplicas = 0;
+  LimitCallback LimitStatedCallback;
   state::TimePoint StartedAt;
   state::TimePoint LastFleetGrowthAt; ///< when the count of daemons last grew
   std::map<std::string, ReplicaPtr, std::less<>> Replicas;
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -43,6 +43,16 @@
   state::Duration ReturnTime{0};
 };
 
+/// Requests over fewer shards are not delegated to executors: delegating one
+/// costs as much as a few sub-requests.
+constexpr std::size_t MinDelegatedParts = 16;
+
+/// Whether requests on the route are delegated when the fleet has executors.
+inline bool isDelegable(const state::Route &route) {
+  return route.isSharded() && route.IsIdempotent &&
+         route.Shards.Services.size() >= MinDelegatedParts;
+}
+
 /// Executes requests of callers at replicas or through another daemon.
 class Forwarder {
 public:
--- a/src/forwarding/relay_task.cc
+++ b/src/forwarding/relay_task.cc
@@ -168,6 +168,13 @@
   request.Index = RelayLogIndex;
   request.RouteVersion = View.Table ? View.Table->version() : 0;
   request.Fleet = Fleet.subtreeReport(Loop.now());
+  // The relay's versions are those of its log.
+  if (RelayLogId == 0) {
+    RelayLimitsVersion = 0;
+    Limits.resetUpstream();
+  }
+  request.LimitsVersion = RelayLimitsVersion;
+  request.Limits = Limits.unreported(Loop.now());
   const auto peer = findLink(relay);
   return peer &&
          Network.send(*peer,
@@ -230,6 +237,7 @@
 void RelayTask::onRequest(const PeerIdentity &peer,
                           const DirectoryRequest &request) {
   Fleet.onReport(peer.VmId, request.Fleet, Loop.now());
+  Limits.merge(request.Limits, Loop.now());
   const WaitingRequest waiting{peer, request, Loop.now()};
   const bool isStale = View.Table != nullptr && isViewStale();
   const bool isFullRequest = request.Log == 0 && View.Table != nullptr;
@@ -251,6 +259,10 @@
   reply.Daemons =
       UpstreamDaemons != 0 ? UpstreamDaemons : Fleet.daemonCount(Loop.now());
   reply.Executors = ReportedExecutors;
+  reply.LimitsVersion = Limits.version();
+  if (reply.LimitsVersion != waiting.Request.LimitsVersion ||
+      reply.Log != waiting.Request.Log)
+    reply.Limits = Limits.all(Loop.now());
   Network.send(waiting.Peer,
                static_cast<std::uint16_t>(DirectoryMessageType::Reply),
                protocol::encodeDirectoryReply(reply));
@@ -321,8 +333,11 @@
                      {{"relay", Pending->Relay}, {"revision", reply.Revision}});
   IsReadingFromRelay = true;
   IsLossLogged = false;
+  if (RelayLogId != reply.Log)
+    Limits.resetUpstream();
   RelayLogId = reply.Log;
   RelayLogIndex = reply.Index;
+  RelayLimitsVersion = reply.LimitsVersion;
   UpstreamDaemons = reply.Daemons;
   recordDaemonCount(reply.Daemons);
   ReportedExecutors = std::move(reply.Executors);
@@ -336,6 +351,8 @@
   Pending.reset();
   Loop.cancel(read.Timer);
   read.Callback(std::move(content));
+  // After the replicas of the reply are known.
+  Limits.mergeUpstream(reply.Limits, Loop.now());
 }
 
 void RelayTask::onView(const DirectoryView &view) {
--- a/src/forwarding/relay_task.h
+++ b/src/forwarding/relay_task.h
@@ -2,6 +2,7 @@
 #define GALENAFLOW_FORWARDING_RELAY_TASK_H
 
 #include "coordination/directory_relay.h"
+#include "coordination/limit_registry.h"
 #include "forwarding/directory_task.h"
 #include "transport/peer_link.h"
 
@@ -92,6 +93,18 @@
     return Executors.current(Loop.now());
   }
 
+  /// Records what a replica has stated about its request limit to this daemon
+  /// and reports it to the others. Zero: it has none.
+  void reportLimit(std::string_view replica, double perSecond) {
+    Limits.record(replica, perSecond, Loop.now());
+  }
+
+  /// Calls `callback` when the request limit of a replica changes, as stated to
+  /// any daemon.
+  void onLimitChange(coordination::LimitRegistry::ChangeCallback callback) {
+    Limits.onChange(std::move(callback));
+  }
+
   /// Sets the addresses to which links are kept in addition to the relays.
   void setExtraLinks(const std::vector<std::string> &addresses);
 
@@ -150,6 +163,7 @@
   coordination::RelaySelector Selector;
   coordination::DirectoryLog Log;
   coordination::FleetAggregator Fleet;
+  coordination::LimitRegistry Limits;
   std::optional<PendingRead> Pending;
   std::deque<WaitingRequest> WaitingRequests;
   DirectoryView View;
@@ -157,8 +171,9 @@
   std::uint64_t LoggedListVersion = 0; ///< version of the list in Log
   state::TimePoint StartedAt;
   std::uint64_t LastSequence = 0;
-  std::uint64_t RelayLogId = 0;    ///< zero requests the whole view
-  std::uint64_t RelayLogIndex = 0; ///< position in the relay's log
+  std::uint64_t RelayLogId = 0;         ///< zero requests the whole view
+  std::uint64_t RelayLogIndex = 0;      ///< position in the relay's log
+  std::uint64_t RelayLimitsVersion = 0; ///< of the log RelayLogId
   bool HasStartedRead = false;
   bool IsReadingFromRelay = false;
   bool IsLossLogged = false; ///< since a relay was last in use
--- a/src/protocol/directory_generated.h
+++ b/src/protocol/directory_generated.h
@@ -23,6 +23,9 @@
 struct DirectoryDaemon;
 struct DirectoryDaemonBuilder;
 
+struct DirectoryLimit;
+struct DirectoryLimitBuilder;
+
 struct DirectoryMessage;
 struct DirectoryMessageBuilder;
 
@@ -256,6 +259,81 @@
       millicores);
 }
 
+struct DirectoryLimit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DirectoryLimitBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REPLICA = 4,
+    VT_PER_SECOND = 6,
+    VT_AGE_US = 8
+  };
+  const flatbuffers::String *replica() const {
+    return GetPointer<const flatbuffers::String *>(VT_REPLICA);
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_REPLICA) &&
+           verifier.VerifyString(replica()) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct DirectoryLimitBuilder {
+  typedef DirectoryLimit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_replica(flatbuffers::Offset<flatbuffers::String> replica) {
+    fbb_.AddOffset(DirectoryLimit::VT_REPLICA, replica);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(DirectoryLimit::VT_PER_SECOND, per_second, 0.0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(DirectoryLimit::VT_AGE_US, age_us, 0);
+  }
+  explicit DirectoryLimitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DirectoryLimit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DirectoryLimit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DirectoryLimit> CreateDirectoryLimit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> replica = 0,
+    double per_second = 0.0,
+    int64_t age_us = 0) {
+  DirectoryLimitBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_per_second(per_second);
+  builder_.add_replica(replica);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<DirectoryLimit> CreateDirectoryLimitDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *replica = nullptr,
+    double per_second = 0.0,
+    int64_t age_us = 0) {
+  auto replica__ = replica ? _fbb.CreateString(replica) : 0;
+  return galenaflow::protocol::fb::CreateDirectoryLimit(
+      _fbb,
+      replica__,
+      per_second,
+      age_us);
+}
+
 struct DirectoryMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef DirectoryMessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -272,7 +350,9 @@
     VT_ROUTES = 24,
     VT_WEAKEST_MILLICORES = 26,
     VT_STRONGEST = 28,
-    VT_MEMBERS = 30
+    VT_MEMBERS = 30,
+    VT_LIMITS = 32,
+    VT_LIMITS_VERSION = 34
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -316,6 +396,12 @@
   const flatbuffers::Vector<uint32_t> *members() const {
     return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_MEMBERS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryLimit>> *limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryLimit>> *>(VT_LIMITS);
+  }
+  uint64_t limits_version() const {
+    return GetField<uint64_t>(VT_LIMITS_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -338,6 +424,10 @@
            verifier.VerifyVectorOfTables(strongest()) &&
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           verifier.VerifyVectorOfTables(limits()) &&
+           VerifyField<uint64_t>(verifier, VT_LIMITS_VERSION, 8) &&
            verifier.EndTable();
   }
 };
@@ -388,6 +478,12 @@
   void add_members(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> members) {
     fbb_.AddOffset(DirectoryMessage::VT_MEMBERS, members);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryLimit>>> limits) {
+    fbb_.AddOffset(DirectoryMessage::VT_LIMITS, limits);
+  }
+  void add_limits_version(uint64_t limits_version) {
+    fbb_.AddElement<uint64_t>(DirectoryMessage::VT_LIMITS_VERSION, limits_version, 0);
+  }
   explicit DirectoryMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -414,14 +510,18 @@
     flatbuffers::Offset<flatbuffers::String> routes = 0,
     uint32_t weakest_millicores = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>>> strongest = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> members = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> members = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryLimit>>> limits = 0,
+    uint64_t limits_version = 0) {
   DirectoryMessageBuilder builder_(_fbb);
+  builder_.add_limits_version(limits_version);
   builder_.add_age_us(age_us);
   builder_.add_version(version);
   builder_.add_revision(revision);
   builder_.add_index(index);
   builder_.add_log(log);
   builder_.add_sequence(sequence);
+  builder_.add_limits(limits);
   builder_.add_members(members);
   builder_.add_strongest(strongest);
   builder_.add_weakest_millicores(weakest_millicores);
@@ -448,11 +548,14 @@
     const char *routes = nullptr,
     uint32_t weakest_millicores = 0,
     const std::vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>> *strongest = nullptr,
-    const std::vector<uint32_t> *members = nullptr) {
+    const std::vector<uint32_t> *members = nullptr,
+    const std::vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryLimit>> *limits = nullptr,
+    uint64_t limits_version = 0) {
   auto replicas__ = replicas ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryReplica>>(*replicas) : 0;
   auto routes__ = routes ? _fbb.CreateString(routes) : 0;
   auto strongest__ = strongest ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>>(*strongest) : 0;
   auto members__ = members ? _fbb.CreateVector<uint32_t>(*members) : 0;
+  auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryLimit>>(*limits) : 0;
   return galenaflow::protocol::fb::CreateDirectoryMessage(
       _fbb,
       sequence,
@@ -468,7 +571,9 @@
       routes__,
       weakest_millicores,
       strongest__,
-      members__);
+      members__,
+      limits__,
+      limits_version);
 }
 
 inline const galenaflow::protocol::fb::DirectoryMessage *GetDirectoryMessage(const void *buf) {
--- a/src/protocol/directory_messages.cc
+++ b/src/protocol/directory_messages.cc
@@ -3,6 +3,8 @@
 #include "protocol/directory_fb.h"
 #include "protocol/flatbuffer_bytes.h"
 
+#include <cmath>
+
 // Bytes from peers are first checked by the FlatBuffers verifier and then
 // against the limits.
 
@@ -52,6 +54,37 @@
   return daemons;
 }
 
+using LimitList = flatbuffers::Vector<flatbuffers::Offset<fb::DirectoryLimit>>;
+
+flatbuffers::Offset<LimitList>
+pack(flatbuffers::FlatBufferBuilder &b,
+     const std::vector<state::RequestLimit> &limits) {
+  std::vector<flatbuffers::Offset<fb::DirectoryLimit>> list;
+  for (const state::RequestLimit &limit : limits) {
+    if (list.size() == MaxListedLimits)
+      break;
+    const auto replica = b.CreateString(limit.Replica);
+    list.push_back(fb::CreateDirectoryLimit(b, replica, limit.PerSecond,
+                                            limit.Age.count()));
+  }
+  return b.CreateVector(list);
+}
+
+std::vector<state::RequestLimit> unpack(const LimitList *list) {
+  std::vector<state::RequestLimit> limits;
+  if (list == nullptr)
+    return limits;
+  for (const fb::DirectoryLimit *limit : *list) {
+    if (limits.size() == MaxListedLimits)
+      break;
+    const double perSecond = limit->per_second();
+    if (std::isfinite(perSecond) && perSecond >= 0 && limit->age_us() >= 0)
+      limits.push_back({textOf(limit->replica()), perSecond,
+                        state::Duration(limit->age_us())});
+  }
+  return limits;
+}
+
 state::DirectoryChange unpack(const fb::DirectoryReplica &in) {
   state::DirectoryChange change;
   change.Id = textOf(in.id());
@@ -74,6 +107,7 @@
   const auto strongest = pack(b, request.Fleet.Strongest);
   const std::span<const std::uint32_t> values = request.Fleet.Daemons.values();
   const auto members = b.CreateVector(values.data(), values.size());
+  const auto limits = pack(b, request.Limits);
   fb::DirectoryMessageBuilder message(b);
   message.add_sequence(request.Sequence);
   message.add_log(request.Log);
@@ -82,6 +116,8 @@
   message.add_members(members);
   message.add_weakest_millicores(request.Fleet.WeakestMillicores);
   message.add_strongest(strongest);
+  message.add_limits_version(request.LimitsVersion);
+  message.add_limits(limits);
   return finish(b, message.Finish());
 }
 
@@ -101,6 +137,7 @@
   const auto list = b.CreateVector(replicas);
   const auto routes = b.CreateString(reply.Routes);
   const auto executors = pack(b, reply.Executors);
+  const auto limits = pack(b, reply.Limits);
   fb::DirectoryMessageBuilder message(b);
   message.add_sequence(reply.Sequence);
   message.add_has_content(reply.HasContent);
@@ -113,6 +150,8 @@
   message.add_replicas(list);
   message.add_routes(routes);
   message.add_strongest(executors);
+  message.add_limits_version(reply.LimitsVersion);
+  message.add_limits(limits);
   return finish(b, message.Finish());
 }
 
@@ -134,6 +173,8 @@
   }
   request.Fleet.WeakestMillicores = in->weakest_millicores();
   request.Fleet.Strongest = unpack(in->strongest());
+  request.LimitsVersion = in->limits_version();
+  request.Limits = unpack(in->limits());
   return request;
 }
 
@@ -153,6 +194,8 @@
   reply.HasContent = in->has_content();
   reply.IsFull = in->is_full();
   reply.Routes = textOf(in->routes());
+  reply.LimitsVersion = in->limits_version();
+  reply.Limits = unpack(in->limits());
   if (in->replicas() == nullptr)
     return reply;
   if (in->replicas()->size() > MaxDirectoryChanges)
--- a/src/protocol/directory_messages.h
+++ b/src/protocol/directory_messages.h
@@ -5,6 +5,7 @@
 #include "state/distinct_count.h"
 #include "state/error.h"
 #include "state/replica_directory.h"
+#include "state/request_limit.h"
 
 #include <cstdint>
 #include <string>
@@ -38,6 +39,12 @@
   std::uint64_t RouteVersion = 0;
   FleetReport Fleet; ///< the requesting daemon and those that read from it
 
+  /// Version of the peer's request limits that the sender has; zero: none.
+  std::uint64_t LimitsVersion = 0;
+
+  /// Request limits of replicas that the peer does not know yet.
+  std::vector<state::RequestLimit> Limits;
+
   bool operator==(const DirectoryRequest &) const = default;
 };
 
@@ -57,11 +64,19 @@
   bool IsFull = false;
   std::vector<state::DirectoryChange> Changes;
   std::string Routes; ///< the published document; empty when it is not newer
+
+  /// Version of the replying daemon's request limits.
+  std::uint64_t LimitsVersion = 0;
+
+  /// All request limits of replicas that the replying daemon knows; empty when
+  /// the requesting daemon has this version.
+  std::vector<state::RequestLimit> Limits;
 };
 
 /// Limits on what a peer may send.
 constexpr std::size_t MaxDirectoryChanges = 100'000;
 constexpr std::size_t MaxListedDaemons = 64;
+constexpr std::size_t MaxListedLimits = 20'000;
 
 std::string encodeDirectoryRequest(const DirectoryRequest &request);
 std::string encodeDirectoryReply(const DirectoryReply &reply);
--- /dev/null
+++ b/src/state/request_limit.h
@@ -0,0 +1,25 @@
+#ifndef GALENAFLOW_STATE_REQUEST_LIMIT_H
+#define GALENAFLOW_STATE_REQUEST_LIMIT_H
+
+#include "state/clock.h"
+
+#include <string>
+
+namespace galenaflow::state {
+
+/// What a daemon knows about the request limit of a replica.
+struct RequestLimit {
+  std::string Replica;
+
+  /// Requests a second that the replica accepts from all daemons together.
+  /// Zero: it has stated that it has no limit any more.
+  double PerSecond = 0;
+
+  Duration Age{0}; ///< time since the replica stated it
+
+  bool operator==(const RequestLimit &) const = default;
+};
+
+} // namespace galenaflow::state
+
+#endif
--- a/tests/forward_execution_test.cc
+++ b/tests/forward_execution_test.cc
@@ -25,6 +25,10 @@
                 std::span<const state::ReplicaId> tried) override {
     return tried.size() < Replicas;
   }
+  bool isAtLimit(std::string_view service) override {
+    return AtLimit.contains(std::string(service));
+  }
+  std::set<std::string> AtLimit; ///< services
 };
 
 struct Fixture {
@@ -95,6 +99,29 @@
 
 } // namespace
 
+// Guards against a request that uses up the limits of some replicas and then
+// fails for want of the others.
+TEST_CASE("a request whose services are at their limits is rejected before any "
+          "attempt") {
+  const std::size_t shards = GENERATE(0, 4);
+  Fixture it(shards);
+  it.Policy.AtLimit = {"s", "s0", "s1"};
+  it.start();
+  CHECK(it.Attempts.empty());
+  REQUIRE(it.Finished);
+  const auto &failure = std::get<ForwardFailure>(it.Finished->Result);
+  CHECK(failure.Fault == ForwardFault::ServerLimit);
+  CHECK(failure.Ran == ExecutionState::NotRun);
+}
+
+TEST_CASE("shards at their limits are left out if the others are enough") {
+  Fixture it(4);
+  it.Policy.AtLimit = {"s2"};
+  it.start();
+  CHECK(it.Attempts.size() == 3);
+  CHECK_FALSE(it.Finished);
+}
+
 TEST_CASE("a successful response of the only replica is the result") {
   Fixture it;
   it.start();
--- a/tests/fuzz/corpus_main.cc
+++ b/tests/fuzz/corpus_main.cc
@@ -100,10 +100,11 @@
 void writeDirectory(const CorpusFolder &folder) {
   using protocol::DelegationMessageType;
   using protocol::DirectoryMessageType;
-  protocol::DirectoryRequest request{3, 4, 5, 6, {}};
+  protocol::DirectoryRequest request{3, 4, 5, 6, {}, 7, {}};
   request.Fleet = {state::DistinctCount::fromValues({5, 9, 30}),
                    120,
                    {{"10.0.0.1:7", "a", 500}}};
+  request.Limits = {{"i-1", 2.5, std::chrono::milliseconds(3)}};
   folder.writeMessage(static_cast<std::uint16_t>(DirectoryMessageType::Request),
                       protocol::encodeDirectoryRequest(request));
   protocol::DirectoryReply reply;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -158,8 +158,8 @@
     return ReplicaCodec().decode({}, response(status, headers));
   };
   using Headers = std::vector<std::pair<std::string, std::string>>;
-  const auto limited = decode(
-      200, Headers{{"X-Response-Seal", "s"}, {"Server-Limit", "2.5"}});
+  const auto limited =
+      decode(200, Headers{{"X-Response-Seal", "s"}, {"Server-Limit", "2.5"}});
   CHECK(limited.IsLimitKnown);
   CHECK(limited.RequestLimit == Approx(2.5));
   const auto ended = decode(200, Headers{{"X-Response-Seal", "s"}});
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -281,6 +281,63 @@
   CHECK(failed.Status == 502);
 }
 
+// Guards against replicas that get more requests than the limit which they
+// named.
+TEST_CASE("replicas get no more requests than their limits allow") {
+  Site site;
+  site.start();
+  constexpr double limit = 3;
+  for (const char *id : {"p0", "p1", "s0a", "s0b"})
+    site.replica(id).behaviour().Limit = "3.0";
+  site.call("/one/x");
+  site.call("/all/x");
+  int rejected = 0;
+  int partial = 0;
+  const state::TimePoint end = site.Loop.now() + 4s;
+  while (site.Loop.now() < end) {
+    const state::TimePoint sentAt = site.Loop.now();
+    const auto one = site.call("/one/x");
+    if (one.Status != 200) {
+      ++rejected;
+      CHECK(one.Status == 503);
+      CHECK(one.Headers.find("Retry-After").has_value());
+      CHECK(site.executionCount(site.LastId) == 0);
+      CHECK(site.Loop.now() - sentAt < 60ms);
+    }
+    const auto all = site.call("/all/x");
+    CHECK(all.Status == 200);
+    partial += all.Headers.find("X-Missing-Parts") == "1" ? 1 : 0;
+    site.runFor(20ms);
+  }
+  CHECK(rejected > 20);
+  CHECK(partial > 20);
+  for (const char *id : {"p0", "p1", "s0a", "s0b"}) {
+    INFO(id);
+    CHECK(site.replica(id).runs().size() <= 1.5 * 4 * limit + 5);
+  }
+}
+
+// Guards against requests that are turned away although the limit has ended.
+TEST_CASE("the end of a limit is noticed with the next response") {
+  Site site;
+  site.start();
+  for (const char *id : {"p0", "p1"})
+    site.replica(id).behaviour().Limit = "12";
+  const auto countServed = [&site] {
+    int served = 0;
+    for (int i = 0; i != 20; ++i)
+      served += site.call("/one/x").Status == 200 ? 1 : 0;
+    return served;
+  };
+  countServed();
+  CHECK(countServed() < 10);
+  for (const char *id : {"p0", "p1"})
+    site.replica(id).behaviour().Limit.clear();
+  site.runFor(2s);
+  countServed();
+  CHECK(countServed() == 20);
+}
+
 // Guards against a server that ends the process, or holds it up, by bytes that
 // are no answer and never end.
 TEST_CASE("replicas that send without end cost only their own parts") {
--- a/tests/platform/replica_standin.cc
+++ b/tests/platform/replica_standin.cc
@@ -34,6 +34,8 @@
   HttpResponse response;
   response.Headers.add("X-Request-Id", header("X-Request-Id"));
   response.Headers.add("X-Server-Load", "0,0,2,100");
+  if (!Behaviour.Limit.empty())
+    response.Headers.add("Server-Limit", Behaviour.Limit);
   if (header("X-Target-Instance") != Id) {
     response.Status = 421;
     connection->respond(response);
--- a/tests/platform/replica_standin.h
+++ b/tests/platform/replica_standin.h
@@ -19,6 +19,7 @@
   /// Runs the request and sends these bytes, then the second ones without end.
   std::string EndlessStart;
   std::string EndlessRepeated;
+  std::string Limit;  ///< value of the header for the request limit, if any
   int FailStatus = 0; ///< runs the request and responds with this status
 };
 
--- a/tests/relay_task_test.cc
+++ b/tests/relay_task_test.cc
@@ -337,6 +337,25 @@
       [](const Daemon &it) { return it.Relay.executors().size() == 1; }, 8s));
 }
 
+// Guards against a daemon that keeps to a limit that has ended, because it is
+// not due to send a request to the replica.
+TEST_CASE("all daemons learn a limit and its end from the one that was told") {
+  Fleet fleet(6);
+  std::vector<double> known(fleet.Daemons.size(), 0);
+  for (std::size_t i = 0; i != fleet.Daemons.size(); ++i)
+    fleet.Daemons[i]->Relay.onLimitChange(
+        [&known, i](std::string_view, double limit) { known[i] = limit; });
+  const auto allKnow = [&known](double limit) {
+    return std::all_of(known.begin(), known.end(),
+                       [limit](double it) { return it == limit; });
+  };
+  fleet.Loop.runUntil([] { return false; }, 3s);
+  fleet.Daemons[5]->Relay.reportLimit("a", 4.5);
+  CHECK(fleet.Loop.runUntil([&] { return allKnow(4.5); }, 6s));
+  fleet.Daemons[3]->Relay.reportLimit("a", 0);
+  CHECK(fleet.Loop.runUntil([&] { return allKnow(0); }, 6s));
+}
+
 // Guards against daemons that each read at the source, unnoticed, because their
 // keys differ.
 TEST_CASE("a daemon with another key is refused and counted") {
