Follow the store into the history of a restored copy

Cause: a daemon kept its place in the store's history as a revision. A restored store gives out the revisions again that were written after the copy was made. The daemon had read revision 66, the store went back to 65 and wrote the new routes as 66, and the daemon asked for the changes after 66. Daemons that asked before that got 410 and read everything. Class of fault: a position that is compared across histories. It was in three places: the reads of the store, the pages of one full read, and the check that a relay's reply is not older.

A position now consists of an epoch, the number that the store states in all its responses, and a revision.

Tests: platform_node_test "changes that a restored store wrote under reused revisions are read" (before: the request runs by the old routes and a new replica is not used), directory_reader_test, relay_task_test.

--- a/src/coordination/directory_reader.cc
+++ b/src/coordination/directory_reader.cc
@@ -1,6 +1,7 @@
 #include "coordination/directory_reader.h"
 
 #include <algorithm>
+#include <utility>
 
 // The directory is read periodically instead of by long polling: every replica
 // writes a heartbeat about once a second, so a long poll would return at once
@@ -35,18 +36,30 @@
   return wasOut;
 }
 
-bool DirectoryReader::onFullRead(std::uint64_t revision, TimePoint readAt,
-                                 TimePoint now) {
-  const bool hadContent = HasContent || Revision != 0;
+// Returns whether the position is in another history of the source. What
+// backend servers have registered since the copy was made is missing there
+// until they register again, as after an outage.
+bool DirectoryReader::moveTo(const state::DirectoryPosition &position) {
+  const bool wasRestored = position.Epoch != Position.Epoch;
+  Position = position;
+  return wasRestored;
+}
+
+bool DirectoryReader::onFullRead(const state::DirectoryPosition &position,
+                                 TimePoint readAt, TimePoint now) {
+  const bool hadContent = std::exchange(HasRead, true);
   HasContent = true;
-  Revision = revision;
-  return onSuccess(readAt, now) && hadContent;
+  const bool wasRestored = moveTo(position);
+  const bool wasOut = onSuccess(readAt, now);
+  return hadContent && (wasRestored || wasOut);
 }
 
-bool DirectoryReader::onChanges(std::optional<std::uint64_t> lastRevision,
-                                TimePoint readAt, TimePoint now) {
-  Revision = std::max(Revision, lastRevision.value_or(0));
-  return onSuccess(readAt, now);
+bool DirectoryReader::onChanges(
+    const std::optional<state::DirectoryPosition> &last, TimePoint readAt,
+    TimePoint now) {
+  const bool wasRestored = last && *last > Position && moveTo(*last);
+  const bool wasOut = onSuccess(readAt, now);
+  return wasRestored || wasOut;
 }
 
 void DirectoryReader::onHistoryLost(TimePoint now) {
--- a/src/coordination/directory_reader.h
+++ b/src/coordination/directory_reader.h
@@ -2,6 +2,7 @@
 #define GALENAFLOW_COORDINATION_DIRECTORY_READER_H
 
 #include "state/clock.h"
+#include "state/replica_directory.h"
 
 #include <cstdint>
 #include <optional>
@@ -39,12 +40,12 @@
 
 enum class DirectoryRead {
   Full,    ///< the whole content
-  Changes, ///< the changes after revision()
+  Changes, ///< the changes after position()
 };
 
 /// Decides when to read the operator's directory, and whether to read its whole
-/// content or only the changes since the last revision read. It reads the whole
-/// content again when the source's history no longer contains that revision.
+/// content or only the changes since the last position read. It reads the whole
+/// content again when the source's history no longer contains that position.
 class DirectoryReader {
 public:
   DirectoryReader(DirectoryReaderOptions options, std::mt19937_64 random,
@@ -58,16 +59,18 @@
 
   /// Call when the open read has returned the whole content, which was read
   /// from the source at `readAt`. Returns whether the source had been
-  /// unavailable; false for the first read.
-  bool onFullRead(std::uint64_t revision, TimePoint readAt, TimePoint now);
-
-  /// Call when the open read has returned changes. `lastRevision` is the
-  /// revision of the last change that was read, or nothing. The source's own
-  /// revision is not used, because changes that it has not returned yet would
-  /// be skipped. Returns whether the source had been unavailable.
-  bool onChanges(std::optional<std::uint64_t> lastRevision, TimePoint readAt,
-                 TimePoint now);
-  /// Call when the source's history no longer contains revision().
+  /// unavailable, or was restored from a copy; false for the first read.
+  bool onFullRead(const state::DirectoryPosition &position, TimePoint readAt,
+                  TimePoint now);
+
+  /// Call when the open read has returned changes. `last` is the position of
+  /// the last change that was read, or nothing. The source's own position is
+  /// not used, because changes that it has not returned yet would be skipped.
+  /// Returns whether the source had been unavailable, or was restored.
+  bool onChanges(const std::optional<state::DirectoryPosition> &last,
+                 TimePoint readAt, TimePoint now);
+
+  /// Call when the source's history no longer contains position().
   void onHistoryLost(TimePoint now);
   void onFailure(TimePoint now);
 
@@ -76,10 +79,11 @@
   void requestRead(TimePoint now);
 
   bool hasContent() const { return HasContent; }
-  std::uint64_t revision() const { return Revision; }
+  const state::DirectoryPosition &position() const { return Position; }
   Duration age(TimePoint now) const { return now - LastReadAt; }
 
 private:
+  bool moveTo(const state::DirectoryPosition &position);
   bool onSuccess(TimePoint readAt, TimePoint now);
   Duration jittered(Duration d);
 
@@ -88,7 +92,8 @@
   bool IsReadOpen = false;
   bool IsReadRequested = false; ///< while a read is open
   bool HasContent = false;
-  std::uint64_t Revision = 0;
+  bool HasRead = false; ///< whether a full read has ever succeeded
+  state::DirectoryPosition Position;
   TimePoint StartupUntil;
   TimePoint LastReadAt;
   TimePoint ReadStartedAt; ///< start of the last read
--- a/src/forwarding/directory_task.cc
+++ b/src/forwarding/directory_task.cc
@@ -55,7 +55,7 @@
     if (*read == DirectoryRead::Full)
       Source.readAll(callback);
     else
-      Source.readChanges(Reader.revision(), callback);
+      Source.readChanges(Reader.position(), callback);
   }
   // An open read calls tick() again when it ends.
   const state::Duration wait =
@@ -72,12 +72,13 @@
   Failures.add();
   if (fault == DirectoryFault::HistoryLost) {
     state::log::warning("directory_history_lost",
-                        {{"revision", Reader.revision()}});
+                        {{"revision", Reader.position().Revision}});
     Reader.onHistoryLost(Loop.now());
   } else {
     if (!LastReadFailed)
-      state::log::warning("directory_lost", {{"revision", Reader.revision()},
-                                             {"age_ms", age().count() / 1000}});
+      state::log::warning("directory_lost",
+                          {{"revision", Reader.position().Revision},
+                           {"age_ms", age().count() / 1000}});
     LastReadFailed = true;
     Reader.onFailure(Loop.now());
   }
@@ -92,8 +93,10 @@
   const state::TimePoint readAt = Loop.now() - result->Age;
   const bool afterOutage =
       read == DirectoryRead::Full
-          ? Reader.onFullRead(result->Revision.value_or(0), readAt, Loop.now())
-          : Reader.onChanges(result->Revision, readAt, Loop.now());
+          ? Reader.onFullRead(
+                result->Position.value_or(state::DirectoryPosition()), readAt,
+                Loop.now())
+          : Reader.onChanges(result->Position, readAt, Loop.now());
   if (result->IsLongPoll)
     Reader.requestRead(Loop.now());
   apply(*result, afterOutage);
@@ -101,8 +104,9 @@
 
 void DirectoryTask::apply(const DirectoryContent &content, bool afterOutage) {
   if (LastReadFailed)
-    state::log::info("directory_regained", {{"revision", Reader.revision()},
-                                            {"after_outage", afterOutage}});
+    state::log::info("directory_regained",
+                     {{"revision", Reader.position().Revision},
+                      {"after_outage", afterOutage}});
   LastReadFailed = false;
   const state::TimePoint now = Loop.now();
   bool changed = false;
@@ -125,7 +129,7 @@
 
 void DirectoryTask::reportView() const {
   Listener.Read(
-      {Table, Document, &Directory, Reader.revision(), Reader.age(Loop.now())});
+      {Table, Document, &Directory, Reader.position(), Reader.age(Loop.now())});
 }
 
 void DirectoryTask::applyRoutes(const DirectoryContent &content) {
--- a/src/forwarding/directory_task.h
+++ b/src/forwarding/directory_task.h
@@ -20,9 +20,9 @@
   state::RouteTablePtr Table; ///< null when the read contains no routes
   std::string Document;       ///< the published form of Table
 
-  /// Revision of the last change that was read. For a full read and a read from
-  /// another daemon, the revision of the source.
-  std::optional<std::uint64_t> Revision;
+  /// Position of the last change that was read. For a full read and a read from
+  /// another daemon, the position of the source.
+  std::optional<state::DirectoryPosition> Position;
 
   state::Duration Age{0}; ///< since it was read at the source
 
@@ -33,7 +33,7 @@
 
 enum class DirectoryFault {
   Failed,      ///< no usable response
-  HistoryLost, ///< the changes after the revision are no longer available
+  HistoryLost, ///< the changes after the position are no longer available
 };
 
 using DirectoryResult = tl::expected<DirectoryContent, DirectoryFault>;
@@ -46,7 +46,8 @@
 public:
   virtual ~DirectorySource() = default;
   virtual void readAll(DirectoryCallback callback) = 0;
-  virtual void readChanges(std::uint64_t after, DirectoryCallback callback) = 0;
+  virtual void readChanges(const state::DirectoryPosition &after,
+                           DirectoryCallback callback) = 0;
 
   /// Decodes a published document of routes; null when it is malformed.
   virtual state::RouteTablePtr
@@ -58,7 +59,7 @@
   state::RouteTablePtr Table;
   std::string_view Document;
   const state::ReplicaDirectory *Replicas = nullptr;
-  std::uint64_t Revision = 0;
+  state::DirectoryPosition Position;
   state::Duration Age{0};
 };
 
--- a/src/forwarding/relay_task.cc
+++ b/src/forwarding/relay_task.cc
@@ -11,8 +11,9 @@
 // failure of a relay leads to a read at the source in the same iteration of the
 // event loop, so no limit depends on another daemon.
 //
-// A relay's reply is used only if its revision is not older than the one known
-// to this daemon: a relay that lags behind must not undo newer changes.
+// A relay's reply is used only if its position is not older than the one known
+// to this daemon: a relay that lags behind must not undo newer changes. Any
+// revision of a restored source is newer than those of its earlier history.
 
 namespace galenaflow::forwarding {
 
@@ -96,11 +97,12 @@
   read(std::nullopt, std::move(callback));
 }
 
-void RelayTask::readChanges(std::uint64_t after, DirectoryCallback callback) {
+void RelayTask::readChanges(const state::DirectoryPosition &after,
+                            DirectoryCallback callback) {
   read(after, std::move(callback));
 }
 
-void RelayTask::read(std::optional<std::uint64_t> after,
+void RelayTask::read(const std::optional<state::DirectoryPosition> &after,
                      DirectoryCallback callback) {
   // A daemon without a view reads at the source first, and at a relay when that
   // has failed: after a stop of the whole fleet, no relay has a view either.
@@ -200,7 +202,7 @@
   readSource(read.After, std::move(read.Callback));
 }
 
-void RelayTask::readSource(std::optional<std::uint64_t> after,
+void RelayTask::readSource(const std::optional<state::DirectoryPosition> &after,
                            DirectoryCallback callback) {
   SourceReads.add();
   IsReadingFromRelay = false;
@@ -254,7 +256,7 @@
 void RelayTask::sendReply(const WaitingRequest &waiting) {
   DirectoryReply reply = Log.makeReply(waiting.Request);
   reply.HasContent = View.Table != nullptr;
-  reply.Revision = View.Revision;
+  reply.Position = View.Position;
   reply.Age = Loop.now() - ViewReadAt;
   reply.Daemons =
       UpstreamDaemons != 0 ? UpstreamDaemons : Fleet.daemonCount(Loop.now());
@@ -314,7 +316,7 @@
     failPendingRead("its view is old");
     return;
   }
-  if (reply.Revision < Pending->After.value_or(0)) {
+  if (Pending->After && reply.Position < *Pending->After) {
     failPendingRead("its view is behind");
     return;
   }
@@ -329,8 +331,8 @@
   }
   RelayReads.add();
   if (!IsReadingFromRelay)
-    state::log::info("relay_in_use",
-                     {{"relay", Pending->Relay}, {"revision", reply.Revision}});
+    state::log::info("relay_in_use", {{"relay", Pending->Relay},
+                                      {"revision", reply.Position.Revision}});
   IsReadingFromRelay = true;
   IsLossLogged = false;
   if (RelayLogId != reply.Log)
@@ -343,7 +345,7 @@
   ReportedExecutors = std::move(reply.Executors);
   Executors.update(ReportedExecutors, Loop.now());
   content.Changes = std::move(reply.Changes);
-  content.Revision = reply.Revision;
+  content.Position = reply.Position;
   content.IsFull = reply.IsFull;
   content.Age = reply.Age;
   content.IsLongPoll = true;
--- a/src/forwarding/relay_task.h
+++ b/src/forwarding/relay_task.h
@@ -72,7 +72,8 @@
   void setRelays(const std::vector<std::string> &addresses);
 
   void readAll(DirectoryCallback callback) override;
-  void readChanges(std::uint64_t after, DirectoryCallback callback) override;
+  void readChanges(const state::DirectoryPosition &after,
+                   DirectoryCallback callback) override;
   state::RouteTablePtr decodeRoutes(std::string_view document) const override;
 
   /// Calls `callback` when a link to a relay comes up while none is in use, so
@@ -122,7 +123,7 @@
   struct PendingRead {
     std::uint64_t Sequence = 0;
     std::string Relay;
-    std::optional<std::uint64_t> After;
+    std::optional<state::DirectoryPosition> After;
     DirectoryCallback Callback;
     transport::TimerId Timer = 0;
   };
@@ -133,8 +134,9 @@
     state::TimePoint ArrivedAt;
   };
 
-  void read(std::optional<std::uint64_t> after, DirectoryCallback callback);
-  void readSource(std::optional<std::uint64_t> after,
+  void read(const std::optional<state::DirectoryPosition> &after,
+            DirectoryCallback callback);
+  void readSource(const std::optional<state::DirectoryPosition> &after,
                   DirectoryCallback callback);
   bool sendRequest(const std::string &relay);
   std::optional<transport::PeerIdentity>
--- a/src/protocol/directory_generated.h
+++ b/src/protocol/directory_generated.h
@@ -352,7 +352,8 @@
     VT_STRONGEST = 28,
     VT_MEMBERS = 30,
     VT_LIMITS = 32,
-    VT_LIMITS_VERSION = 34
+    VT_LIMITS_VERSION = 34,
+    VT_EPOCH = 36
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -402,6 +403,9 @@
   uint64_t limits_version() const {
     return GetField<uint64_t>(VT_LIMITS_VERSION, 0);
   }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -428,6 +432,7 @@
            verifier.VerifyVector(limits()) &&
            verifier.VerifyVectorOfTables(limits()) &&
            VerifyField<uint64_t>(verifier, VT_LIMITS_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            verifier.EndTable();
   }
 };
@@ -484,6 +489,9 @@
   void add_limits_version(uint64_t limits_version) {
     fbb_.AddElement<uint64_t>(DirectoryMessage::VT_LIMITS_VERSION, limits_version, 0);
   }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(DirectoryMessage::VT_EPOCH, epoch, 0);
+  }
   explicit DirectoryMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -512,8 +520,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>>> strongest = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> members = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryLimit>>> limits = 0,
-    uint64_t limits_version = 0) {
+    uint64_t limits_version = 0,
+    uint64_t epoch = 0) {
   DirectoryMessageBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
   builder_.add_limits_version(limits_version);
   builder_.add_age_us(age_us);
   builder_.add_version(version);
@@ -550,7 +560,8 @@
     const std::vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>> *strongest = nullptr,
     const std::vector<uint32_t> *members = nullptr,
     const std::vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryLimit>> *limits = nullptr,
-    uint64_t limits_version = 0) {
+    uint64_t limits_version = 0,
+    uint64_t epoch = 0) {
   auto replicas__ = replicas ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryReplica>>(*replicas) : 0;
   auto routes__ = routes ? _fbb.CreateString(routes) : 0;
   auto strongest__ = strongest ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>>(*strongest) : 0;
@@ -573,7 +584,8 @@
       strongest__,
       members__,
       limits__,
-      limits_version);
+      limits_version,
+      epoch);
 }
 
 inline const galenaflow::protocol::fb::DirectoryMessage *GetDirectoryMessage(const void *buf) {
--- a/src/protocol/directory_messages.cc
+++ b/src/protocol/directory_messages.cc
@@ -143,7 +143,8 @@
   message.add_has_content(reply.HasContent);
   message.add_log(reply.Log);
   message.add_index(reply.Index);
-  message.add_revision(reply.Revision);
+  message.add_epoch(reply.Position.Epoch);
+  message.add_revision(reply.Position.Revision);
   message.add_age_us(reply.Age.count());
   message.add_daemons(reply.Daemons);
   message.add_is_full(reply.IsFull);
@@ -187,7 +188,7 @@
   reply.Sequence = in->sequence();
   reply.Log = in->log();
   reply.Index = in->index();
-  reply.Revision = in->revision();
+  reply.Position = {in->epoch(), in->revision()};
   reply.Age = state::Duration(in->age_us());
   reply.Daemons = in->daemons();
   reply.Executors = unpack(in->strongest());
--- a/src/protocol/directory_messages.h
+++ b/src/protocol/directory_messages.h
@@ -53,7 +53,7 @@
   bool HasContent = false; ///< false until the peer has read the directory
   std::uint64_t Log = 0;   ///< id of the replying daemon's log
   std::uint64_t Index = 0; ///< position in the log after the reply is applied
-  std::uint64_t Revision = 0; ///< of the source; the reply is complete up to it
+  state::DirectoryPosition Position; ///< up to which the reply is complete
 
   /// Time since the replying daemon last knew that its content was up to date.
   state::Duration Age{0};
--- a/src/state/replica_directory.h
+++ b/src/state/replica_directory.h
@@ -3,6 +3,7 @@
 
 #include "state/clock.h"
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -35,6 +36,18 @@
   }
 };
 
+/// A position in the history of the directory's source.
+struct DirectoryPosition {
+  /// Number of the history. A source that was restored from an older copy
+  /// starts another history, in which it gives out the revisions again that
+  /// were written after the copy was made.
+  std::uint64_t Epoch = 0;
+
+  std::uint64_t Revision = 0;
+
+  auto operator<=>(const DirectoryPosition &) const = default;
+};
+
 /// One change of the directory. Changes are listed in the order of revisions.
 struct DirectoryChange {
   std::string Id;
--- a/tests/delegation_task_test.cc
+++ b/tests/delegation_task_test.cc
@@ -69,7 +69,8 @@
 /// A directory whose reads never end.
 struct UnresponsiveSource final : DirectorySource {
   void readAll(DirectoryCallback) override {}
-  void readChanges(std::uint64_t, DirectoryCallback) override {}
+  void readChanges(const state::DirectoryPosition &,
+                   DirectoryCallback) override {}
   state::RouteTablePtr decodeRoutes(std::string_view) const override {
     return nullptr;
   }
--- a/tests/directory_reader_test.cc
+++ b/tests/directory_reader_test.cc
@@ -7,6 +7,12 @@
 
 namespace {
 
+constexpr std::uint64_t FirstEpoch = 3;
+
+galenaflow::state::DirectoryPosition at(std::uint64_t revision) {
+  return {FirstEpoch, revision};
+}
+
 struct Fixture {
   TimePoint Now{1h};
   DirectoryReaderOptions Options;
@@ -28,15 +34,15 @@
   CHECK(it.next() == DirectoryRead::Full);
   CHECK_FALSE(it.Reader.poll(it.Now));
   it.Now += it.Options.StartupDuration;
-  CHECK_FALSE(it.Reader.onFullRead(40, it.Now, it.Now));
+  CHECK_FALSE(it.Reader.onFullRead(at(40), it.Now, it.Now));
   it.next();
   const TimePoint start = it.Now;
-  CHECK_FALSE(it.Reader.onChanges(41, it.Now, it.Now));
+  CHECK_FALSE(it.Reader.onChanges(at(41), it.Now, it.Now));
   CHECK(it.next() == DirectoryRead::Changes);
   CHECK(it.Now - start == it.Options.Period);
   it.Now += 300ms;
-  CHECK_FALSE(it.Reader.onChanges(45, it.Now, it.Now));
-  CHECK(it.Reader.revision() == 45);
+  CHECK_FALSE(it.Reader.onChanges(at(45), it.Now, it.Now));
+  CHECK(it.Reader.position() == at(45));
   it.next();
   CHECK(it.Now - start == 2 * it.Options.Period);
 }
@@ -47,10 +53,10 @@
   Fixture it;
   const TimePoint start = it.Now;
   it.next();
-  it.Reader.onFullRead(40, it.Now, it.Now);
+  it.Reader.onFullRead(at(40), it.Now, it.Now);
   int reads = 0;
   while (it.next() == DirectoryRead::Changes && it.Now - start < 10s) {
-    it.Reader.onChanges(41, it.Now, it.Now);
+    it.Reader.onChanges(at(41), it.Now, it.Now);
     ++reads;
   }
   // 12 in the first 3 s, and one per second afterwards.
@@ -67,9 +73,9 @@
   REQUIRE(reader.poll(start) == DirectoryRead::Full);
   reader.requestRead(start + 5ms);
   CHECK_FALSE(reader.poll(start + 5ms));
-  reader.onFullRead(7, start, start + 10ms);
+  reader.onFullRead(at(7), start, start + 10ms);
   REQUIRE(reader.poll(start + 10ms) == DirectoryRead::Changes);
-  reader.onChanges(8, start + 10ms, start + 20ms);
+  reader.onChanges(at(8), start + 10ms, start + 20ms);
   CHECK(reader.nextAt() == start + 10ms + options.Period);
   reader.requestRead(start + 30ms);
   CHECK(reader.poll(start + 30ms) == DirectoryRead::Changes);
@@ -78,30 +84,30 @@
 TEST_CASE("a read without changes keeps the revision") {
   Fixture it;
   it.next();
-  it.Reader.onFullRead(40, it.Now, it.Now);
+  it.Reader.onFullRead(at(40), it.Now, it.Now);
   it.next();
   it.Reader.onChanges(std::nullopt, it.Now, it.Now);
-  CHECK(it.Reader.revision() == 40);
+  CHECK(it.Reader.position() == at(40));
 }
 
 TEST_CASE("a full read follows immediately when the source has lost its "
           "history") {
   Fixture it;
   it.next();
-  it.Reader.onFullRead(40, it.Now, it.Now);
+  it.Reader.onFullRead(at(40), it.Now, it.Now);
   it.next();
   it.Reader.onHistoryLost(it.Now);
   CHECK(it.Reader.nextAt() == it.Now);
   CHECK(it.next() == DirectoryRead::Full);
-  CHECK_FALSE(it.Reader.onFullRead(90, it.Now, it.Now));
-  CHECK(it.Reader.revision() == 90);
+  CHECK_FALSE(it.Reader.onFullRead(at(90), it.Now, it.Now));
+  CHECK(it.Reader.position() == at(90));
 }
 
 TEST_CASE("failed reads are retried with a growing, bounded backoff, and a "
           "success after an outage is reported") {
   Fixture it;
   it.next();
-  it.Reader.onFullRead(40, it.Now, it.Now);
+  it.Reader.onFullRead(at(40), it.Now, it.Now);
   const TimePoint success = it.Now;
   int failures = 0;
   while (it.Now < success + 10s) {
@@ -115,9 +121,9 @@
   // Nine seconds with backoffs between one and two seconds.
   CHECK(failures <= 14);
   it.next();
-  CHECK(it.Reader.onChanges(41, it.Now, it.Now));
+  CHECK(it.Reader.onChanges(at(41), it.Now, it.Now));
   it.next();
-  CHECK_FALSE(it.Reader.onChanges(42, it.Now, it.Now));
+  CHECK_FALSE(it.Reader.onChanges(at(42), it.Now, it.Now));
 }
 
 // The operator's limit is 3 s, which must suffice for a lost read and its
@@ -125,13 +131,37 @@
 TEST_CASE("a single lost read does not make the view older than 2.5 s") {
   Fixture it;
   it.next();
-  it.Reader.onFullRead(40, it.Now, it.Now);
+  it.Reader.onFullRead(at(40), it.Now, it.Now);
   const TimePoint success = it.Now;
   it.next();
   it.Now += 700ms;
   it.Reader.onFailure(it.Now);
   it.next();
   it.Now += 50ms;
-  it.Reader.onChanges(41, it.Now, it.Now);
+  it.Reader.onChanges(at(41), it.Now, it.Now);
   CHECK(it.Now - success < 2500ms);
 }
+
+// Guards against revisions of the earlier history that hide changes of the
+// restored source, and against the removal of backend servers that have
+// registered since the copy was made.
+TEST_CASE("a restored source is followed from its smaller revision and counts "
+          "as unavailable before") {
+  Fixture it;
+  it.next();
+  it.Reader.onFullRead(at(40), it.Now, it.Now);
+  it.next();
+  const galenaflow::state::DirectoryPosition restored{FirstEpoch + 1, 31};
+  SECTION("the source is read in full") {
+    it.Reader.onHistoryLost(it.Now);
+    it.next();
+    CHECK(it.Reader.onFullRead(restored, it.Now, it.Now));
+  }
+  SECTION("another daemon passes on the changes") {
+    CHECK(it.Reader.onChanges(restored, it.Now, it.Now));
+  }
+  CHECK(it.Reader.position() == restored);
+  it.next();
+  it.Reader.onChanges(at(41), it.Now, it.Now);
+  CHECK(it.Reader.position() == restored);
+}
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -112,7 +112,7 @@
       R"({"key":"other/x","value":"","rev":8},{"rev":9},3],)" +
       R"("store_revision":20})");
   REQUIRE(content);
-  CHECK(content->Revision == 9U);
+  CHECK(content->Position == state::DirectoryPosition{0, 9});
   REQUIRE(content->Changes.size() == 3);
   CHECK_FALSE(content->Changes[0].Removed);
   CHECK(content->Changes[1].Removed);
--- a/tests/platform/metadata_store.cc
+++ b/tests/platform/metadata_store.cc
@@ -89,6 +89,23 @@
   FirstRevision = Revision;
 }
 
+std::shared_ptr<const MetadataStore::Copy> MetadataStore::copy() const {
+  return std::make_shared<const Copy>(Copy{Items, Revision});
+}
+
+void MetadataStore::restore(const Copy &copy) {
+  Items = copy.Items;
+  Revision = copy.Revision;
+  discardHistory();
+  ++Era;
+}
+
+void MetadataStore::respond(const RawConnectionPtr &connection,
+                            HttpResponse response) const {
+  response.Headers.add("Store-Era", std::to_string(Era));
+  connection->respond(response);
+}
+
 void MetadataStore::onRequest(const transport::HttpRequest &request,
                               const RawConnectionPtr &connection) {
   ++Calls;
@@ -103,18 +120,19 @@
     return;
   }
   if (Faults.Refuse || Faults.Throttle) {
-    connection->respond(
-        transport::jsonResponse(Faults.Refuse ? 503 : 429, "{}"));
+    respond(connection,
+            transport::jsonResponse(Faults.Refuse ? 503 : 429, "{}"));
     return;
   }
   auto query = queryOf(request.Path);
   if (request.Path.starts_with("/galenaflow/kv-range?"))
-    connection->respond(range(query["prefix"], query["after"]));
+    respond(connection, range(query["prefix"], query["after"]));
   else if (request.Path.starts_with("/galenaflow/kv-watch?"))
-    connection->respond(watch(
-        query["prefix"], std::strtoull(query["after"].c_str(), nullptr, 10)));
+    respond(connection,
+            watch(query["prefix"],
+                  std::strtoull(query["after"].c_str(), nullptr, 10)));
   else
-    connection->respond(transport::jsonResponse(404, "{}"));
+    respond(connection, transport::jsonResponse(404, "{}"));
 }
 
 HttpResponse MetadataStore::range(const std::string &prefix,
@@ -138,7 +156,7 @@
 
 HttpResponse MetadataStore::watch(const std::string &prefix,
                                   std::uint64_t after) const {
-  if (after < FirstRevision)
+  if (after < FirstRevision || after > Revision)
     return transport::jsonResponse(410, "{}");
   json answer{{"events", json::array()}, {"store_revision", Revision}};
   if (!Faults.HideWatchEvents)
--- a/tests/platform/metadata_store.h
+++ b/tests/platform/metadata_store.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,14 @@
   void put(const std::string &key, const std::string &value);
   void remove(const std::string &key);
 
+  /// Returns a copy of the items and the revision, see restore().
+  struct Copy;
+  std::shared_ptr<const Copy> copy() const;
+
+  /// Replaces the content by the copy and starts the next era: what was written
+  /// since is lost, and its revisions are given out again.
+  void restore(const Copy &copy);
+
   /// Discards the changes up to now; a watch from before them gets status 410.
   void discardHistory();
 
@@ -40,6 +49,8 @@
   std::size_t PageSize = 500;
 
 private:
+  void respond(const RawConnectionPtr &connection,
+               transport::HttpResponse response) const;
   struct Item {
     std::string Value;
     std::uint64_t Revision = 0;
@@ -62,9 +73,15 @@
   std::vector<Event> History;
   std::uint64_t Revision = 400;
   std::uint64_t FirstRevision = 400; ///< later changes are in History
+  std::uint64_t Era = 1;
   std::uint64_t Calls = 0;
 };
 
+struct MetadataStore::Copy {
+  std::map<std::string, Item> Items;
+  std::uint64_t Revision = 0;
+};
+
 std::string encodeBase64(std::string_view bytes);
 
 } // namespace galenaflow::standin
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -237,6 +237,34 @@
   CHECK(site.replica("s0a").runs().size() == before);
 }
 
+// Guards against an older version of the routes that stays in force: revisions
+// that the store has given out again hide changes that were made before.
+TEST_CASE("changes that a restored store wrote under reused revisions are "
+          "read") {
+  Site site;
+  site.add("o0", "other");
+  site.start();
+  const auto copy = site.Store.copy();
+  // The node reads these revisions, which are lost.
+  for (int i = 0; i != 20; ++i)
+    site.Store.put("servers/elsewhere", std::to_string(i));
+  site.runFor(1300ms);
+  site.Store.faults().Silent = true;
+  site.Store.restore(*copy);
+  site.publishRoutes(9, "other");
+  site.add("p2", "pool");
+  for (int i = 0; i != 30; ++i)
+    site.Store.put("servers/elsewhere", std::to_string(i));
+  site.Store.faults().Silent = false;
+  site.runFor(3300ms);
+  CHECK(site.call("/one/x").Status == 200);
+  CHECK(site.replica("o0").runs().size() == 1);
+  // Requests that are not idempotent still go to the pool.
+  for (int i = 0; i != 30; ++i)
+    site.call("/once/x", "POST");
+  CHECK_FALSE(site.replica("p2").runs().empty());
+}
+
 TEST_CASE("a directory of several pages is read completely") {
   Site site;
   site.Store.PageSize = 3;
--- a/tests/relay_task_test.cc
+++ b/tests/relay_task_test.cc
@@ -26,6 +26,7 @@
       : Loop(loop), Shared(shared) {}
 
   std::map<std::string, state::ReplicaRecord, std::less<>> Records;
+  std::uint64_t Epoch = 0;
   std::uint64_t Revision = 10;
   std::uint64_t Version = 1;
   bool IsUnavailable = false;
@@ -51,11 +52,12 @@
         content.Document = std::to_string(Version);
         content.Table = makeTable(Version);
       }
-      content.Revision = Revision;
+      content.Position = {Epoch, Revision};
       callback(std::move(content));
     });
   }
-  void readChanges(std::uint64_t, DirectoryCallback callback) override {
+  void readChanges(const state::DirectoryPosition &,
+                   DirectoryCallback callback) override {
     readAll(std::move(callback));
   }
   state::RouteTablePtr decodeRoutes(std::string_view document) const override {
@@ -337,6 +339,23 @@
       [](const Daemon &it) { return it.Relay.executors().size() == 1; }, 8s));
 }
 
+// Guards against a fleet that reads at the source, each daemon by itself, until
+// the revisions of a restored source have caught up.
+TEST_CASE("relays are used again when the source was restored with smaller "
+          "revisions") {
+  Fleet fleet(6);
+  fleet.Loop.runUntil([] { return false; }, 3s);
+  ++fleet.Source.Epoch;
+  fleet.Source.Revision = 3;
+  fleet.Source.Version = 9;
+  fleet.Loop.runUntil([] { return false; }, 3s);
+  for (const auto &daemon : fleet.Daemons)
+    CHECK(daemon->Version == 9);
+  const int before = fleet.Source.Reads;
+  fleet.Loop.runUntil([] { return false; }, 4s);
+  CHECK(fleet.Source.Reads - before <= 6);
+}
+
 // Guards against a daemon that keeps to a limit that has ended, because it is
 // not due to send a request to the replica.
 TEST_CASE("all daemons learn a limit and its end from the one that was told") {
