Limit requests of replicas in the soak

At the start of a run and at random moments, all replicas of a service limit their requests for 6 to 14 s. The soak checks any 4 s against the limit, from daemons without a fault, and that all requests are answered again once the limits have ended.

--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -316,7 +316,7 @@
   site.start();
   constexpr double limit = 3;
   for (const char *id : {"p0", "p1", "s0a", "s0b"})
-    site.replica(id).behaviour().Limit = "3.0";
+    site.replica(id).startLimit(limit);
   site.call("/one/x");
   site.call("/all/x");
   int rejected = 0;
@@ -350,7 +350,7 @@
   Site site;
   site.start();
   for (const char *id : {"p0", "p1"})
-    site.replica(id).behaviour().Limit = "12";
+    site.replica(id).startLimit(12);
   const auto countServed = [&site] {
     int served = 0;
     for (int i = 0; i != 20; ++i)
@@ -360,7 +360,7 @@
   countServed();
   CHECK(countServed() < 10);
   for (const char *id : {"p0", "p1"})
-    site.replica(id).behaviour().Limit.clear();
+    site.replica(id).endLimit();
   site.runFor(2s);
   countServed();
   CHECK(countServed() == 20);
--- a/tests/platform/replica_standin.cc
+++ b/tests/platform/replica_standin.cc
@@ -25,17 +25,28 @@
          R"(","cold_left_ms":0,"seq":1,"born":1700000000000})";
 }
 
+void ReplicaStandin::startLimit(double perSecond) {
+  endLimit();
+  Limits.push_back({perSecond, Loop.now()});
+}
+
+void ReplicaStandin::endLimit() {
+  if (!Limits.empty())
+    Limits.back().To = std::min(Limits.back().To, Loop.now());
+}
+
 void ReplicaStandin::onRequest(const HttpRequest &request,
                                const RawConnectionPtr &connection) {
-  ++ReceivedRequests;
   const auto header = [&request](std::string_view name) {
     return std::string(request.Headers.find(name).value_or(""));
   };
+  Received.push_back({header("X-Request-Id"), Loop.now()});
   HttpResponse response;
   response.Headers.add("X-Request-Id", header("X-Request-Id"));
   response.Headers.add("X-Server-Load", "0,0,2,100");
-  if (!Behaviour.Limit.empty())
-    response.Headers.add("Server-Limit", Behaviour.Limit);
+  if (!Limits.empty() && Limits.back().To == state::TimePoint::max())
+    response.Headers.add("Server-Limit",
+                         std::to_string(Limits.back().PerSecond));
   if (header("X-Target-Instance") != Id) {
     response.Status = 421;
     connection->respond(response);
--- a/tests/platform/replica_standin.h
+++ b/tests/platform/replica_standin.h
@@ -19,7 +19,6 @@
   /// Runs the request and sends these bytes, then the second ones without end.
   std::string EndlessStart;
   std::string EndlessRepeated;
-  std::string Limit;  ///< value of the header for the request limit, if any
   int FailStatus = 0; ///< runs the request and responds with this status
 };
 
@@ -33,6 +32,19 @@
   state::TimePoint At;
 };
 
+/// A period in which a replica stated a limit of its requests.
+struct LimitPeriod {
+  double PerSecond = 0;
+  state::TimePoint From;
+  state::TimePoint To = state::TimePoint::max();
+};
+
+/// A request that reached a replica, whether it ran or not.
+struct ReceivedRequest {
+  std::string Id;
+  state::TimePoint At;
+};
+
 /// Serves the interface of one replica of the platform and records what it ran.
 class ReplicaStandin {
 public:
@@ -54,8 +66,14 @@
 
   ReplicaBehaviour &behaviour() { return Behaviour; }
   const std::vector<ExecutedRequest> &runs() const { return Runs; }
+
+  /// States this limit, in requests a second, in all responses from now on.
+  void startLimit(double perSecond);
+  void endLimit();
+  const std::vector<LimitPeriod> &limits() const { return Limits; }
+  const std::vector<ReceivedRequest> &received() const { return Received; }
   RawHttpServer &server() { return Server; }
-  std::uint64_t receivedRequests() const { return ReceivedRequests; }
+  std::uint64_t receivedRequests() const { return Received.size(); }
 
 private:
   void onRequest(const transport::HttpRequest &request,
@@ -69,7 +87,8 @@
   transport::SocketAddress AdvertisedAddress;
   ReplicaBehaviour Behaviour;
   std::vector<ExecutedRequest> Runs;
-  std::uint64_t ReceivedRequests = 0;
+  std::vector<LimitPeriod> Limits; ///< the last one may be open
+  std::vector<ReceivedRequest> Received;
 };
 
 } // namespace galenaflow::standin
--- a/tests/platform/soak.cc
+++ b/tests/platform/soak.cc
@@ -44,6 +44,12 @@
 /// requests, including the time that a request is on its way.
 constexpr Duration MaxDrainDelay = 3200ms;
 
+/// In any such window a replica may get one and a half times what its limit
+/// allows, and some requests more.
+constexpr Duration LimitWindow = 4s;
+constexpr double LimitFactor = 1.5;
+constexpr double LimitExtra = 5;
+
 std::string shardName(int shard) {
   return (shard < 10 ? "s0" : "s") + std::to_string(shard);
 }
@@ -219,6 +225,7 @@
 std::vector<std::string> Soak::run() {
   Loop.runUntil([] { return false; }, 1s);
   sendCalls();
+  injectLimit();
   const state::TimePoint end = Loop.now() + Options.FaultTime;
   while (Loop.now() < end) {
     injectFault();
@@ -246,6 +253,7 @@
         send(path, i, true);
   Loop.runUntil([] { return false; }, 2s);
   checkRuns();
+  checkLimits();
   checkDelegation();
   if (!Violations.empty())
     for (const Daemon &daemon : Daemons)
@@ -253,6 +261,7 @@
   std::cout << "event=soak_ended seed=" << Options.Seed
             << " calls=" << Calls.size() << " answers=" << AnswerCount
             << " leave_checks=" << DrainChecks
+            << " limit_checks=" << LimitChecks
             << " broken=" << Violations.size() << std::endl;
   return Violations;
 }
@@ -369,14 +378,21 @@
 
 /// Whether the store and the daemons that may have sent the request were
 /// without faults for long enough to have applied every change.
-bool Soak::wasHealthy(const ExecutedRequest &run) const {
-  const Call &call = *Calls[std::stoul(run.Id.substr(1))];
+bool Soak::wasHealthy(const std::string &id, state::TimePoint at) const {
+  return wasWithoutFault(StoreTarget, at) && wereSendersHealthy(id, at);
+}
+
+/// Whether the daemons that may have sent the request were without faults.
+bool Soak::wereSendersHealthy(const std::string &id,
+                              state::TimePoint at) const {
+  const Call &call = *Calls[std::stoul(id.substr(1))];
+  return wasWithoutFault(call.Daemon, at) && wasWithoutFault(ExecutorIndex, at);
+}
+
+bool Soak::wasWithoutFault(std::size_t target, state::TimePoint at) const {
   return std::none_of(
       FaultPeriods.begin(), FaultPeriods.end(), [&](const FaultPeriod &it) {
-        const bool isRelevant = it.Daemon == StoreTarget ||
-                                it.Daemon == call.Daemon ||
-                                it.Daemon == ExecutorIndex;
-        return isRelevant && it.From <= run.At && it.To + SettleTime >= run.At;
+        return it.Daemon == target && it.From <= at && it.To + SettleTime >= at;
       });
 }
 
@@ -395,7 +411,7 @@
       const bool isAfterDrain =
           !DrainingSince.empty() &&
           run.At > DrainingSince.begin()->second + MaxDrainDelay &&
-          wasHealthy(run);
+          wasHealthy(run.Id, run.At);
       DrainChecks += isAfterDrain ? 1 : 0;
       if (isAfterDrain && DrainingSince.contains(replica->id()))
         reportViolation(run.Id + " reached " + replica->id() +
@@ -415,6 +431,35 @@
   }
 }
 
+/// Checks that replicas got no more requests than their limits allow from
+/// daemons without a fault.
+void Soak::checkLimits() {
+  for (const auto &replica : Replicas)
+    for (const LimitPeriod &limit : replica->limits()) {
+      std::vector<state::TimePoint> counted;
+      for (const ReceivedRequest &it : replica->received())
+        if (it.At >= limit.From + SettleTime && it.At < limit.To &&
+            wereSendersHealthy(it.Id, it.At))
+          counted.push_back(it.At);
+      LimitChecks += counted.size();
+      const double seconds = std::chrono::duration<double>(LimitWindow).count();
+      const double allowed =
+          LimitFactor * seconds * limit.PerSecond + LimitExtra;
+      std::size_t first = 0;
+      for (std::size_t i = 0; i != counted.size(); ++i) {
+        while (counted[i] - counted[first] >= LimitWindow)
+          ++first;
+        if (static_cast<double>(i + 1 - first) <= allowed)
+          continue;
+        reportViolation(replica->id() + " got " +
+                        std::to_string(i + 1 - first) +
+                        " requests in 4 s with a limit of " +
+                        std::to_string(limit.PerSecond) + " a second");
+        break;
+      }
+    }
+}
+
 /// Checks that the executor has executed delegated requests. Its counter starts
 /// at zero with its process, so a non-zero value shows delegation after the
 /// last restart.
@@ -454,7 +499,7 @@
 }
 
 void Soak::injectFault() {
-  switch (randomBelow(6)) {
+  switch (randomBelow(7)) {
   case 0:
     injectDaemonFault(Daemons[randomBelow(Daemons.size())]);
     break;
@@ -467,6 +512,9 @@
   case 3:
     injectNetworkFault();
     break;
+  case 4:
+    injectLimit();
+    break;
   default:
     injectReplicaFault();
   }
@@ -553,6 +601,22 @@
            [&behaviour] { behaviour = {}; });
 }
 
+/// All replicas of a service limit their requests, or end their limits.
+void Soak::injectLimit() {
+  constexpr std::array<double, 3> limits = {1, 2.5, 6};
+  const std::size_t first = randomBelow(Replicas.size());
+  const double limit = limits[randomBelow(limits.size())];
+  const std::string service =
+      Replicas[first]->id().substr(0, Replicas[first]->id().size() - 1);
+  for (const auto &replica : Replicas) {
+    if (!replica->id().starts_with(service))
+      continue;
+    replica->startLimit(limit);
+    schedule(Duration(6'000'000 + randomBelow(8'000'000)),
+             [it = replica.get()] { it->endLimit(); });
+  }
+}
+
 void Soak::injectNetworkFault() {
   const bool isStore = randomBelow(4) == 0;
   const std::size_t index =
@@ -602,8 +666,10 @@
 
 void Soak::clearFaults() {
   Store.faults() = {};
-  for (const auto &replica : Replicas)
+  for (const auto &replica : Replicas) {
     replica->behaviour() = {};
+    replica->endLimit();
+  }
   for (const auto &routes : {&ReplicaRoutes, &StoreRoutes})
     for (const auto &route : *routes) {
       route->setPartitioned(false);
--- a/tests/platform/soak.h
+++ b/tests/platform/soak.h
@@ -78,12 +78,16 @@
   void checkMerged(const Call &call, const transport::HttpResponse &response);
   void checkRuns();
   void checkDelegation();
-  bool wasHealthy(const ExecutedRequest &run) const;
+  void checkLimits();
+  bool wasHealthy(const std::string &id, state::TimePoint at) const;
+  bool wereSendersHealthy(const std::string &id, state::TimePoint at) const;
+  bool wasWithoutFault(std::size_t target, state::TimePoint at) const;
   void recordFaultPeriod(std::size_t daemon, state::Duration lasting);
   void injectFault();
   void injectDaemonFault(Daemon &daemon);
   void injectStoreFault();
   void injectReplicaFault();
+  void injectLimit();
   void injectNetworkFault();
   void injectDirectoryChange();
   void superviseDaemons();
@@ -115,6 +119,8 @@
   std::uint64_t AnswerCount = 0;
   /// Number of runs that were checked not to be at the draining replica.
   std::uint64_t DrainChecks = 0;
+  /// Number of requests that were checked against the limits of replicas.
+  std::uint64_t LimitChecks = 0;
   std::vector<std::string> Violations;
 };
 
