Keep the request limit of a replica that returns to the directory

What callers would see: nothing. A replica in need whose registration expired during an outage of the store and which registered again was sent a request more by each daemon; with hundreds of daemons that is many times its limit.

Cause: the limiter was removed with the replica. A replica of the same incarnation now gets its limiter back.

Also: usesBucket() says what isShareSaved() did, and setLimit() loses a parameter without use.

--- a/src/coordination/request_limiter.cc
+++ b/src/coordination/request_limiter.cc
@@ -28,8 +28,8 @@
 /// it.
 constexpr double ExecutorPart = 0.75;
 
-/// A replica tolerates 1.5 times its limit over BurstWindow, and BurstExtra
-/// requests more.
+/// What a replica gets beyond its limit in any BurstWindow must not exceed this
+/// part of what the limit allows in it, and BurstExtra requests more.
 constexpr double ToleratedExcess = 0.5;
 constexpr double BurstWindowSeconds = 4;
 constexpr double BurstExtra = 4;
@@ -81,11 +81,11 @@
     : PerSecond(std::max(perSecond, MinPerSecond)), Seed(seed),
       Tokens(drawTurn(seed, 0, turnAt(now))), RefilledAt(now) {}
 
-void RequestLimiter::setLimit(double perSecond, TimePoint) {
+void RequestLimiter::setLimit(double perSecond) {
   PerSecond = std::max(perSecond, MinPerSecond);
 }
 
-bool RequestLimiter::isShareSaved(const LimitShare &share) const {
+bool RequestLimiter::usesBucket(const LimitShare &share) const {
   const double tolerated =
       ToleratedExcess * BurstWindowSeconds * PerSecond + BurstExtra;
   return 1 / share.Fraction <= tolerated;
@@ -102,7 +102,7 @@
 std::uint32_t RequestLimiter::available(const LimitShare &share,
                                         TimePoint now) {
   refill(share, now);
-  if (isShareSaved(share))
+  if (usesBucket(share))
     return static_cast<std::uint32_t>(std::max(0.0, std::floor(Tokens)));
   const std::int64_t turn = turnAt(now);
   const double probability =
--- a/src/coordination/request_limiter.h
+++ b/src/coordination/request_limiter.h
@@ -34,7 +34,7 @@
   RequestLimiter(double perSecond, std::uint64_t seed, TimePoint now);
 
   /// Changes the limit; what was sent before still counts.
-  void setLimit(double perSecond, TimePoint now);
+  void setLimit(double perSecond);
   double perSecond() const { return PerSecond; }
 
   /// Requests that may be sent now.
@@ -44,7 +44,7 @@
   void onSent(const LimitShare &share, TimePoint now);
 
 private:
-  bool isShareSaved(const LimitShare &share) const;
+  bool usesBucket(const LimitShare &share) const;
   void refill(const LimitShare &share, TimePoint now);
 
   double PerSecond;
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -134,8 +134,12 @@
 
 void ForwardTask::setRequestLimit(std::string_view replica, double perSecond) {
   const auto it = Replicas.find(replica);
-  if (it == Replicas.end())
+  if (it == Replicas.end()) {
+    const auto unlisted = UnlistedLimits.find(replica);
+    if (unlisted != UnlistedLimits.end() && perSecond == 0)
+      UnlistedLimits.erase(unlisted);
     return;
+  }
   Replica &limited = *it->second;
   const double before = limited.Limiter ? limited.Limiter->perSecond() : 0;
   if (perSecond == before)
@@ -148,7 +152,7 @@
     scheduleDispatch(limited.Record.Service);
   } else {
     if (limited.Limiter)
-      limited.Limiter->setLimit(perSecond, Loop.now());
+      limited.Limiter->setLimit(perSecond);
     else
       limited.Limiter.emplace(perSecond, Options.Seed, Loop.now());
     state::log::info("replica_limited",
@@ -161,6 +165,22 @@
   countLimited();
 }
 
+// A registration can expire during an outage of the directory's source, and the
+// replica registers again afterwards. Without its limiter each daemon would
+// send it a request more.
+void ForwardTask::keepLimit(const Replica &replica) {
+  if (replica.Limiter && UnlistedLimits.size() < MaxUnlistedLimits)
+    UnlistedLimits.insert_or_assign(
+        replica.Record.Id,
+        UnlistedLimit{replica.Record.Incarnation, *replica.Limiter});
+}
+
+void ForwardTask::restoreLimit(Replica &replica) {
+  const auto node = UnlistedLimits.extract(replica.Record.Id);
+  if (!node.empty() && node.mapped().Incarnation == replica.Record.Incarnation)
+    replica.Limiter = node.mapped().Limiter;
+}
+
 void ForwardTask::countLimited() {
   LimitedReplicas = static_cast<std::size_t>(
       std::count_if(Replicas.begin(), Replicas.end(), [](const auto &it) {
@@ -226,6 +246,7 @@
       ++it;
       continue;
     }
+    keepLimit(known);
     // Open attempts keep the replica alive until they have ended.
     Loop.post([removed = std::move(it->second)] {});
     it = Replicas.erase(it);
@@ -246,6 +267,7 @@
         std::make_shared<Replica>(Loop, record, *address, Options.Pool);
     replica->Pool.onFree(
         [this, service = record.Service] { scheduleDispatch(service); });
+    restoreLimit(*replica);
     Replicas.emplace(id, std::move(replica));
   }
   ReplicasByService.clear();
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -104,7 +104,7 @@
   void setFleet(const FleetView &fleet);
 
   /// A replica has stated its request limit to this or another daemon; zero:
-  /// that it has none. Unknown replicas are ignored.
+  /// that it has none.
   void setRequestLimit(std::string_view replica, double perSecond);
 
   /// Called with each statement of a replica about its limit, except that a
@@ -149,6 +149,15 @@
   };
   using ReplicaPtr = std::shared_ptr<Replica>;
 
+  /// The request limit of a replica that has left the directory.
+  struct UnlistedLimit {
+    std::uint64_t Incarnation = 0;
+    coordination::RequestLimiter Limiter;
+  };
+
+  /// Most replicas in UnlistedLimits.
+  static constexpr std::size_t MaxUnlistedLimits = 10'000;
+
   using AttemptId = std::uint64_t;
 
   struct Attempt {
@@ -219,6 +228,8 @@
   coordination::FleetComposition fleetComposition() const;
   coordination::LimitShare limitShare(const Replica &replica) const;
   bool allowsRequest(Replica &replica);
+  void keepLimit(const Replica &replica);
+  void restoreLimit(Replica &replica);
   void countLimited();
   double fleetExtraShare() const;
   void planConnections();
@@ -241,6 +252,9 @@
   /// Services of shard sets whose requests are delegated to executors.
   std::set<std::string, std::less<>> DelegatedServices;
   std::size_t LimitedReplicas = 0;
+
+  /// Of replicas that are not in the directory, where they may return.
+  std::map<std::string, UnlistedLimit, std::less<>> UnlistedLimits;
   LimitCallback LimitStatedCallback;
   state::TimePoint StartedAt;
   state::TimePoint LastFleetGrowthAt; ///< when the count of daemons last grew
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -345,6 +345,31 @@
   }
 }
 
+// Guards against a request from each daemon to a replica whose registration had
+// expired and that still limits its requests.
+TEST_CASE("a replica that returns to the directory keeps its limit") {
+  Site site;
+  site.start();
+  for (const char *id : {"p0", "p1"})
+    site.replica(id).startLimit(0.01);
+  const auto countRuns = [&site] {
+    return site.replica("p0").runs().size() + site.replica("p1").runs().size();
+  };
+  for (int i = 0; i != 10; ++i)
+    site.call("/one/x");
+  const std::size_t before = countRuns();
+  CHECK(before <= 2);
+  for (const char *id : {"p0", "p1"})
+    site.Store.remove(site.replica(id).key());
+  site.runFor(1300ms);
+  for (const char *id : {"p0", "p1"})
+    site.Store.put(site.replica(id).key(), site.replica(id).entry());
+  site.runFor(1300ms);
+  for (int i = 0; i != 10; ++i)
+    CHECK(site.call("/one/x").Status == 503);
+  CHECK(countRuns() == before);
+}
+
 // Guards against requests that are turned away although the limit has ended.
 TEST_CASE("the end of a limit is noticed with the next response") {
   Site site;
