Restore the store from older copies in the soak

The store is away and comes back from a copy of up to 5 s before; the operator may publish routes before all entries are written again. The soak checks that requests run at the service of the routes in force.

--- a/tests/platform/soak.cc
+++ b/tests/platform/soak.cc
@@ -44,6 +44,14 @@
 /// requests, including the time that a request is on its way.
 constexpr Duration MaxDrainDelay = 3200ms;
 
+/// The operator's limit for the time until new routes are in force, including
+/// the time that a request is on its way.
+constexpr Duration MaxRouteDelay = 3200ms;
+
+/// Interval and number of the copies of the store that are kept.
+constexpr Duration CopyInterval = 400ms;
+constexpr std::size_t MaxCopies = 12;
+
 /// In any such window a replica may get one and a half times what its limit
 /// allows, and some requests more.
 constexpr Duration LimitWindow = 4s;
@@ -96,6 +104,7 @@
 Soak::Soak(SoakOptions options) : Options(options), Random(options.Seed) {
   std::ofstream(KeyPath) << "the key of the soak's daemons\n";
   startReplicas();
+  PublishedPools.emplace_back(Loop.now(), Pool);
   publish();
   const auto store = Store.listen();
   PeerPort =
@@ -225,6 +234,7 @@
 std::vector<std::string> Soak::run() {
   Loop.runUntil([] { return false; }, 1s);
   sendCalls();
+  keepCopies();
   injectLimit();
   const state::TimePoint end = Loop.now() + Options.FaultTime;
   while (Loop.now() < end) {
@@ -253,6 +263,7 @@
         send(path, i, true);
   Loop.runUntil([] { return false; }, 2s);
   checkRuns();
+  checkRoutes();
   checkLimits();
   checkDelegation();
   if (!Violations.empty())
@@ -262,6 +273,7 @@
             << " calls=" << Calls.size() << " answers=" << AnswerCount
             << " leave_checks=" << DrainChecks
             << " limit_checks=" << LimitChecks
+            << " route_checks=" << RouteChecks
             << " broken=" << Violations.size() << std::endl;
   return Violations;
 }
@@ -431,6 +443,29 @@
   }
 }
 
+/// Checks that requests run at the service of the routes in force, or of those
+/// that were replaced so recently that they still may be.
+void Soak::checkRoutes() {
+  for (const auto &replica : Replicas)
+    for (const ExecutedRequest &run : replica->runs()) {
+      const Call &call = *Calls[std::stoul(run.Id.substr(1))];
+      if (call.Path != "/one/" || !wasHealthy(run.Id, call.SentAt))
+        continue;
+      ++RouteChecks;
+      bool isAllowed = false;
+      for (std::size_t i = 0; i != PublishedPools.size(); ++i) {
+        const bool isReplaced =
+            i + 1 != PublishedPools.size() &&
+            PublishedPools[i + 1].first + MaxRouteDelay < call.SentAt;
+        if (!isReplaced && PublishedPools[i].first <= run.At)
+          isAllowed |= PublishedPools[i].second[0] == replica->id()[0];
+      }
+      if (!isAllowed)
+        reportViolation(run.Id + " ran at " + replica->id() +
+                        ", which only older routes allow");
+    }
+}
+
 /// Checks that replicas got no more requests than their limits allow from
 /// daemons without a fault.
 void Soak::checkLimits() {
@@ -499,7 +534,7 @@
 }
 
 void Soak::injectFault() {
-  switch (randomBelow(7)) {
+  switch (randomBelow(8)) {
   case 0:
     injectDaemonFault(Daemons[randomBelow(Daemons.size())]);
     break;
@@ -515,6 +550,9 @@
   case 4:
     injectLimit();
     break;
+  case 5:
+    restoreStore();
+    break;
   default:
     injectReplicaFault();
   }
@@ -575,6 +613,52 @@
   schedule(lasting, [&faults] { faults = {}; });
 }
 
+/// Keeps copies of the store. Heartbeats give it new revisions all the time.
+void Soak::keepCopies() {
+  if (!IsSendingCalls)
+    return;
+  Store.put("servers/heartbeat", "{}");
+  StoreCopies.push_back(Store.copy());
+  if (StoreCopies.size() > MaxCopies)
+    StoreCopies.pop_front();
+  schedule(CopyInterval, [this] { keepCopies(); });
+}
+
+/// The store is away and comes back from a copy. The operator and the replicas
+/// then write again what they wrote since. The operator may publish newer
+/// routes before that, so that their revision was given out before.
+void Soak::restoreStore() {
+  const auto copy = StoreCopies[randomBelow(StoreCopies.size())];
+  const Duration away(300'000 + randomBelow(1'700'000));
+  const Duration rewritten = away + Duration(randomBelow(1'200'000));
+  recordFaultPeriod(StoreTarget, rewritten);
+  Store.faults().Silent = true;
+  schedule(away, [this, copy] {
+    Store.faults() = {};
+    Store.restore(*copy);
+    StoreCopies.clear();
+    StoreCopies.push_back(Store.copy());
+    if (randomBelow(2) == 0)
+      changeRoutes();
+  });
+  schedule(rewritten, [this] { rewriteEntries(); });
+}
+
+void Soak::changeRoutes() {
+  Pool = Pool == "pool" ? "other" : "pool";
+  RouteVersion += 1 + static_cast<int>(randomBelow(3));
+  PublishedPools.emplace_back(Loop.now(), Pool);
+  publish();
+}
+
+void Soak::rewriteEntries() {
+  publish();
+  for (const auto &replica : Replicas)
+    Store.put(replica->key(),
+              replica->entry(DrainingSince.contains(replica->id()) ? "draining"
+                                                                   : "ready"));
+}
+
 void Soak::injectReplicaFault() {
   ReplicaBehaviour &behaviour =
       Replicas[randomBelow(Replicas.size())]->behaviour();
@@ -651,9 +735,7 @@
 
 void Soak::injectDirectoryChange() {
   if (randomBelow(2) == 0) {
-    Pool = Pool == "pool" ? "other" : "pool";
-    RouteVersion += 1 + static_cast<int>(randomBelow(3));
-    publish();
+    changeRoutes();
     return;
   }
   // Only one replica of one shard is drained, and it does not come back.
--- a/tests/platform/soak.h
+++ b/tests/platform/soak.h
@@ -7,6 +7,7 @@
 #include "support/process.h"
 #include "transport/http_client.h"
 
+#include <deque>
 #include <filesystem>
 #include <map>
 #include <memory>
@@ -86,6 +87,11 @@
   void injectFault();
   void injectDaemonFault(Daemon &daemon);
   void injectStoreFault();
+  void restoreStore();
+  void rewriteEntries();
+  void changeRoutes();
+  void keepCopies();
+  void checkRoutes();
   void injectReplicaFault();
   void injectLimit();
   void injectNetworkFault();
@@ -113,6 +119,9 @@
   /// The replica that is draining, if any, and the time of that change.
   std::map<std::string, state::TimePoint> DrainingSince;
   int RouteVersion = 1;
+  /// Services of the route "one" and the times from which they were published.
+  std::vector<std::pair<state::TimePoint, std::string>> PublishedPools;
+  std::deque<std::shared_ptr<const MetadataStore::Copy>> StoreCopies;
   std::uint16_t PeerPort = 0;
   std::string Pool = "pool";
   bool IsSendingCalls = true;
@@ -121,6 +130,8 @@
   std::uint64_t DrainChecks = 0;
   /// Number of requests that were checked against the limits of replicas.
   std::uint64_t LimitChecks = 0;
+  /// Number of runs that were checked to follow the published routes.
+  std::uint64_t RouteChecks = 0;
   std::vector<std::string> Violations;
 };
 
