Cover limits and positions in the messages about the directory

A test of both messages and a corpus for the fuzzer with the new fields. The soak takes the number of daemons as an argument.

--- a/tests/delegation_messages_test.cc
+++ b/tests/delegation_messages_test.cc
@@ -94,3 +94,21 @@
   }
   CHECK(rejected > 1000);
 }
+
+// Guards against a fleet in which the request limits of replicas are not passed
+// on.
+TEST_CASE("request limits and positions of the directory are encoded") {
+  DirectoryRequest request;
+  request.LimitsVersion = 4;
+  request.Limits = {{"i-1", 2.5, std::chrono::milliseconds(7)}, {"i-2", 0, {}}};
+  CHECK(*decodeDirectoryRequest(encodeDirectoryRequest(request)) == request);
+  DirectoryReply reply;
+  reply.Position = {3, 66};
+  reply.LimitsVersion = 9;
+  reply.Limits = request.Limits;
+  const auto decoded = decodeDirectoryReply(encodeDirectoryReply(reply));
+  REQUIRE(decoded);
+  CHECK(decoded->Position == reply.Position);
+  CHECK(decoded->LimitsVersion == 9);
+  CHECK(decoded->Limits == reply.Limits);
+}
--- a/tests/fuzz/corpus_main.cc
+++ b/tests/fuzz/corpus_main.cc
@@ -113,6 +113,9 @@
   reply.Executors = request.Fleet.Strongest;
   reply.Changes.push_back({"r1", false, {}});
   reply.Routes = "{}";
+  reply.Position = {2, 70};
+  reply.LimitsVersion = 7;
+  reply.Limits = request.Limits;
   folder.writeMessage(static_cast<std::uint16_t>(DirectoryMessageType::Reply),
                       protocol::encodeDirectoryReply(reply));
   protocol::DelegatedRequest delegated;
--- a/tests/platform/platform_soak_main.cc
+++ b/tests/platform/platform_soak_main.cc
@@ -3,10 +3,10 @@
 #include <cstdlib>
 #include <iostream>
 
-// Usage: platform-soak FIRST_SEED COUNT
+// Usage: platform-soak FIRST_SEED COUNT [DAEMONS]
 //
-// Runs the soak with COUNT seeds from FIRST_SEED on. The exit code is 1 if a
-// run violated a guarantee.
+// Runs the soak with COUNT seeds from FIRST_SEED on and DAEMONS processes. The
+// exit code is 1 if a run violated a guarantee.
 int main(int argc, char **argv) {
   using namespace galenaflow::standin;
   const std::uint64_t first =
@@ -17,6 +17,8 @@
   for (std::uint64_t seed = first; seed != first + count; ++seed) {
     SoakOptions options;
     options.Seed = seed;
+    if (argc > 3)
+      options.Daemons = std::strtoull(argv[3], nullptr, 10);
     violations += Soak(options).run().size();
   }
   std::cout << count << " seeds, " << violations << " violated guarantees"
