Take a request limit of zero as a limit

A replica that stated a limit of zero counted as one without a limit and got all requests. Found by reading the change. The lowest limit is one request in 100 s.

Test: platform_node_test "a replica that accepts no requests gets none"; without the change the replicas run all 20 requests.

--- a/src/coordination/request_limiter.cc
+++ b/src/coordination/request_limiter.cc
@@ -1,6 +1,7 @@
 #include "coordination/request_limiter.h"
 
 #include "state/hash.h"
+#include "state/request_limit.h"
 
 #include <algorithm>
 #include <array>
@@ -43,10 +44,6 @@
 /// same turn varies.
 constexpr double UsedTurnFraction = 0.8;
 
-/// A replica that states a lower limit gets a request now and then all the
-/// same, since only its responses tell that the limit has ended.
-constexpr double MinPerSecond = 0.01;
-
 double toSeconds(Duration d) {
   return std::chrono::duration<double>(d).count();
 }
@@ -78,11 +75,11 @@
 
 RequestLimiter::RequestLimiter(double perSecond, std::uint64_t seed,
                                TimePoint now)
-    : PerSecond(std::max(perSecond, MinPerSecond)), Seed(seed),
+    : PerSecond(std::max(perSecond, state::MinRequestLimit)), Seed(seed),
       Tokens(drawTurn(seed, 0, turnAt(now))), RefilledAt(now) {}
 
 void RequestLimiter::setLimit(double perSecond) {
-  PerSecond = std::max(perSecond, MinPerSecond);
+  PerSecond = std::max(perSecond, state::MinRequestLimit);
 }
 
 bool RequestLimiter::usesBucket(const LimitShare &share) const {
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -1,6 +1,7 @@
 #include "forwarding/forward_task.h"
 
 #include "state/log.h"
+#include "state/request_limit.h"
 
 #include <algorithm>
 
@@ -193,7 +194,10 @@
   if (!result.IsLimitKnown || (!result.RequestLimit && !replica.Limiter))
     return;
   const std::string id = replica.Record.Id;
-  const double perSecond = result.RequestLimit.value_or(0);
+  const double perSecond =
+      result.RequestLimit
+          ? std::max(*result.RequestLimit, state::MinRequestLimit)
+          : 0;
   setRequestLimit(id, perSecond);
   if (LimitStatedCallback)
     LimitStatedCallback(id, perSecond);
--- a/src/state/request_limit.h
+++ b/src/state/request_limit.h
@@ -7,6 +7,11 @@
 
 namespace galenaflow::state {
 
+/// Lowest limit, in requests a second. A replica that states a lower one, or
+/// zero, gets a request now and then all the same, since only its responses
+/// tell that the limit has ended.
+constexpr double MinRequestLimit = 0.01;
+
 /// What a daemon knows about the request limit of a replica.
 struct RequestLimit {
   std::string Replica;
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -345,6 +345,18 @@
   }
 }
 
+// Guards against a limit of zero that counts as none.
+TEST_CASE("a replica that accepts no requests gets none") {
+  Site site;
+  site.start();
+  for (const char *id : {"p0", "p1"})
+    site.replica(id).startLimit(0);
+  for (int i = 0; i != 20; ++i)
+    site.call("/one/x");
+  CHECK(site.replica("p0").runs().size() <= 1);
+  CHECK(site.replica("p1").runs().size() <= 1);
+}
+
 // Guards against a request from each daemon to a replica whose registration had
 // expired and that still limits its requests.
 TEST_CASE("a replica that returns to the directory keeps its limit") {
