Drop request limits that no daemon has been told again

The registry kept the limit of each replica that left while it had one, and passed it to all daemons with every change. Found by reading the change.

Test: limit_registry_test "a limit that is not stated again is dropped, and its end is still passed on", which fails without the change.

--- a/src/coordination/limit_registry.cc
+++ b/src/coordination/limit_registry.cc
@@ -10,8 +10,12 @@
                            TimePoint at) {
   auto it = Entries.find(replica);
   if (it == Entries.end()) {
-    if (perSecond == 0)
+    if (perSecond == 0) {
+      // The limit may have been dropped here and still be in use by the owner.
+      if (Callback)
+        Callback(replica, 0);
       return;
+    }
     it = Entries.emplace(replica, Entry{0, at}).first;
   }
   Entry &entry = it->second;
@@ -55,7 +59,8 @@
 
 std::vector<state::RequestLimit> LimitRegistry::all(TimePoint now) {
   std::erase_if(Entries, [now](const auto &it) {
-    return it.second.PerSecond == 0 && now - it.second.StatedAt > EndedTtl;
+    const Duration ttl = it.second.PerSecond == 0 ? EndedTtl : LimitTtl;
+    return now - it.second.StatedAt > ttl;
   });
   std::vector<state::RequestLimit> limits;
   for (const auto &[replica, entry] : Entries)
--- a/src/coordination/limit_registry.h
+++ b/src/coordination/limit_registry.h
@@ -23,7 +23,8 @@
 /// end of the limit from the others.
 class LimitRegistry {
 public:
-  /// Called when the limit of a replica changes. Zero: it has none.
+  /// Called when the limit of a replica changes. Zero: it has none, possibly as
+  /// before.
   using ChangeCallback =
       std::function<void(std::string_view replica, double perSecond)>;
 
@@ -45,7 +46,7 @@
   /// Returns the recent statements that the relay does not know yet.
   std::vector<state::RequestLimit> unreported(TimePoint now) const;
 
-  /// Returns all limits and the recently ended ones.
+  /// Returns all limits that are not too old, and the recently ended ones.
   std::vector<state::RequestLimit> all(TimePoint now);
 
   /// Changes whenever the result of all() does, apart from ages.
@@ -60,6 +61,10 @@
   /// limit that arrives later is not taken as a new one.
   static constexpr Duration EndedTtl = std::chrono::seconds(30);
 
+  /// A limit that no daemon has been told again for this long is dropped: its
+  /// replica has left, or its next response states the limit again.
+  static constexpr Duration LimitTtl = std::chrono::minutes(5);
+
   struct Entry {
     double PerSecond = 0;
     TimePoint StatedAt;
--- a/tests/limit_registry_test.cc
+++ b/tests/limit_registry_test.cc
@@ -64,3 +64,19 @@
   it.Registry.record("a", 3, it.Now + 2s);
   CHECK(it.Registry.version() != version);
 }
+
+// Guards against a registry that grows with every replica that has left while
+// it limited its requests.
+TEST_CASE("a limit that is not stated again is dropped, and its end is still "
+          "passed on") {
+  Fixture it;
+  it.Registry.record("a", 4, it.Now);
+  it.Now += 4min;
+  CHECK(it.Registry.all(it.Now).size() == 1);
+  it.Now += 2min;
+  CHECK(it.Registry.all(it.Now).empty());
+  it.Known.clear();
+  const std::vector<state::RequestLimit> ended{{"a", 0, 0ms}};
+  it.Registry.mergeUpstream(ended, it.Now);
+  CHECK(it.Known.at("a") == 0);
+}
