Log relays whose routes are older than one's own

Hypothesis 1 of the incident of routes not in force (a relay behind the daemons that read from it) left no trace: a daemon keeps its newer routes and the relay's reply did not state its version. The reply now states it, and the event relay_routes_older names relay and versions.

--- a/src/forwarding/relay_task.cc
+++ b/src/forwarding/relay_task.cc
@@ -257,6 +257,7 @@
   DirectoryReply reply = Log.makeReply(waiting.Request);
   reply.HasContent = View.Table != nullptr;
   reply.Position = View.Position;
+  reply.RouteVersion = View.Table ? View.Table->version() : 0;
   reply.Age = Loop.now() - ViewReadAt;
   reply.Daemons =
       UpstreamDaemons != 0 ? UpstreamDaemons : Fleet.daemonCount(Loop.now());
@@ -309,9 +310,21 @@
   Timer = Loop.schedule(TickInterval, [this] { tick(); });
 }
 
+void RelayTask::logOlderRoutes(const DirectoryReply &reply) {
+  const std::uint64_t version = View.Table ? View.Table->version() : 0;
+  const bool isOlder = reply.HasContent && reply.RouteVersion < version;
+  if (isOlder && !IsOlderLogged)
+    state::log::warning("relay_routes_older",
+                        {{"relay", Pending->Relay},
+                         {"version", reply.RouteVersion},
+                         {"known", version}});
+  IsOlderLogged = isOlder;
+}
+
 void RelayTask::onReply(DirectoryReply reply) {
   if (!Pending || Pending->Sequence != reply.Sequence)
     return;
+  logOlderRoutes(reply);
   if (!reply.HasContent || reply.Age >= Options.MaxAge) {
     failPendingRead("its view is old");
     return;
--- a/src/forwarding/relay_task.h
+++ b/src/forwarding/relay_task.h
@@ -154,6 +154,7 @@
   void sendAllReplies();
   bool isViewStale() const;
   void tick();
+  void logOlderRoutes(const protocol::DirectoryReply &reply);
   void recordDaemonCount(std::uint32_t n);
   void updateLinkTargets();
   void logRefusedPeers();
@@ -178,7 +179,8 @@
   std::uint64_t RelayLimitsVersion = 0; ///< of the log RelayLogId
   bool HasStartedRead = false;
   bool IsReadingFromRelay = false;
-  bool IsLossLogged = false; ///< since a relay was last in use
+  bool IsLossLogged = false;  ///< since a relay was last in use
+  bool IsOlderLogged = false; ///< since a reply with current routes
   std::function<void()> RelayAvailableCallback;
   std::uint32_t UpstreamDaemons = 0; ///< count of the relay; zero without one
 
--- a/src/protocol/directory_messages.cc
+++ b/src/protocol/directory_messages.cc
@@ -145,6 +145,7 @@
   message.add_index(reply.Index);
   message.add_epoch(reply.Position.Epoch);
   message.add_revision(reply.Position.Revision);
+  message.add_version(reply.RouteVersion);
   message.add_age_us(reply.Age.count());
   message.add_daemons(reply.Daemons);
   message.add_is_full(reply.IsFull);
@@ -194,6 +195,7 @@
   reply.Executors = unpack(in->strongest());
   reply.HasContent = in->has_content();
   reply.IsFull = in->is_full();
+  reply.RouteVersion = in->version();
   reply.Routes = textOf(in->routes());
   reply.LimitsVersion = in->limits_version();
   reply.Limits = unpack(in->limits());
--- a/src/protocol/directory_messages.h
+++ b/src/protocol/directory_messages.h
@@ -63,6 +63,7 @@
   std::vector<state::DaemonCapacity> Executors;
   bool IsFull = false;
   std::vector<state::DirectoryChange> Changes;
+  std::uint64_t RouteVersion = 0; ///< of the replying daemon
   std::string Routes; ///< the published document; empty when it is not newer
 
   /// Version of the replying daemon's request limits.
