Give a relay the newer routes of the daemons that read from it

Cause: routes travelled only from a relay to the daemons that read there. A relay that starts and reads a restored copy of the source ran requests by the copy's routes until the operator had written them again, while its readers kept the newer version. Class of fault: a fact that one daemon knows does not reach the daemons above it.

Change: a relay that sees a newer version in a request asks that daemon for its routes, one daemon at a time, and validates them as its own reads. A link that is up again ends the relay's cooldown, which it got when the link broke.

Evidence: relay_task_test, "a relay that starts from an old copy gets the newer routes of the other daemons", failed before: version 2 for as long as the test ran, 5 known.

--- a/src/coordination/directory_relay.h
+++ b/src/coordination/directory_relay.h
@@ -74,6 +74,9 @@
          TimePoint now) const;
   void onFailure(const std::string &address, TimePoint now);
 
+  /// A link to the daemon is up again, so it may be used at once.
+  void onLinkUp(const std::string &address) { CooldownUntil.erase(address); }
+
   /// Relays that this daemon may use, best first.
   const std::vector<std::string> &preferred() const { return Preferred; }
 
--- a/src/forwarding/directory_task.cc
+++ b/src/forwarding/directory_task.cc
@@ -120,7 +120,7 @@
     changed = Directory.apply(content.Changes, afterOutage, now);
   }
   if (content.Table)
-    applyRoutes(content);
+    applyRoutes(content.Table, content.Document, content.Age);
   if (changed)
     Listener.Replicas(Directory.records());
   reportView();
@@ -132,17 +132,23 @@
       {Table, Document, &Directory, Reader.position(), Reader.age(Loop.now())});
 }
 
-void DirectoryTask::applyRoutes(const DirectoryContent &content) {
-  const state::RouteTablePtr &table = content.Table;
+void DirectoryTask::adoptRoutes(const state::RouteTablePtr &table,
+                                std::string document) {
+  applyRoutes(table, std::move(document), age());
+  reportView();
+}
+
+void DirectoryTask::applyRoutes(const state::RouteTablePtr &table,
+                                std::string document, state::Duration age) {
   if (Table && table->version() <= Table->version())
     return;
   state::log::info("routes_in_force",
                    {{"version", table->version()},
                     {"previous", Table ? Table->version() : 0},
                     {"routes", table->routes().size()},
-                    {"age_ms", content.Age.count() / 1000}});
+                    {"age_ms", age.count() / 1000}});
   Table = table;
-  Document = content.Document;
+  Document = std::move(document);
   Version.set(static_cast<double>(table->version()));
   Listener.Routes(Table);
 }
--- a/src/forwarding/directory_task.h
+++ b/src/forwarding/directory_task.h
@@ -90,6 +90,9 @@
   /// Reads immediately, or as soon as the open read has succeeded.
   void requestRead();
 
+  /// Applies routes that another daemon has read. Older ones are ignored.
+  void adoptRoutes(const state::RouteTablePtr &table, std::string document);
+
   /// Whether routes and replicas have been read.
   bool isReady() const { return Table != nullptr && Reader.hasContent(); }
 
@@ -101,7 +104,8 @@
   void onRead(coordination::DirectoryRead read, const DirectoryResult &result);
   void onReadFailed(DirectoryFault fault);
   void apply(const DirectoryContent &content, bool afterOutage);
-  void applyRoutes(const DirectoryContent &content);
+  void applyRoutes(const state::RouteTablePtr &table, std::string document,
+                   state::Duration age);
   void reportView() const;
 
   transport::EventLoop &Loop;
--- a/src/forwarding/relay_task.cc
+++ b/src/forwarding/relay_task.cc
@@ -141,6 +141,7 @@
 void RelayTask::onLinkUp(const PeerIdentity &peer) {
   for (PeerListener *it : Listeners)
     it->onLinkUp(peer);
+  Selector.onLinkUp(peer.Address);
   const auto &relays = Selector.preferred();
   const bool isRelay =
       std::find(relays.begin(), relays.end(), peer.Address) != relays.end();
@@ -223,7 +224,12 @@
     }
   } else if (type == static_cast<std::uint16_t>(DirectoryMessageType::Reply)) {
     if (auto reply = protocol::decodeDirectoryReply(payload)) {
-      onReply(std::move(*reply));
+      onReply(peer, std::move(*reply));
+      return;
+    }
+  } else if (type == static_cast<std::uint16_t>(DirectoryMessageType::Routes)) {
+    if (const auto routes = protocol::decodeDirectoryRoutes(payload)) {
+      onRoutes(*routes);
       return;
     }
   } else if (std::any_of(Listeners.begin(), Listeners.end(),
@@ -243,21 +249,39 @@
   const WaitingRequest waiting{peer, request, Loop.now()};
   const bool isStale = View.Table != nullptr && isViewStale();
   const bool isFullRequest = request.Log == 0 && View.Table != nullptr;
-  if (isStale || isFullRequest)
-    sendReply(waiting);
+  // Requested from one daemon at a time: the document can be large, and all
+  // daemons that read here may have it.
+  const bool wantsRoutes =
+      View.Table != nullptr && request.RouteVersion > View.Table->version() &&
+      RoutesRequestedAt + Options.ReplyTimeout <= Loop.now();
+  if (wantsRoutes)
+    RoutesRequestedAt = Loop.now();
+  if (isStale || isFullRequest || wantsRoutes)
+    sendReply(waiting, wantsRoutes);
   else
     WaitingRequests.push_back(waiting);
 }
 
+void RelayTask::onRoutes(const protocol::DirectoryRoutes &routes) {
+  auto table = Source.decodeRoutes(routes.Routes);
+  const std::uint64_t version = View.Table ? View.Table->version() : 0;
+  if (!table || table->version() <= version || !NewerRoutesCallback)
+    return;
+  state::log::info("routes_from_reader",
+                   {{"version", table->version()}, {"previous", version}});
+  NewerRoutesCallback(std::move(table), routes.Routes);
+}
+
 bool RelayTask::isViewStale() const {
   return Loop.now() - ViewReadAt >= Options.MaxAge;
 }
 
-void RelayTask::sendReply(const WaitingRequest &waiting) {
+void RelayTask::sendReply(const WaitingRequest &waiting, bool wantsRoutes) {
   DirectoryReply reply = Log.makeReply(waiting.Request);
   reply.HasContent = View.Table != nullptr;
   reply.Position = View.Position;
   reply.RouteVersion = View.Table ? View.Table->version() : 0;
+  reply.WantsRoutes = wantsRoutes;
   reply.Age = Loop.now() - ViewReadAt;
   reply.Daemons =
       UpstreamDaemons != 0 ? UpstreamDaemons : Fleet.daemonCount(Loop.now());
@@ -321,10 +345,14 @@
   IsOlderLogged = isOlder;
 }
 
-void RelayTask::onReply(DirectoryReply reply) {
+void RelayTask::onReply(const PeerIdentity &peer, DirectoryReply reply) {
   if (!Pending || Pending->Sequence != reply.Sequence)
     return;
   logOlderRoutes(reply);
+  if (reply.WantsRoutes && View.Table)
+    Network.send(
+        peer, static_cast<std::uint16_t>(DirectoryMessageType::Routes),
+        protocol::encodeDirectoryRoutes({std::string(View.Document)}));
   if (!reply.HasContent || reply.Age >= Options.MaxAge) {
     failPendingRead("its view is old");
     return;
--- a/src/forwarding/relay_task.h
+++ b/src/forwarding/relay_task.h
@@ -58,6 +58,9 @@
 /// replies, and otherwise from its source. Replies to the requests of other
 /// daemons. The number of reads at the source is therefore nearly independent
 /// of the number of daemons.
+///
+/// A relay whose routes are older than those of a daemon that reads there, for
+/// example because it has read a restored copy of the source, requests them.
 class RelayTask final : public DirectorySource {
 public:
   RelayTask(transport::EventLoop &loop, DirectorySource &source,
@@ -82,6 +85,14 @@
     RelayAvailableCallback = std::move(callback);
   }
 
+  /// Calls `callback` with routes that are newer than those of the view, from a
+  /// daemon that reads here. The owner passes them on by onView().
+  using RoutesCallback = std::function<void(state::RouteTablePtr table,
+                                            std::string document)>;
+  void onNewerRoutes(RoutesCallback callback) {
+    NewerRoutesCallback = std::move(callback);
+  }
+
   /// Call when this daemon's view has been read or has changed. Replies to the
   /// requests that wait for it.
   void onView(const DirectoryView &view);
@@ -149,8 +160,10 @@
                  std::string_view payload);
   void onRequest(const transport::PeerIdentity &peer,
                  const protocol::DirectoryRequest &request);
-  void onReply(protocol::DirectoryReply reply);
-  void sendReply(const WaitingRequest &waiting);
+  void onReply(const transport::PeerIdentity &peer,
+               protocol::DirectoryReply reply);
+  void sendReply(const WaitingRequest &waiting, bool wantsRoutes = false);
+  void onRoutes(const protocol::DirectoryRoutes &routes);
   void sendAllReplies();
   bool isViewStale() const;
   void tick();
@@ -182,6 +195,10 @@
   bool IsLossLogged = false;  ///< since a relay was last in use
   bool IsOlderLogged = false; ///< since a reply with current routes
   std::function<void()> RelayAvailableCallback;
+  RoutesCallback NewerRoutesCallback;
+
+  /// When routes were last requested from a daemon that reads here.
+  state::TimePoint RoutesRequestedAt = state::TimePoint::min();
   std::uint32_t UpstreamDaemons = 0; ///< count of the relay; zero without one
 
   /// Executors of the last report; Executors keeps those of earlier ones too.
--- a/src/protocol/directory_generated.h
+++ b/src/protocol/directory_generated.h
@@ -353,7 +353,8 @@
     VT_MEMBERS = 30,
     VT_LIMITS = 32,
     VT_LIMITS_VERSION = 34,
-    VT_EPOCH = 36
+    VT_EPOCH = 36,
+    VT_WANTS_ROUTES = 38
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -406,6 +407,9 @@
   uint64_t epoch() const {
     return GetField<uint64_t>(VT_EPOCH, 0);
   }
+  bool wants_routes() const {
+    return GetField<uint8_t>(VT_WANTS_ROUTES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -433,6 +437,7 @@
            verifier.VerifyVectorOfTables(limits()) &&
            VerifyField<uint64_t>(verifier, VT_LIMITS_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_ROUTES, 1) &&
            verifier.EndTable();
   }
 };
@@ -492,6 +497,9 @@
   void add_epoch(uint64_t epoch) {
     fbb_.AddElement<uint64_t>(DirectoryMessage::VT_EPOCH, epoch, 0);
   }
+  void add_wants_routes(bool wants_routes) {
+    fbb_.AddElement<uint8_t>(DirectoryMessage::VT_WANTS_ROUTES, static_cast<uint8_t>(wants_routes), 0);
+  }
   explicit DirectoryMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -521,7 +529,8 @@
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> members = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryLimit>>> limits = 0,
     uint64_t limits_version = 0,
-    uint64_t epoch = 0) {
+    uint64_t epoch = 0,
+    bool wants_routes = false) {
   DirectoryMessageBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_limits_version(limits_version);
@@ -538,6 +547,7 @@
   builder_.add_routes(routes);
   builder_.add_replicas(replicas);
   builder_.add_daemons(daemons);
+  builder_.add_wants_routes(wants_routes);
   builder_.add_is_full(is_full);
   builder_.add_has_content(has_content);
   return builder_.Finish();
@@ -561,7 +571,8 @@
     const std::vector<uint32_t> *members = nullptr,
     const std::vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryLimit>> *limits = nullptr,
     uint64_t limits_version = 0,
-    uint64_t epoch = 0) {
+    uint64_t epoch = 0,
+    bool wants_routes = false) {
   auto replicas__ = replicas ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryReplica>>(*replicas) : 0;
   auto routes__ = routes ? _fbb.CreateString(routes) : 0;
   auto strongest__ = strongest ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>>(*strongest) : 0;
@@ -585,7 +596,8 @@
       members__,
       limits__,
       limits_version,
-      epoch);
+      epoch,
+      wants_routes);
 }
 
 inline const galenaflow::protocol::fb::DirectoryMessage *GetDirectoryMessage(const void *buf) {
--- a/src/protocol/directory_messages.cc
+++ b/src/protocol/directory_messages.cc
@@ -151,12 +151,21 @@
   message.add_is_full(reply.IsFull);
   message.add_replicas(list);
   message.add_routes(routes);
+  message.add_wants_routes(reply.WantsRoutes);
   message.add_strongest(executors);
   message.add_limits_version(reply.LimitsVersion);
   message.add_limits(limits);
   return finish(b, message.Finish());
 }
 
+std::string encodeDirectoryRoutes(const DirectoryRoutes &routes) {
+  flatbuffers::FlatBufferBuilder b;
+  const auto document = b.CreateString(routes.Routes);
+  fb::DirectoryMessageBuilder message(b);
+  message.add_routes(document);
+  return finish(b, message.Finish());
+}
+
 state::Result<DirectoryRequest> decodeDirectoryRequest(std::string_view bytes) {
   const AlignedBytes aligned(bytes);
   const auto *in = aligned.verifiedRoot<fb::DirectoryMessage>();
@@ -197,6 +206,7 @@
   reply.IsFull = in->is_full();
   reply.RouteVersion = in->version();
   reply.Routes = textOf(in->routes());
+  reply.WantsRoutes = in->wants_routes();
   reply.LimitsVersion = in->limits_version();
   reply.Limits = unpack(in->limits());
   if (in->replicas() == nullptr)
@@ -209,4 +219,12 @@
   return reply;
 }
 
+state::Result<DirectoryRoutes> decodeDirectoryRoutes(std::string_view bytes) {
+  const AlignedBytes aligned(bytes);
+  const auto *in = aligned.verifiedRoot<fb::DirectoryMessage>();
+  if (in == nullptr)
+    return malformed();
+  return DirectoryRoutes{textOf(in->routes())};
+}
+
 } // namespace galenaflow::protocol
--- a/src/protocol/directory_messages.h
+++ b/src/protocol/directory_messages.h
@@ -19,6 +19,7 @@
 enum class DirectoryMessageType : std::uint16_t {
   Request = 80,
   Reply = 81,
+  Routes = 82,
 };
 
 /// Describes one daemon and the daemons that read the directory from it,
@@ -66,6 +67,9 @@
   std::uint64_t RouteVersion = 0; ///< of the replying daemon
   std::string Routes; ///< the published document; empty when it is not newer
 
+  /// Requests the routes of the receiving daemon, which are newer.
+  bool WantsRoutes = false;
+
   /// Version of the replying daemon's request limits.
   std::uint64_t LimitsVersion = 0;
 
@@ -74,6 +78,13 @@
   std::vector<state::RequestLimit> Limits;
 };
 
+/// Routes for a daemon that has older ones, at its request.
+struct DirectoryRoutes {
+  std::string Routes; ///< the published document
+
+  bool operator==(const DirectoryRoutes &) const = default;
+};
+
 /// Limits on what a peer may send.
 constexpr std::size_t MaxDirectoryChanges = 100'000;
 constexpr std::size_t MaxListedDaemons = 64;
@@ -81,10 +92,12 @@
 
 std::string encodeDirectoryRequest(const DirectoryRequest &request);
 std::string encodeDirectoryReply(const DirectoryReply &reply);
+std::string encodeDirectoryRoutes(const DirectoryRoutes &routes);
 
 /// Error: InvalidArgument for bytes that are not a valid message of this type.
 state::Result<DirectoryRequest> decodeDirectoryRequest(std::string_view bytes);
 state::Result<DirectoryReply> decodeDirectoryReply(std::string_view bytes);
+state::Result<DirectoryRoutes> decodeDirectoryRoutes(std::string_view bytes);
 
 } // namespace galenaflow::protocol
 
--- a/tests/delegation_messages_test.cc
+++ b/tests/delegation_messages_test.cc
@@ -95,9 +95,10 @@
   CHECK(rejected > 1000);
 }
 
-// Guards against a fleet in which the request limits of replicas are not passed
-// on.
-TEST_CASE("request limits and positions of the directory are encoded") {
+// Guards against a fleet in which the request limits of replicas, or newer
+// routes, are not passed on.
+TEST_CASE("request limits, positions and versions of the directory are "
+          "encoded") {
   DirectoryRequest request;
   request.LimitsVersion = 4;
   request.Limits = {{"i-1", 2.5, std::chrono::milliseconds(7)}, {"i-2", 0, {}}};
@@ -106,9 +107,15 @@
   reply.Position = {3, 66};
   reply.LimitsVersion = 9;
   reply.Limits = request.Limits;
+  reply.RouteVersion = 12;
+  reply.WantsRoutes = true;
   const auto decoded = decodeDirectoryReply(encodeDirectoryReply(reply));
   REQUIRE(decoded);
   CHECK(decoded->Position == reply.Position);
   CHECK(decoded->LimitsVersion == 9);
   CHECK(decoded->Limits == reply.Limits);
+  CHECK(decoded->RouteVersion == 12);
+  CHECK(decoded->WantsRoutes);
+  const DirectoryRoutes routes{"{}"};
+  CHECK(*decodeDirectoryRoutes(encodeDirectoryRoutes(routes)) == routes);
 }
--- a/tests/fuzz/corpus_main.cc
+++ b/tests/fuzz/corpus_main.cc
@@ -118,6 +118,8 @@
   reply.Limits = request.Limits;
   folder.writeMessage(static_cast<std::uint16_t>(DirectoryMessageType::Reply),
                       protocol::encodeDirectoryReply(reply));
+  folder.writeMessage(static_cast<std::uint16_t>(DirectoryMessageType::Routes),
+                      protocol::encodeDirectoryRoutes({"{}"}));
   protocol::DelegatedRequest delegated;
   delegated.Sequence = 9;
   delegated.Route = "all";
--- a/tests/fuzz/directory_messages_fuzz.cc
+++ b/tests/fuzz/directory_messages_fuzz.cc
@@ -38,6 +38,10 @@
     check(input, protocol::decodeDirectoryReply,
           protocol::encodeDirectoryReply);
     break;
+  case static_cast<std::uint16_t>(DirectoryMessageType::Routes):
+    check(input, protocol::decodeDirectoryRoutes,
+          protocol::encodeDirectoryRoutes);
+    break;
   case static_cast<std::uint16_t>(DelegationMessageType::Request):
     check(input, protocol::decodeDelegatedRequest,
           protocol::encodeDelegatedRequest);
--- a/tests/relay_task_test.cc
+++ b/tests/relay_task_test.cc
@@ -100,6 +100,10 @@
                    }},
                   Metrics) {
     Relay.onRelayAvailable([this] { Directory.requestRead(); });
+    Relay.onNewerRoutes(
+        [this](const state::RouteTablePtr &table, std::string document) {
+          Directory.adoptRoutes(table, std::move(document));
+        });
     REQUIRE(Relay.listen(*transport::parseSocketAddress(address)));
   }
 
@@ -356,6 +360,26 @@
   CHECK(fleet.Source.Reads - before <= 6);
 }
 
+// Guards against a relay that starts from a restored copy and runs requests by
+// its routes although the other daemons know newer ones.
+TEST_CASE("a relay that starts from an old copy gets the newer routes of the "
+          "other daemons") {
+  Fleet fleet(4, 1);
+  fleet.Source.Version = 5;
+  REQUIRE(fleet.runUntilAll([](const Daemon &it) { return it.Version == 5; }));
+  fleet.run(1500ms);
+  fleet.Daemons[0].reset();
+  ++fleet.Source.Epoch;
+  fleet.Source.Revision = 3;
+  fleet.Source.Version = 2;
+  fleet.run(200ms);
+  fleet.Daemons[0] =
+      std::make_unique<Daemon>(fleet.Loop, fleet.Source, fleet.Addresses[0], 1);
+  fleet.start(0, 1);
+  CHECK(fleet.runUntilAll([](const Daemon &it) { return it.Version == 5; },
+                          4s));
+}
+
 // Guards against a daemon that keeps to a limit that has ended, because it is
 // not due to send a request to the replica.
 TEST_CASE("all daemons learn a limit and its end from the one that was told") {
