Let a daemon that the source refuses read from any other daemon

Cause: the first relay read only at the source, and the others only at earlier relays. While the source refused a relay, it kept old routes and replicas for as long as that lasted, although daemons that read there had turned to the source and knew the change. Same class as the relay with an older copy.

Change: after a failed read at the source, a daemon reads from any daemon that it has a link to, up to three per read, and tries the source again every 2 s. Replies name the daemons through which their content came, so that no daemon reads its own view back. A view that cannot be used is not sent.

--- a/src/coordination/directory_relay.cc
+++ b/src/coordination/directory_relay.cc
@@ -90,14 +90,24 @@
   if (self != addresses.end()) {
     addresses.erase(self, addresses.end());
   } else {
-    std::sort(addresses.begin(), addresses.end(),
-              [this](const std::string &a, const std::string &b) {
-                return state::hash64(a + Self) < state::hash64(b + Self);
-              });
+    sortByHash(addresses);
   }
   Preferred = std::move(addresses);
 }
 
+void RelaySelector::sortByHash(std::vector<std::string> &addresses) const {
+  std::sort(addresses.begin(), addresses.end(),
+            [this](const std::string &a, const std::string &b) {
+              return state::hash64(a + Self) < state::hash64(b + Self);
+            });
+}
+
+bool RelaySelector::isCoolingDown(const std::string &address,
+                                  TimePoint now) const {
+  const auto it = CooldownUntil.find(address);
+  return it != CooldownUntil.end() && it->second > now;
+}
+
 // After a start, a link can take seconds to come up, because the first packet
 // to a machine that is still down is retransmitted only after a second. A relay
 // with a link is therefore preferred meanwhile.
@@ -106,8 +116,7 @@
                       TimePoint now) const {
   std::optional<std::string> best;
   for (const std::string &address : Preferred) {
-    const auto it = CooldownUntil.find(address);
-    if (it != CooldownUntil.end() && it->second > now)
+    if (isCoolingDown(address, now))
       continue;
     if (isLinked(address))
       return address;
@@ -117,6 +126,18 @@
   return best;
 }
 
+std::optional<std::string>
+RelaySelector::chooseFallback(std::vector<std::string> linked,
+                              TimePoint now) const {
+  sortByHash(linked);
+  const auto it = std::find_if(linked.begin(), linked.end(),
+                               [this, now](const std::string &address) {
+                                 return !address.empty() &&
+                                        !isCoolingDown(address, now);
+                               });
+  return it == linked.end() ? std::nullopt : std::optional(*it);
+}
+
 void RelaySelector::onFailure(const std::string &address, TimePoint now) {
   CooldownUntil[address] = now + Options.FailureCooldown;
 }
--- a/src/coordination/directory_relay.h
+++ b/src/coordination/directory_relay.h
@@ -72,6 +72,11 @@
   std::optional<std::string>
   choose(const std::function<bool(const std::string &)> &isLinked,
          TimePoint now) const;
+
+  /// Returns the best of these daemons to read from while the source refuses
+  /// this daemon, or nothing.
+  std::optional<std::string>
+  chooseFallback(std::vector<std::string> linked, TimePoint now) const;
   void onFailure(const std::string &address, TimePoint now);
 
   /// A link to the daemon is up again, so it may be used at once.
@@ -81,6 +86,9 @@
   const std::vector<std::string> &preferred() const { return Preferred; }
 
 private:
+  void sortByHash(std::vector<std::string> &addresses) const;
+  bool isCoolingDown(const std::string &address, TimePoint now) const;
+
   RelaySelectorOptions Options;
   std::string Self;
   std::vector<std::string> Preferred;
--- a/src/forwarding/relay_task.cc
+++ b/src/forwarding/relay_task.cc
@@ -102,28 +102,40 @@
   read(after, std::move(callback));
 }
 
+// A relay reads at the source itself. While the source refuses it, the daemons
+// that read there know the changes, since they then read at the source too.
+std::optional<std::string> RelayTask::chooseRelay() const {
+  const auto isLinked = [this](const std::string &address) {
+    return findLink(address).has_value();
+  };
+  if (auto relay = Selector.choose(isLinked, Loop.now()))
+    return relay;
+  return chooseFallback();
+}
+
+std::optional<std::string> RelayTask::chooseFallback() const {
+  if (SourceFailedAt + Options.FallbackTime <= Loop.now())
+    return std::nullopt;
+  std::vector<std::string> linked;
+  for (const PeerIdentity &peer : Network.connected())
+    linked.push_back(peer.Address);
+  return Selector.chooseFallback(std::move(linked), Loop.now());
+}
+
 void RelayTask::read(const std::optional<state::DirectoryPosition> &after,
                      DirectoryCallback callback) {
   // A daemon without a view reads at the source first, and at a relay when that
   // has failed: after a stop of the whole fleet, no relay has a view either.
   const bool isFirst =
       View.Table == nullptr && !std::exchange(HasStartedRead, true);
-  const auto relay = Selector.choose(
-      [this](const std::string &address) {
-        return findLink(address).has_value();
-      },
-      Loop.now());
+  const auto relay = chooseRelay();
   if (!relay || isFirst) {
     readSource(after, std::move(callback));
     return;
   }
-  const std::uint64_t sequence = ++LastSequence;
-  Pending = PendingRead{sequence, *relay, after, std::move(callback), 0};
-  if (sendRequest(*relay)) {
-    Pending->Timer = Loop.schedule(
-        Options.ReplyTimeout, [this] { failPendingRead("no answer in time"); });
+  Pending = PendingRead{0, *relay, after, std::move(callback), 0};
+  if (sendPendingRead())
     return;
-  }
   if (Loop.now() - StartedAt < Options.LinkSetupGrace) {
     // The links are being set up; the reader soon starts the next read.
     Loop.post([callback = std::move(Pending->Callback)] {
@@ -135,6 +147,15 @@
   failPendingRead("no link");
 }
 
+bool RelayTask::sendPendingRead() {
+  Pending->Sequence = ++LastSequence;
+  if (!sendRequest(Pending->Relay))
+    return false;
+  Pending->Timer = Loop.schedule(
+      Options.ReplyTimeout, [this] { failPendingRead("no answer in time"); });
+  return true;
+}
+
 // After a stop of the whole fleet, the relays may start last. The other daemons
 // learn the fleet and its executors only from them, so they do not wait for the
 // next read.
@@ -194,12 +215,20 @@
 }
 
 void RelayTask::failPendingRead(const char *reason) {
+  Loop.cancel(Pending->Timer);
+  if (!std::exchange(IsLossLogged, true))
+    state::log::info("relay_lost",
+                     {{"relay", Pending->Relay}, {"reason", reason}});
+  Selector.onFailure(Pending->Relay, Loop.now());
+  if (++Pending->FailedRelays <= Options.MaxFallbacks) {
+    if (auto fallback = chooseFallback()) {
+      Pending->Relay = std::move(*fallback);
+      if (sendPendingRead())
+        return;
+    }
+  }
   PendingRead read = std::move(*Pending);
   Pending.reset();
-  Loop.cancel(read.Timer);
-  if (!std::exchange(IsLossLogged, true))
-    state::log::info("relay_lost", {{"relay", read.Relay}, {"reason", reason}});
-  Selector.onFailure(read.Relay, Loop.now());
   readSource(read.After, std::move(read.Callback));
 }
 
@@ -209,10 +238,19 @@
   IsReadingFromRelay = false;
   RelayLogId = 0;
   UpstreamDaemons = 0;
+  const auto record = [this, callback = std::move(callback)](
+                          const DirectoryResult &result) {
+    const bool hasFailed =
+        !result && result.error() == DirectoryFault::Failed;
+    SourceFailedAt = hasFailed ? Loop.now() : state::TimePoint::min();
+    if (result)
+      ViewPath.clear();
+    callback(result);
+  };
   if (after)
-    Source.readChanges(*after, std::move(callback));
+    Source.readChanges(*after, record);
   else
-    Source.readAll(std::move(callback));
+    Source.readAll(record);
 }
 
 void RelayTask::onMessage(const PeerIdentity &peer, std::uint16_t type,
@@ -247,7 +285,8 @@
   Fleet.onReport(peer.VmId, request.Fleet, Loop.now());
   Limits.merge(request.Limits, Loop.now());
   const WaitingRequest waiting{peer, request, Loop.now()};
-  const bool isStale = View.Table != nullptr && isViewStale();
+  const bool isUnusable =
+      View.Table != nullptr && !isUsableFor(peer.Address);
   const bool isFullRequest = request.Log == 0 && View.Table != nullptr;
   // Requested from one daemon at a time: the document can be large, and all
   // daemons that read here may have it.
@@ -256,7 +295,7 @@
       RoutesRequestedAt + Options.ReplyTimeout <= Loop.now();
   if (wantsRoutes)
     RoutesRequestedAt = Loop.now();
-  if (isStale || isFullRequest || wantsRoutes)
+  if (isUnusable || isFullRequest || wantsRoutes)
     sendReply(waiting, wantsRoutes);
   else
     WaitingRequests.push_back(waiting);
@@ -276,13 +315,28 @@
   return Loop.now() - ViewReadAt >= Options.MaxAge;
 }
 
+// Daemons that read from each other would keep an old view alive: the time of
+// the messages on their way is not counted in its age.
+bool RelayTask::isUsableFor(const std::string &address) const {
+  return !isViewStale() && ViewPath.size() < protocol::MaxDirectoryPath &&
+         std::find(ViewPath.begin(), ViewPath.end(), address) == ViewPath.end();
+}
+
 void RelayTask::sendReply(const WaitingRequest &waiting, bool wantsRoutes) {
-  DirectoryReply reply = Log.makeReply(waiting.Request);
-  reply.HasContent = View.Table != nullptr;
+  // A view that the daemon cannot use is not sent, since it can be large.
+  const bool hasContent =
+      View.Table != nullptr && isUsableFor(waiting.Peer.Address);
+  DirectoryReply reply;
+  if (hasContent)
+    reply = Log.makeReply(waiting.Request);
+  reply.Sequence = waiting.Request.Sequence;
+  reply.HasContent = hasContent;
   reply.Position = View.Position;
   reply.RouteVersion = View.Table ? View.Table->version() : 0;
   reply.WantsRoutes = wantsRoutes;
   reply.Age = Loop.now() - ViewReadAt;
+  reply.Path = ViewPath;
+  reply.Path.push_back(Options.Network.Session.Self.Address);
   reply.Daemons =
       UpstreamDaemons != 0 ? UpstreamDaemons : Fleet.daemonCount(Loop.now());
   reply.Executors = ReportedExecutors;
@@ -336,7 +390,7 @@
 
 void RelayTask::logOlderRoutes(const DirectoryReply &reply) {
   const std::uint64_t version = View.Table ? View.Table->version() : 0;
-  const bool isOlder = reply.HasContent && reply.RouteVersion < version;
+  const bool isOlder = reply.RouteVersion != 0 && reply.RouteVersion < version;
   if (isOlder && !IsOlderLogged)
     state::log::warning("relay_routes_older",
                         {{"relay", Pending->Relay},
@@ -357,6 +411,12 @@
     failPendingRead("its view is old");
     return;
   }
+  const std::string &self = Options.Network.Session.Self.Address;
+  if (std::find(reply.Path.begin(), reply.Path.end(), self) !=
+      reply.Path.end()) {
+    failPendingRead("its view came from here");
+    return;
+  }
   if (Pending->After && reply.Position < *Pending->After) {
     failPendingRead("its view is behind");
     return;
@@ -385,6 +445,7 @@
   recordDaemonCount(reply.Daemons);
   ReportedExecutors = std::move(reply.Executors);
   Executors.update(ReportedExecutors, Loop.now());
+  ViewPath = std::move(reply.Path);
   content.Changes = std::move(reply.Changes);
   content.Position = reply.Position;
   content.IsFull = reply.IsFull;
--- a/src/forwarding/relay_task.h
+++ b/src/forwarding/relay_task.h
@@ -45,6 +45,13 @@
   /// operator's limit of 3 s.
   state::Duration MaxAge = std::chrono::milliseconds(1200);
 
+  /// After a failed read at the source, reads are made at any linked daemon for
+  /// this long: the source may refuse this daemon only.
+  state::Duration FallbackTime = std::chrono::seconds(2);
+
+  /// Maximum number of these daemons that are asked in one read.
+  std::uint32_t MaxFallbacks = 3;
+
   /// For this time after the start, a read whose relay has no link yet fails
   /// instead of being made at the source: the link is being set up.
   state::Duration LinkSetupGrace = std::chrono::milliseconds(600);
@@ -137,6 +144,7 @@
     std::optional<state::DirectoryPosition> After;
     DirectoryCallback Callback;
     transport::TimerId Timer = 0;
+    std::uint32_t FailedRelays = 0;
   };
 
   struct WaitingRequest {
@@ -152,6 +160,9 @@
   bool sendRequest(const std::string &relay);
   std::optional<transport::PeerIdentity>
   findLink(const std::string &address) const;
+  bool sendPendingRead();
+  std::optional<std::string> chooseRelay() const;
+  std::optional<std::string> chooseFallback() const;
   void failPendingRead(const char *reason);
   void onLinkUp(const transport::PeerIdentity &peer);
   void onLinkLost(const transport::PeerIdentity &peer,
@@ -166,6 +177,7 @@
   void onRoutes(const protocol::DirectoryRoutes &routes);
   void sendAllReplies();
   bool isViewStale() const;
+  bool isUsableFor(const std::string &address) const;
   void tick();
   void logOlderRoutes(const protocol::DirectoryReply &reply);
   void recordDaemonCount(std::uint32_t n);
@@ -184,8 +196,15 @@
   std::deque<WaitingRequest> WaitingRequests;
   DirectoryView View;
   state::TimePoint ViewReadAt;
+
+  /// Addresses of the daemons through which the view came; empty: it was read
+  /// at the source.
+  std::vector<std::string> ViewPath;
   std::uint64_t LoggedListVersion = 0; ///< version of the list in Log
   state::TimePoint StartedAt;
+
+  /// When the last read at the source failed; min(): it did not.
+  state::TimePoint SourceFailedAt = state::TimePoint::min();
   std::uint64_t LastSequence = 0;
   std::uint64_t RelayLogId = 0;         ///< zero requests the whole view
   std::uint64_t RelayLogIndex = 0;      ///< position in the relay's log
--- a/src/protocol/directory_generated.h
+++ b/src/protocol/directory_generated.h
@@ -354,7 +354,8 @@
     VT_LIMITS = 32,
     VT_LIMITS_VERSION = 34,
     VT_EPOCH = 36,
-    VT_WANTS_ROUTES = 38
+    VT_WANTS_ROUTES = 38,
+    VT_PATH = 40
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -410,6 +411,9 @@
   bool wants_routes() const {
     return GetField<uint8_t>(VT_WANTS_ROUTES, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *path() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PATH);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -438,6 +442,9 @@
            VerifyField<uint64_t>(verifier, VT_LIMITS_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_ROUTES, 1) &&
+           VerifyOffset(verifier, VT_PATH) &&
+           verifier.VerifyVector(path()) &&
+           verifier.VerifyVectorOfStrings(path()) &&
            verifier.EndTable();
   }
 };
@@ -500,6 +507,9 @@
   void add_wants_routes(bool wants_routes) {
     fbb_.AddElement<uint8_t>(DirectoryMessage::VT_WANTS_ROUTES, static_cast<uint8_t>(wants_routes), 0);
   }
+  void add_path(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path) {
+    fbb_.AddOffset(DirectoryMessage::VT_PATH, path);
+  }
   explicit DirectoryMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -530,7 +540,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryLimit>>> limits = 0,
     uint64_t limits_version = 0,
     uint64_t epoch = 0,
-    bool wants_routes = false) {
+    bool wants_routes = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path = 0) {
   DirectoryMessageBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_limits_version(limits_version);
@@ -540,6 +551,7 @@
   builder_.add_index(index);
   builder_.add_log(log);
   builder_.add_sequence(sequence);
+  builder_.add_path(path);
   builder_.add_limits(limits);
   builder_.add_members(members);
   builder_.add_strongest(strongest);
@@ -572,12 +584,14 @@
     const std::vector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryLimit>> *limits = nullptr,
     uint64_t limits_version = 0,
     uint64_t epoch = 0,
-    bool wants_routes = false) {
+    bool wants_routes = false,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *path = nullptr) {
   auto replicas__ = replicas ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryReplica>>(*replicas) : 0;
   auto routes__ = routes ? _fbb.CreateString(routes) : 0;
   auto strongest__ = strongest ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>>(*strongest) : 0;
   auto members__ = members ? _fbb.CreateVector<uint32_t>(*members) : 0;
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryLimit>>(*limits) : 0;
+  auto path__ = path ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*path) : 0;
   return galenaflow::protocol::fb::CreateDirectoryMessage(
       _fbb,
       sequence,
@@ -597,7 +611,8 @@
       limits__,
       limits_version,
       epoch,
-      wants_routes);
+      wants_routes,
+      path__);
 }
 
 inline const galenaflow::protocol::fb::DirectoryMessage *GetDirectoryMessage(const void *buf) {
--- a/src/protocol/directory_messages.cc
+++ b/src/protocol/directory_messages.cc
@@ -136,6 +136,7 @@
   }
   const auto list = b.CreateVector(replicas);
   const auto routes = b.CreateString(reply.Routes);
+  const auto path = b.CreateVectorOfStrings(reply.Path);
   const auto executors = pack(b, reply.Executors);
   const auto limits = pack(b, reply.Limits);
   fb::DirectoryMessageBuilder message(b);
@@ -152,6 +153,7 @@
   message.add_replicas(list);
   message.add_routes(routes);
   message.add_wants_routes(reply.WantsRoutes);
+  message.add_path(path);
   message.add_strongest(executors);
   message.add_limits_version(reply.LimitsVersion);
   message.add_limits(limits);
@@ -207,6 +209,13 @@
   reply.RouteVersion = in->version();
   reply.Routes = textOf(in->routes());
   reply.WantsRoutes = in->wants_routes();
+  if (in->path() != nullptr) {
+    if (in->path()->size() > MaxDirectoryPath)
+      return makeError(ErrorCode::InvalidArgument,
+                       "directory reply came through too many daemons");
+    for (const flatbuffers::String *address : *in->path())
+      reply.Path.push_back(textOf(address));
+  }
   reply.LimitsVersion = in->limits_version();
   reply.Limits = unpack(in->limits());
   if (in->replicas() == nullptr)
--- a/src/protocol/directory_messages.h
+++ b/src/protocol/directory_messages.h
@@ -60,6 +60,10 @@
   state::Duration Age{0};
   std::uint32_t Daemons = 0; ///< in the whole fleet; 0 when not known
 
+  /// Addresses of the daemons through which the content came, from the one that
+  /// read it at the source to the replying daemon.
+  std::vector<std::string> Path;
+
   /// The daemons that run requests for other daemons.
   std::vector<state::DaemonCapacity> Executors;
   bool IsFull = false;
@@ -88,6 +92,7 @@
 /// Limits on what a peer may send.
 constexpr std::size_t MaxDirectoryChanges = 100'000;
 constexpr std::size_t MaxListedDaemons = 64;
+constexpr std::size_t MaxDirectoryPath = 8;
 constexpr std::size_t MaxListedLimits = 20'000;
 
 std::string encodeDirectoryRequest(const DirectoryRequest &request);
--- a/tests/delegation_messages_test.cc
+++ b/tests/delegation_messages_test.cc
@@ -109,6 +109,7 @@
   reply.Limits = request.Limits;
   reply.RouteVersion = 12;
   reply.WantsRoutes = true;
+  reply.Path = {"10.0.0.1:7", "10.0.0.2:7"};
   const auto decoded = decodeDirectoryReply(encodeDirectoryReply(reply));
   REQUIRE(decoded);
   CHECK(decoded->Position == reply.Position);
@@ -116,6 +117,7 @@
   CHECK(decoded->Limits == reply.Limits);
   CHECK(decoded->RouteVersion == 12);
   CHECK(decoded->WantsRoutes);
+  CHECK(decoded->Path == reply.Path);
   const DirectoryRoutes routes{"{}"};
   CHECK(*decodeDirectoryRoutes(encodeDirectoryRoutes(routes)) == routes);
 }
--- a/tests/relay_task_test.cc
+++ b/tests/relay_task_test.cc
@@ -360,6 +360,26 @@
   CHECK(fleet.Source.Reads - before <= 6);
 }
 
+// Guards against relays that keep old routes and replicas while the source
+// refuses their reads and answers those of other daemons.
+TEST_CASE("relays that the source refuses follow the other daemons") {
+  Fleet fleet(6);
+  REQUIRE(fleet.runUntilAll([](const Daemon &it) { return it.Version == 1; }));
+  fleet.run(1500ms);
+  for (std::size_t i = 0; i != 3; ++i)
+    fleet.Daemons[i]->Source.IsUnavailable = true;
+  fleet.run(3s);
+  fleet.Source.put("a", true);
+  fleet.Source.put("c");
+  ++fleet.Source.Version;
+  CHECK(fleet.runUntilAll(
+      [](const Daemon &it) {
+        return it.Version == 2 && it.Records.size() == 3 &&
+               it.Records.at("a").Draining;
+      },
+      6s));
+}
+
 // Guards against a relay that starts from a restored copy and runs requests by
 // its routes although the other daemons know newer ones.
 TEST_CASE("a relay that starts from an old copy gets the newer routes of the "
