Read everything when the changes of the store exceed the response limit

Callers would see routes that stay old after an outage: not in force until the store forgets its history, 20 s on the users' sites.

Cause: a daemon that could not read for a while got all versions of the routes that were written meanwhile in one response. Values may have 1 MB, a response is limited to 4 MB: four changes of large routes made every read of changes fail, and each later one was larger. Class of fault: a retry of a request that cannot succeed.

Change: HttpFailure names the limit that a response exceeded, and a read of changes that exceeds the limit on bodies is followed by a full read, whose pages hold only the newest versions.

Evidence: platform_node_test, "large routes that changed many times in an outage are in force after it", failed before (0 of 1 request by the new routes 3 s after the outage).

--- a/src/forwarding/directory_task.h
+++ b/src/forwarding/directory_task.h
@@ -33,7 +33,7 @@
 
 enum class DirectoryFault {
   Failed,      ///< no usable response
-  HistoryLost, ///< the changes after the position are no longer available
+  HistoryLost, ///< the changes after the position cannot be read
 };
 
 using DirectoryResult = tl::expected<DirectoryContent, DirectoryFault>;
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -127,7 +127,8 @@
   void closeSocket();
   void write();
   void finish(HttpResult result);
-  void fail(ErrorCode code, const std::string &text);
+  void fail(ErrorCode code, const std::string &text,
+            ResponseLimit limit = ResponseLimit::None);
   void consumeInput();
   void onParsed(HttpResponseParser::State state);
   bool holdParsedBytes();
@@ -329,7 +330,7 @@
                          {"reason", reason}});
   }
   closeSocket();
-  fail(ErrorCode::Unavailable, reason);
+  fail(ErrorCode::Unavailable, reason, limit);
 }
 
 void HttpConnection::Impl::completeExchange() {
@@ -367,9 +368,10 @@
   });
 }
 
-void HttpConnection::Impl::fail(ErrorCode code, const std::string &text) {
-  finish(
-      tl::unexpected(HttpFailure{{code, Authority + ": " + text}, MaybeSent}));
+void HttpConnection::Impl::fail(ErrorCode code, const std::string &text,
+                                ResponseLimit limit) {
+  finish(tl::unexpected(
+      HttpFailure{{code, Authority + ": " + text}, MaybeSent, limit}));
 }
 
 void HttpConnection::Impl::armIdleTimer() {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -4,6 +4,7 @@
 #include "state/error.h"
 #include "transport/event_loop.h"
 #include "transport/http_message.h"
+#include "transport/receive_limits.h"
 #include "transport/socket_address.h"
 
 #include <functional>
@@ -17,6 +18,9 @@
 
   /// False only when it is certain that no byte of the request has been sent.
   bool MaybeSent = false;
+
+  /// The limit that the response exceeded, if any.
+  ResponseLimit Limit = ResponseLimit::None;
 };
 
 using HttpResult = tl::expected<HttpResponse, HttpFailure>;
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -58,7 +58,8 @@
     return *Replicas.front();
   }
 
-  void publishRoutes(int version, const std::string &pool) {
+  void publishRoutes(int version, const std::string &pool,
+                     const std::string &padding = "") {
     std::string services;
     for (const char *name : {"s0", "s1", "s2", "s3", "pool", "other"})
       services += std::string(services.empty() ? "" : ",") + R"({"name":")" +
@@ -74,7 +75,7 @@
  {"name":"once","host":"h","prefix":"/once/","route_type":"unsafe",
   "timeout_ms":800,"target_latency_ms":250,"service":"pool",
   "max_attempts":2}],"services":[)" +
-                               services + "]}");
+                               services + "]" + padding + "}");
   }
 
   void startNode() {
@@ -265,6 +266,25 @@
   CHECK_FALSE(site.replica("p2").runs().empty());
 }
 
+// Guards against routes that stay old until the store forgets its history,
+// because the changes since the last read are too large for one response.
+TEST_CASE("large routes that changed many times in an outage are in force "
+          "after it") {
+  Site site;
+  site.start();
+  site.add("o0", "other");
+  site.Store.faults().Refuse = true;
+  site.runFor(1200ms);
+  const std::string padding(std::size_t{1} << 20, ' ');
+  for (int version = 6; version != 11; ++version)
+    site.publishRoutes(version, "pool", padding);
+  site.publishRoutes(11, "other");
+  site.Store.faults().Refuse = false;
+  site.runFor(3s);
+  CHECK(site.call("/one/x").Status == 200);
+  CHECK(site.replica("o0").runs().size() == 1);
+}
+
 TEST_CASE("a directory of several pages is read completely") {
   Site site;
   site.Store.PageSize = 3;
