Defer removals only after a failed read of the source

Cause: a daemon that reads at the source once a second asks a relay again when its cooldown ends. A relay that has lost power does not answer within 1.5 s, so the next read at the source comes 2.5 s after the last one. More than 2.2 s counted as an outage of the source, and the removal was deferred for 2.3 s more. Class of fault: the silence of a peer taken for the failure of another part.

Change: the gap counts as an outage only if a read has failed, or above 3 s, which only a suspended process can reach without one.

Evidence: directory_reader_test, "a relay that does not answer is no outage of the source", failed before.

--- a/src/coordination/directory_reader.cc
+++ b/src/coordination/directory_reader.cc
@@ -26,7 +26,10 @@
 }
 
 bool DirectoryReader::onSuccess(TimePoint readAt, TimePoint now) {
-  const bool wasOut = LastReadAt + Options.OutageTimeout < now;
+  const Duration timeout = std::exchange(HasFailed, false)
+                               ? Options.OutageTimeout
+                               : Options.SilenceTimeout;
+  const bool wasOut = LastReadAt + timeout < now;
   IsReadOpen = false;
   LastReadAt = std::max(LastReadAt, readAt);
   Backoff = Options.MinBackoff;
@@ -70,6 +73,7 @@
 
 void DirectoryReader::onFailure(TimePoint now) {
   IsReadOpen = false;
+  HasFailed = true;
   NextAt = now + jittered(Backoff);
   Backoff = std::min(Backoff * 2, Options.MaxBackoff);
 }
--- a/src/coordination/directory_reader.h
+++ b/src/coordination/directory_reader.h
@@ -33,9 +33,14 @@
   Duration MinBackoff = std::chrono::milliseconds(150);
   Duration MaxBackoff = std::chrono::milliseconds(2000);
 
-  /// The source counts as unavailable when no read has succeeded for this long.
-  /// Records of backend servers expire after three heartbeats of about 1.2 s.
+  /// The source counts as unavailable when no read has succeeded for this long
+  /// and one has failed. Records of backend servers expire after three
+  /// heartbeats of about 1.2 s.
   Duration OutageTimeout = std::chrono::milliseconds(2200);
+
+  /// The same without a failed read, for example when the process was
+  /// suspended. A relay that does not answer accounts for up to 2.5 s.
+  Duration SilenceTimeout = std::chrono::milliseconds(3000);
 };
 
 enum class DirectoryRead {
@@ -93,6 +98,7 @@
   bool IsReadRequested = false; ///< while a read is open
   bool HasContent = false;
   bool HasRead = false; ///< whether a full read has ever succeeded
+  bool HasFailed = false; ///< whether a read has failed since the last success
   state::DirectoryPosition Position;
   TimePoint StartupUntil;
   TimePoint LastReadAt;
--- a/tests/directory_reader_test.cc
+++ b/tests/directory_reader_test.cc
@@ -142,6 +142,24 @@
   CHECK(it.Now - success < 2500ms);
 }
 
+// Guards against removed backend servers that stay in use for a grace period
+// because a relay did not answer, although the source was available.
+TEST_CASE("a relay that does not answer is no outage of the source") {
+  Fixture it;
+  it.next();
+  it.Now += it.Options.StartupDuration;
+  it.Reader.onFullRead(at(40), it.Now, it.Now);
+  it.next();
+  it.Reader.onChanges(at(40), it.Now, it.Now);
+  it.next();
+  // The reply timeout of a relay, and the read at the source that follows.
+  it.Now += 1510ms;
+  CHECK_FALSE(it.Reader.onChanges(at(41), it.Now, it.Now));
+  it.next();
+  it.Now += it.Options.SilenceTimeout + 1ms;
+  CHECK(it.Reader.onChanges(at(42), it.Now, it.Now));
+}
+
 // Guards against revisions of the earlier history that hide changes of the
 // restored source, and against the removal of backend servers that have
 // registered since the copy was made.
