--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -41,6 +41,10 @@
   AttemptEnd End = AttemptEnd::Unknown;
   std::optional<BackendResponse> Response; ///< the replica's response, if any
   std::string Reason{};                    ///< for logs; may be empty
+
+  /// Whether the replica ended the connection before any byte of a response, as
+  /// it does when it crashes.
+  bool IsLost = false;
 };
 
 using AttemptNumber = std::uint32_t;
--- a/src/forwarding/forward_protocol.h
+++ b/src/forwarding/forward_protocol.h
@@ -3,6 +3,7 @@
 
 #include "coordination/forward_execution.h"
 #include "coordination/replica_placement.h"
+#include "state/request_fingerprint.h"
 #include "transport/http_client.h"
 
 #include <optional>
@@ -19,6 +20,10 @@
   std::string Host;
   transport::HttpHeaders Headers; ///< end-to-end headers only
   std::string Body;
+
+  /// Equal for requests with equal method, host, path and body. The callers'
+  /// other headers differ between attempts of one caller.
+  state::RequestFingerprint fingerprint() const;
 };
 
 /// The decoded result of one attempt at a replica.
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -90,6 +90,7 @@
   bool Busy = false;
   bool ResultPosted = false; ///< the callback of the exchange has been posted
   bool MaybeSent = false;
+  bool HasReceived = false; ///< any byte since the request was sent
   TimerId DeadlineTimer = 0;
   TimerId OpenTimer = 0;
   TimerId IdleTimer = 0;
@@ -241,7 +242,10 @@
     const std::string text = closedCleanly ? self->Parser->error()
                                            : std::string("connection broken");
     self->closeSocket();
-    self->fail(ErrorCode::Unavailable, text);
+    self->finish(tl::unexpected(
+        HttpFailure{{ErrorCode::Unavailable, self->Authority + ": " + text},
+                    self->MaybeSent,
+                    !self->HasReceived}));
     return;
   }
   const bool isNew = self->Loop.now() - self->ConnectedAt < RefusalWindow;
@@ -261,6 +265,7 @@
     notifyIdleChange();
     return;
   }
+  HasReceived = true;
   const auto state = Parser->feed({input->bytes, input->size});
   h2o_buffer_consume(&input, input->size);
   onParsed(state);
@@ -371,7 +376,7 @@
 void HttpConnection::Impl::fail(ErrorCode code, const std::string &text,
                                 ResponseLimit limit) {
   finish(tl::unexpected(
-      HttpFailure{{code, Authority + ": " + text}, MaybeSent, limit}));
+      HttpFailure{{code, Authority + ": " + text}, MaybeSent, false, limit}));
 }
 
 void HttpConnection::Impl::armIdleTimer() {
@@ -416,6 +421,7 @@
   self.ResultPosted = false;
   ++self.ExchangeNumber;
   self.MaybeSent = false;
+  self.HasReceived = false;
   self.RequestBytes = encodeRequest(request, self.Authority);
   self.EchoHeader = request.Rules.EchoHeader;
   self.EchoValue = request.Headers.find(self.EchoHeader).value_or("");
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -19,6 +19,9 @@
   /// False only when it is certain that no byte of the request has been sent.
   bool MaybeSent = false;
 
+  /// Whether the peer ended the connection before any byte of a response.
+  bool EndedByPeer = false;
+
   /// The limit that the response exceeded, if any.
   ResponseLimit Limit = ResponseLimit::None;
 };
