Hold hedges and retries of a request until a replica has answered it

Class of fault: a retry is sent without asking what the failed attempt did to its server.

Change: while attempts of a request were lost, that is, ended by the replica without a byte of a response, and no replica has answered, only one of them is retried, and hedges of a shard set wait for the first answer. With the first answer all of them follow at once.

Evidence: forward_execution_test, "a request that ends all replicas reaches one replica of each shard and one more", failed before with 40 attempts; two more tests ensure that other requests still get their hedges and retries.

--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -13,6 +13,11 @@
 // kind; it never exceeds the route's limit. An attempt that was rejected,
 // misdirected or not sent is subtracted again.
 //
+// A request over many shards that ends the replicas would end both replicas of
+// each shard within its first tenth of a second, if its hedges and retries were
+// sent at once. With an answer to any part the request is known to be harmless,
+// and in other requests an answer has arrived before most hedges are due.
+//
 // A response of a shard is kept until the request ends, for all shards at once.
 // Only what the merge needs is kept, so that a request's memory follows from
 // the route and not from what the replicas send.
@@ -194,6 +199,7 @@
     trimPart(response, Options.Route->Shards.TopK);
   part.Response = std::move(response);
   ++AnsweredParts;
+  onAnswered(now);
   for (AttemptNumber other = 0; other != Attempts.size(); ++other)
     if (Attempts[other].Open && Attempts[other].Part == attempt->Part) {
       Attempts[other].Open = false;
@@ -222,9 +228,15 @@
   }
   AnyRan |= failure.End == AttemptEnd::Failed;
   AnyUnknown |= failure.End == AttemptEnd::Unknown;
+  LostAttempts += failure.IsLost ? 1 : 0;
   if (failure.Response)
     LastFailure = std::move(failure.Response);
-  if (part.Open == 0 && !retry(index, failure.End)) {
+  if (failure.End == AttemptEnd::Failed)
+    onAnswered(now);
+  const bool isHeld = failure.IsLost && !IsAnswered && mayRunAgain(part);
+  if (part.Open == 0 && isHeld) {
+    part.IsRetryHeld = true;
+  } else if (part.Open == 0 && !retry(index, failure.End)) {
     ForwardFault fault = ForwardFault::BackendFailed;
     if (failure.End == AttemptEnd::NotSent)
       fault = part.Tried.empty() ? ForwardFault::NoReplica
@@ -235,10 +247,48 @@
       fault = ForwardFault::ServerLimit;
     failPart(index, fault);
   }
+  settleHeldRetries();
   tryFinish(now);
   return completeEvent(now);
 }
 
+void ForwardExecution::onAnswered(TimePoint now) {
+  if (std::exchange(IsAnswered, true))
+    return;
+  for (std::uint32_t index = 0; index != Parts.size(); ++index) {
+    Part &part = Parts[index];
+    if (std::exchange(part.IsHedgeHeld, false) && part.Open != 0)
+      part.HedgeAt = now;
+    if (std::exchange(part.IsRetryHeld, false))
+      retryOrFail(index);
+  }
+}
+
+void ForwardExecution::retryOrFail(std::uint32_t index) {
+  if (!retry(index, AttemptEnd::Unknown))
+    failPart(index, ForwardFault::BackendFailed);
+}
+
+// When no attempt is open any more, one retry shows whether the connections
+// were lost for another reason, such as a reset of all connections.
+void ForwardExecution::settleHeldRetries() {
+  const auto isOpen = [](const Part &part) { return part.Open != 0; };
+  if (IsAnswered || std::any_of(Parts.begin(), Parts.end(), isOpen))
+    return;
+  for (std::uint32_t index = 0; index != Parts.size(); ++index) {
+    if (!std::exchange(Parts[index].IsRetryHeld, false))
+      continue;
+    if (IsRetryTried) {
+      failPart(index, ForwardFault::BackendFailed);
+      continue;
+    }
+    retryOrFail(index);
+    IsRetryTried = !Parts[index].Failed;
+    if (IsRetryTried)
+      return;
+  }
+}
+
 bool ForwardExecution::mayRunAgain(const Part &part) const {
   return Options.Route->IsIdempotent &&
          part.CountedAttempts < Options.Route->MaxAttempts;
@@ -268,10 +318,18 @@
   return true;
 }
 
+bool ForwardExecution::holdsHedges() const {
+  return !IsAnswered && (Parts.size() > 1 || LostAttempts != 0);
+}
+
 void ForwardExecution::hedge(std::uint32_t index, TimePoint now) {
   Part &part = Parts[index];
   part.HedgeAt = TimePoint::max();
   const std::string &service = Options.Services[index];
+  if (holdsHedges()) {
+    part.IsHedgeHeld = true;
+    return;
+  }
   if (!mayRunAgain(part) || !Policy.hasOther(service, part.Tried))
     return;
   if (!Policy.tryTakeExtra(service)) {
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -154,6 +154,10 @@
 /// within the route's limit of attempts and the shared budget; others are sent
 /// again only when they certainly did not run.
 ///
+/// A request may end every replica that runs it. While replicas have ended the
+/// connections of a request and none has answered it, only one of its lost
+/// attempts is retried, and hedges of a shard set wait for a first answer.
+///
 /// A request whose services are at their request limits is rejected at once,
 /// before any attempt. A set of shards is served without the parts that are at
 /// their limits if the others make up the minimum.
@@ -187,6 +191,13 @@
   const ForwardCounts &counts() const { return Counts; }
   bool finished() const { return Finished; }
 
+  /// Whether a replica has answered, so that the request does not end all of
+  /// them.
+  bool isAnswered() const { return IsAnswered; }
+
+  /// Number of attempts whose replica ended the connection without an answer.
+  std::uint32_t lostAttempts() const { return LostAttempts; }
+
   /// Bytes of the responses that are kept until the request finishes.
   std::size_t heldBytes() const;
 
@@ -205,6 +216,8 @@
     std::uint32_t Rejections = 0;
     bool Hedged = false;
     bool Failed = false;
+    bool IsHedgeHeld = false; ///< until a replica has answered
+    bool IsRetryHeld = false; ///< until a replica has answered
     TimePoint HedgeAt = TimePoint::max();
     std::optional<BackendResponse> Response;
   };
@@ -215,6 +228,10 @@
   bool mayRunAgain(const Part &part) const;
   bool retry(std::uint32_t part, AttemptEnd end);
   void hedge(std::uint32_t part, TimePoint now);
+  bool holdsHedges() const;
+  void onAnswered(TimePoint now);
+  void retryOrFail(std::uint32_t part);
+  void settleHeldRetries();
   void failPart(std::uint32_t part, ForwardFault fault);
   void tryFinish(TimePoint now);
   bool hasEnoughParts(std::size_t n) const;
@@ -235,6 +252,9 @@
   ForwardFault LastFault = ForwardFault::BackendFailed;
   bool AnyRan = false;
   bool AnyUnknown = false;
+  bool IsAnswered = false;
+  bool IsRetryTried = false; ///< a lost attempt was retried before an answer
+  std::uint32_t LostAttempts = 0;
   bool Finished = false;
   std::size_t AnsweredParts = 0;
   std::size_t FailedParts = 0;
--- a/tests/forward_execution_test.cc
+++ b/tests/forward_execution_test.cc
@@ -88,6 +88,10 @@
   void fail(AttemptNumber number, AttemptEnd end) {
     executeActions(Execution->onFailure(number, {end, {}}, Now));
   }
+  void lose(AttemptNumber number) {
+    executeActions(Execution->onFailure(
+        number, {AttemptEnd::Unknown, {}, {}, true}, Now));
+  }
   void fireTimer() {
     Now = std::max(Now, Timer);
     executeActions(Execution->onTimer(Now));
@@ -364,6 +368,67 @@
   CHECK(std::get<MergedAnswer>(it.Finished->Result).Missing == 1);
 }
 
+// Guards against a request that ends both replicas of every shard, by its
+// hedges and retries, before any of it has been answered.
+TEST_CASE("a request that ends all replicas reaches one replica of each shard "
+          "and one more") {
+  Fixture it(20);
+  it.Options.HedgeAfter = 50ms;
+  it.start();
+  it.markAllSent();
+  it.fireTimer();
+  CHECK(it.Attempts.size() == 20);
+  for (AttemptNumber i = 0; i != it.Attempts.size(); ++i) {
+    if (i == 20)
+      it.markSent(i);
+    it.lose(i);
+  }
+  CHECK(it.Attempts.size() == 21);
+  REQUIRE(it.Finished);
+  CHECK(it.failure().Ran == ExecutionState::Unknown);
+}
+
+// Guards against lost answers of other requests: a replica that crashes, or
+// connections that are reset, must cost no part.
+TEST_CASE("lost attempts are retried and hedges sent once a replica has "
+          "answered") {
+  Fixture it(4);
+  it.Options.HedgeAfter = 50ms;
+  it.start();
+  it.markAllSent();
+  it.lose(0);
+  it.lose(1);
+  it.fireTimer();
+  CHECK(it.Attempts.size() == 4);
+  it.respond(2);
+  REQUIRE(it.Attempts.size() == 6);
+  CHECK(it.Attempts[4].Kind == AttemptKind::Retry);
+  it.fireTimer();
+  REQUIRE(it.Attempts.size() == 7);
+  CHECK(it.Attempts[6].Kind == AttemptKind::Hedge);
+  CHECK(it.Attempts[6].Part == 3);
+}
+
+// Guards against requests that fail because all connections were reset.
+TEST_CASE("a request whose connections are all lost succeeds after one retry "
+          "has been answered") {
+  Fixture it(3);
+  it.start();
+  it.markAllSent();
+  for (AttemptNumber i = 0; i != 3; ++i)
+    it.lose(i);
+  REQUIRE(it.Attempts.size() == 4);
+  it.markSent(3);
+  it.respond(3);
+  REQUIRE(it.Attempts.size() == 6);
+  for (const AttemptNumber i : {4U, 5U}) {
+    it.markSent(i);
+    it.respond(i);
+  }
+  REQUIRE(it.Finished);
+  CHECK(std::get<MergedAnswer>(it.Finished->Result).Missing == 0);
+}
+
 TEST_CASE("when the caller cancels, all attempts are cancelled") {
   Fixture it(3);
   it.start();
