Quarantine requests that end the replicas that run them

Cause, second of two: nothing remembered which request had ended a replica, so each arrival at any machine ended up to one replica of each shard.

After one, the request is suspect: it goes to one replica first, without hedges and retries.

Ruled out: retries and hedges alone.

--- a/src/coordination/directory_reader.h
+++ b/src/coordination/directory_reader.h
@@ -97,7 +97,7 @@
   bool IsReadOpen = false;
   bool IsReadRequested = false; ///< while a read is open
   bool HasContent = false;
-  bool HasRead = false; ///< whether a full read has ever succeeded
+  bool HasRead = false;   ///< whether a full read has ever succeeded
   bool HasFailed = false; ///< whether a read has failed since the last success
   state::DirectoryPosition Position;
   TimePoint StartupUntil;
--- a/src/coordination/directory_relay.cc
+++ b/src/coordination/directory_relay.cc
@@ -130,11 +130,10 @@
 RelaySelector::chooseFallback(std::vector<std::string> linked,
                               TimePoint now) const {
   sortByHash(linked);
-  const auto it = std::find_if(linked.begin(), linked.end(),
-                               [this, now](const std::string &address) {
-                                 return !address.empty() &&
-                                        !isCoolingDown(address, now);
-                               });
+  const auto it = std::find_if(
+      linked.begin(), linked.end(), [this, now](const std::string &address) {
+        return !address.empty() && !isCoolingDown(address, now);
+      });
   return it == linked.end() ? std::nullopt : std::optional(*it);
 }
 
--- a/src/coordination/directory_relay.h
+++ b/src/coordination/directory_relay.h
@@ -75,8 +75,8 @@
 
   /// Returns the best of these daemons to read from while the source refuses
   /// this daemon, or nothing.
-  std::optional<std::string>
-  chooseFallback(std::vector<std::string> linked, TimePoint now) const;
+  std::optional<std::string> chooseFallback(std::vector<std::string> linked,
+                                            TimePoint now) const;
   void onFailure(const std::string &address, TimePoint now);
 
   /// A link to the daemon is up again, so it may be used at once.
--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -100,6 +100,8 @@
     return "too_few_parts";
   case ForwardFault::ServerLimit:
     return "server_limit";
+  case ForwardFault::Quarantined:
+    return "quarantined";
   case ForwardFault::CallerGone:
     break;
   }
@@ -127,11 +129,45 @@
       failPart(part, ForwardFault::ServerLimit);
   if (!hasEnoughParts(Parts.size() - FailedParts))
     return;
+  ArePrimariesHeld = Options.IsSuspect;
+  if (ArePrimariesHeld)
+    sendFirstPrimary();
+  else
+    sendHeldPrimaries();
+}
+
+void ForwardExecution::sendFirstPrimary() {
+  for (std::size_t i = 0; i != Parts.size(); ++i) {
+    const auto part =
+        static_cast<std::uint32_t>((Options.FirstPart + i) % Parts.size());
+    if (Parts[part].Failed)
+      continue;
+    sendAttempt(part, AttemptKind::Primary);
+    return;
+  }
+}
+
+void ForwardExecution::sendHeldPrimaries() {
+  ArePrimariesHeld = false;
   for (std::uint32_t part = 0; part != Parts.size(); ++part)
-    if (!Parts[part].Failed)
+    if (!Parts[part].Failed && !Parts[part].Response && Parts[part].Open == 0)
       sendAttempt(part, AttemptKind::Primary);
 }
 
+// The first part has ended without an answer.
+void ForwardExecution::settleHeldPrimaries() {
+  const auto isOpen = [](const Part &part) { return part.Open != 0; };
+  if (!ArePrimariesHeld || std::any_of(Parts.begin(), Parts.end(), isOpen))
+    return;
+  if (Counts.Lost == 0) {
+    sendFirstPrimary();
+    return;
+  }
+  for (std::uint32_t part = 0; part != Parts.size(); ++part)
+    if (!Parts[part].Failed)
+      failPart(part, ForwardFault::BackendFailed);
+}
+
 void ForwardExecution::sendAttempt(std::uint32_t part, AttemptKind kind) {
   const auto number = static_cast<AttemptNumber>(Attempts.size());
   Attempts.push_back({part, kind, true, false});
@@ -228,12 +264,12 @@
   }
   AnyRan |= failure.End == AttemptEnd::Failed;
   AnyUnknown |= failure.End == AttemptEnd::Unknown;
-  LostAttempts += failure.IsLost ? 1 : 0;
+  Counts.Lost += failure.IsLost ? 1 : 0;
   if (failure.Response)
     LastFailure = std::move(failure.Response);
   if (failure.End == AttemptEnd::Failed)
     onAnswered(now);
-  const bool isHeld = failure.IsLost && !IsAnswered && mayRunAgain(part);
+  const bool isHeld = failure.IsLost && !Counts.IsAnswered && mayRunAgain(part);
   if (part.Open == 0 && isHeld) {
     part.IsRetryHeld = true;
   } else if (part.Open == 0 && !retry(index, failure.End)) {
@@ -248,12 +284,13 @@
     failPart(index, fault);
   }
   settleHeldRetries();
+  settleHeldPrimaries();
   tryFinish(now);
   return completeEvent(now);
 }
 
 void ForwardExecution::onAnswered(TimePoint now) {
-  if (std::exchange(IsAnswered, true))
+  if (std::exchange(Counts.IsAnswered, true))
     return;
   for (std::uint32_t index = 0; index != Parts.size(); ++index) {
     Part &part = Parts[index];
@@ -262,6 +299,8 @@
     if (std::exchange(part.IsRetryHeld, false))
       retryOrFail(index);
   }
+  if (ArePrimariesHeld)
+    sendHeldPrimaries();
 }
 
 void ForwardExecution::retryOrFail(std::uint32_t index) {
@@ -273,12 +312,12 @@
 // were lost for another reason, such as a reset of all connections.
 void ForwardExecution::settleHeldRetries() {
   const auto isOpen = [](const Part &part) { return part.Open != 0; };
-  if (IsAnswered || std::any_of(Parts.begin(), Parts.end(), isOpen))
+  if (Counts.IsAnswered || std::any_of(Parts.begin(), Parts.end(), isOpen))
     return;
   for (std::uint32_t index = 0; index != Parts.size(); ++index) {
     if (!std::exchange(Parts[index].IsRetryHeld, false))
       continue;
-    if (IsRetryTried) {
+    if (IsRetryTried || Options.IsSuspect) {
       failPart(index, ForwardFault::BackendFailed);
       continue;
     }
@@ -319,7 +358,8 @@
 }
 
 bool ForwardExecution::holdsHedges() const {
-  return !IsAnswered && (Parts.size() > 1 || LostAttempts != 0);
+  return !Counts.IsAnswered &&
+         (Parts.size() > 1 || Counts.Lost != 0 || Options.IsSuspect);
 }
 
 void ForwardExecution::hedge(std::uint32_t index, TimePoint now) {
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -73,6 +73,7 @@
   DeadlineExceeded,
   TooFewParts, ///< parts failed, and fewer than the minimum can still succeed
   ServerLimit, ///< the replicas' request limits are used up
+  Quarantined, ///< equal requests have ended the replicas that ran them
   CallerGone,
 };
 
@@ -89,6 +90,9 @@
   ForwardFault Fault = ForwardFault::BackendFailed;
   ExecutionState Ran = ExecutionState::NotRun;
   std::optional<BackendResponse> Response; ///< a replica's failure response
+
+  /// Time after which the caller may try again, if it is known.
+  std::optional<Duration> RetryAfter{};
 };
 
 struct ForwardCounts {
@@ -98,6 +102,8 @@
   std::uint32_t Rejections = 0;
   std::uint32_t Parts = 0;         ///< services of the request
   std::uint32_t PartsAnswered = 0; ///< parts in the answer
+  std::uint32_t Lost = 0;  ///< attempts whose replica ended the connection
+  bool IsAnswered = false; ///< whether any replica has answered
   /// Some of the services without a response, as "service:replica:replica" with
   /// the replicas that were tried.
   std::vector<std::string> Missing;
@@ -144,6 +150,13 @@
   /// has responded. max(): always wait for all parts.
   TimePoint PartialAt = TimePoint::max();
 
+  /// Whether equal requests have ended replicas. The request is sent to one
+  /// replica, and to the others when that one has answered.
+  bool IsSuspect = false;
+
+  /// Selects the part to which a suspect request is sent first.
+  std::size_t FirstPart = 0;
+
   /// Time without a response after which a hedge is sent to another replica.
   /// Empty: no hedges.
   std::optional<Duration> HedgeAfter;
@@ -191,13 +204,6 @@
   const ForwardCounts &counts() const { return Counts; }
   bool finished() const { return Finished; }
 
-  /// Whether a replica has answered, so that the request does not end all of
-  /// them.
-  bool isAnswered() const { return IsAnswered; }
-
-  /// Number of attempts whose replica ended the connection without an answer.
-  std::uint32_t lostAttempts() const { return LostAttempts; }
-
   /// Bytes of the responses that are kept until the request finishes.
   std::size_t heldBytes() const;
 
@@ -224,6 +230,9 @@
 
   Attempt *openAttempt(AttemptNumber number);
   void sendPrimaries();
+  void sendFirstPrimary();
+  void sendHeldPrimaries();
+  void settleHeldPrimaries();
   void sendAttempt(std::uint32_t part, AttemptKind kind);
   bool mayRunAgain(const Part &part) const;
   bool retry(std::uint32_t part, AttemptEnd end);
@@ -252,9 +261,8 @@
   ForwardFault LastFault = ForwardFault::BackendFailed;
   bool AnyRan = false;
   bool AnyUnknown = false;
-  bool IsAnswered = false;
   bool IsRetryTried = false; ///< a lost attempt was retried before an answer
-  std::uint32_t LostAttempts = 0;
+  bool ArePrimariesHeld = false; ///< until a replica has answered
   bool Finished = false;
   std::size_t AnsweredParts = 0;
   std::size_t FailedParts = 0;
--- a/src/forwarding/delegation_task.cc
+++ b/src/forwarding/delegation_task.cc
@@ -45,6 +45,8 @@
   result.Counts.Retries = reply.Retries;
   result.Counts.Rejections = reply.Rejections;
   result.Counts.Missing = std::move(reply.MissingServices);
+  result.Counts.Lost = reply.Lost;
+  result.Counts.IsAnswered = reply.IsAnswered;
   if (reply.Outcome == DelegationOutcome::Merged) {
     result.Outcome = coordination::MergedAnswer{std::move(reply.Signatures),
                                                 reply.MissingParts,
@@ -162,6 +164,7 @@
   request.Host = message.Host;
   request.Headers = message.Headers.items();
   request.Body = message.Body;
+  request.IsSuspect = open.Call.IsSuspect;
   return Links.send(LinkedPeers.at(executor),
                     static_cast<std::uint16_t>(DelegationMessageType::Request),
                     protocol::encodeDelegatedRequest(request));
--- a/src/forwarding/entry_service.cc
+++ b/src/forwarding/entry_service.cc
@@ -166,6 +166,8 @@
 EntryService::retryAfter(const ForwardFailure &failure) {
   if (failure.Ran != coordination::ExecutionState::NotRun)
     return std::nullopt;
+  if (failure.RetryAfter)
+    return failure.RetryAfter;
   return Duration(std::uniform_int_distribution<std::int64_t>(
       Options.MinRetryAfter.count(), Options.MaxRetryAfter.count())(Random));
 }
--- a/src/forwarding/executor_task.cc
+++ b/src/forwarding/executor_task.cc
@@ -27,6 +27,8 @@
   reply.Retries = result.Counts.Retries;
   reply.Rejections = result.Counts.Rejections;
   reply.MissingServices = std::move(result.Counts.Missing);
+  reply.Lost = result.Counts.Lost;
+  reply.IsAnswered = result.Counts.IsAnswered;
   if (auto *merged = std::get_if<coordination::MergedAnswer>(&result.Outcome)) {
     reply.Outcome = DelegationOutcome::Merged;
     reply.Signatures = std::move(merged->Signatures);
@@ -130,6 +132,7 @@
   call.Route = route;
   call.Services = route->Shards.Services;
   call.Remaining = request.Remaining;
+  call.IsSuspect = request.IsSuspect;
   call.ReturnTime = std::clamp(request.ReturnTime, state::Duration(0),
                                route->LatencyObjective / 2);
   OpenRequest &open = OpenRequests[key];
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -349,6 +349,9 @@
   options.Table = std::move(call.Table);
   options.Route = &route;
   options.Services = std::move(call.Services);
+  options.IsSuspect = call.IsSuspect;
+  if (call.IsSuspect)
+    options.FirstPart = SuspectRequests++;
   // At least half of the remaining time is used, so that a very short one still
   // gives an answer.
   const Duration margin =
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -268,6 +268,7 @@
   std::unordered_map<AttemptId, Attempt> Attempts;
   coordination::LagEstimate PartialLag;
   ForwardId LastRequest = 0;
+  std::size_t SuspectRequests = 0;
   AttemptId LastAttempt = 0;
   transport::TimerId WarmTimer = 0;
   state::Counter &Hedges;
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -41,6 +41,9 @@
   /// Expected time in which the answer gets from this daemon to the one that
   /// received the caller's request. Zero when that is the same daemon.
   state::Duration ReturnTime{0};
+
+  /// See coordination::ForwardOptions.
+  bool IsSuspect = false;
 };
 
 /// Requests over fewer shards are not delegated to executors: delegating one
--- a/src/forwarding/relay_task.cc
+++ b/src/forwarding/relay_task.cc
@@ -240,8 +240,7 @@
   UpstreamDaemons = 0;
   const auto record = [this, callback = std::move(callback)](
                           const DirectoryResult &result) {
-    const bool hasFailed =
-        !result && result.error() == DirectoryFault::Failed;
+    const bool hasFailed = !result && result.error() == DirectoryFault::Failed;
     SourceFailedAt = hasFailed ? Loop.now() : state::TimePoint::min();
     if (result)
       ViewPath.clear();
@@ -285,8 +284,7 @@
   Fleet.onReport(peer.VmId, request.Fleet, Loop.now());
   Limits.merge(request.Limits, Loop.now());
   const WaitingRequest waiting{peer, request, Loop.now()};
-  const bool isUnusable =
-      View.Table != nullptr && !isUsableFor(peer.Address);
+  const bool isUnusable = View.Table != nullptr && !isUsableFor(peer.Address);
   const bool isFullRequest = request.Log == 0 && View.Table != nullptr;
   // Requested from one daemon at a time: the document can be large, and all
   // daemons that read here may have it.
@@ -392,10 +390,9 @@
   const std::uint64_t version = View.Table ? View.Table->version() : 0;
   const bool isOlder = reply.RouteVersion != 0 && reply.RouteVersion < version;
   if (isOlder && !IsOlderLogged)
-    state::log::warning("relay_routes_older",
-                        {{"relay", Pending->Relay},
-                         {"version", reply.RouteVersion},
-                         {"known", version}});
+    state::log::warning("relay_routes_older", {{"relay", Pending->Relay},
+                                               {"version", reply.RouteVersion},
+                                               {"known", version}});
   IsOlderLogged = isOlder;
 }
 
@@ -404,9 +401,8 @@
     return;
   logOlderRoutes(reply);
   if (reply.WantsRoutes && View.Table)
-    Network.send(
-        peer, static_cast<std::uint16_t>(DirectoryMessageType::Routes),
-        protocol::encodeDirectoryRoutes({std::string(View.Document)}));
+    Network.send(peer, static_cast<std::uint16_t>(DirectoryMessageType::Routes),
+                 protocol::encodeDirectoryRoutes({std::string(View.Document)}));
   if (!reply.HasContent || reply.Age >= Options.MaxAge) {
     failPendingRead("its view is old");
     return;
--- a/src/forwarding/relay_task.h
+++ b/src/forwarding/relay_task.h
@@ -94,8 +94,8 @@
 
   /// Calls `callback` with routes that are newer than those of the view, from a
   /// daemon that reads here. The owner passes them on by onView().
-  using RoutesCallback = std::function<void(state::RouteTablePtr table,
-                                            std::string document)>;
+  using RoutesCallback =
+      std::function<void(state::RouteTablePtr table, std::string document)>;
   void onNewerRoutes(RoutesCallback callback) {
     NewerRoutesCallback = std::move(callback);
   }
--- a/src/protocol/delegation_generated.h
+++ b/src/protocol/delegation_generated.h
@@ -114,7 +114,10 @@
     VT_REJECTIONS = 44,
     VT_PARTS = 46,
     VT_PARTS_ANSWERED = 48,
-    VT_MISSING_SERVICES = 50
+    VT_MISSING_SERVICES = 50,
+    VT_IS_SUSPECT = 52,
+    VT_LOST = 54,
+    VT_IS_ANSWERED = 56
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -188,6 +191,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *missing_services() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_MISSING_SERVICES);
   }
+  bool is_suspect() const {
+    return GetField<uint8_t>(VT_IS_SUSPECT, 0) != 0;
+  }
+  uint32_t lost() const {
+    return GetField<uint32_t>(VT_LOST, 0);
+  }
+  bool is_answered() const {
+    return GetField<uint8_t>(VT_IS_ANSWERED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -227,6 +239,9 @@
            VerifyOffset(verifier, VT_MISSING_SERVICES) &&
            verifier.VerifyVector(missing_services()) &&
            verifier.VerifyVectorOfStrings(missing_services()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_SUSPECT, 1) &&
+           VerifyField<uint32_t>(verifier, VT_LOST, 4) &&
+           VerifyField<uint8_t>(verifier, VT_IS_ANSWERED, 1) &&
            verifier.EndTable();
   }
 };
@@ -307,6 +322,15 @@
   void add_missing_services(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> missing_services) {
     fbb_.AddOffset(DelegationMessage::VT_MISSING_SERVICES, missing_services);
   }
+  void add_is_suspect(bool is_suspect) {
+    fbb_.AddElement<uint8_t>(DelegationMessage::VT_IS_SUSPECT, static_cast<uint8_t>(is_suspect), 0);
+  }
+  void add_lost(uint32_t lost) {
+    fbb_.AddElement<uint32_t>(DelegationMessage::VT_LOST, lost, 0);
+  }
+  void add_is_answered(bool is_answered) {
+    fbb_.AddElement<uint8_t>(DelegationMessage::VT_IS_ANSWERED, static_cast<uint8_t>(is_answered), 0);
+  }
   explicit DelegationMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -343,13 +367,17 @@
     uint32_t rejections = 0,
     uint32_t parts = 0,
     uint32_t parts_answered = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> missing_services = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> missing_services = 0,
+    bool is_suspect = false,
+    uint32_t lost = 0,
+    bool is_answered = false) {
   DelegationMessageBuilder builder_(_fbb);
   builder_.add_elapsed_us(elapsed_us);
   builder_.add_return_us(return_us);
   builder_.add_left_us(left_us);
   builder_.add_version(version);
   builder_.add_sequence(sequence);
+  builder_.add_lost(lost);
   builder_.add_missing_services(missing_services);
   builder_.add_parts_answered(parts_answered);
   builder_.add_parts(parts);
@@ -366,6 +394,8 @@
   builder_.add_method(method);
   builder_.add_request_id(request_id);
   builder_.add_route(route);
+  builder_.add_is_answered(is_answered);
+  builder_.add_is_suspect(is_suspect);
   builder_.add_ran(ran);
   builder_.add_fault(fault);
   builder_.add_outcome(outcome);
@@ -397,7 +427,10 @@
     uint32_t rejections = 0,
     uint32_t parts = 0,
     uint32_t parts_answered = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *missing_services = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *missing_services = nullptr,
+    bool is_suspect = false,
+    uint32_t lost = 0,
+    bool is_answered = false) {
   auto route__ = route ? _fbb.CreateString(route) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
@@ -433,7 +466,10 @@
       rejections,
       parts,
       parts_answered,
-      missing_services__);
+      missing_services__,
+      is_suspect,
+      lost,
+      is_answered);
 }
 
 inline const galenaflow::protocol::fb::DelegationMessage *GetDelegationMessage(const void *buf) {
--- a/src/protocol/delegation_messages.cc
+++ b/src/protocol/delegation_messages.cc
@@ -64,6 +64,7 @@
   message.add_host(host);
   message.add_headers(headerList);
   message.add_body(body);
+  message.add_is_suspect(request.IsSuspect);
   return finish(b, message.Finish());
 }
 
@@ -87,6 +88,8 @@
   message.add_retries(reply.Retries);
   message.add_rejections(reply.Rejections);
   message.add_missing_services(services);
+  message.add_lost(reply.Lost);
+  message.add_is_answered(reply.IsAnswered);
   return finish(b, message.Finish());
 }
 
@@ -117,6 +120,7 @@
       request.Headers.emplace_back(textOf(header->name()),
                                    textOf(header->value()));
   request.Body = textOf(in->body());
+  request.IsSuspect = in->is_suspect();
   return request;
 }
 
@@ -141,6 +145,8 @@
   reply.Retries = in->retries();
   reply.Rejections = in->rejections();
   reply.MissingServices = toStrings(in->missing_services());
+  reply.Lost = in->lost();
+  reply.IsAnswered = in->is_answered();
   return reply;
 }
 
--- a/src/protocol/delegation_messages.h
+++ b/src/protocol/delegation_messages.h
@@ -34,6 +34,7 @@
   std::string Host;
   std::vector<std::pair<std::string, std::string>> Headers;
   std::string Body;
+  bool IsSuspect = false; ///< whether equal requests have ended replicas
 
   bool operator==(const DelegatedRequest &) const = default;
 };
@@ -68,6 +69,9 @@
   std::uint32_t Rejections = 0;
   std::vector<std::string> MissingServices;
 
+  std::uint32_t Lost = 0;  ///< attempts whose replica ended the connection
+  bool IsAnswered = false; ///< whether any replica has answered
+
   bool operator==(const DelegatedReply &) const = default;
 };
 
--- a/tests/forward_execution_test.cc
+++ b/tests/forward_execution_test.cc
@@ -89,8 +89,8 @@
     executeActions(Execution->onFailure(number, {end, {}}, Now));
   }
   void lose(AttemptNumber number) {
-    executeActions(Execution->onFailure(
-        number, {AttemptEnd::Unknown, {}, {}, true}, Now));
+    executeActions(
+        Execution->onFailure(number, {AttemptEnd::Unknown, {}, {}, true}, Now));
   }
   void fireTimer() {
     Now = std::max(Now, Timer);
@@ -388,6 +388,42 @@
   CHECK(it.failure().Ran == ExecutionState::Unknown);
 }
 
+// Guards against a suspect request that ends a replica of each shard when it
+// comes again.
+TEST_CASE("a suspect request is sent to one replica first") {
+  Fixture it(4);
+  it.Options.IsSuspect = true;
+  it.Options.FirstPart = 6;
+  it.start();
+  REQUIRE(it.Attempts.size() == 1);
+  CHECK(it.Attempts[0].Part == 2);
+  it.markSent(0);
+  SECTION("and to no other when that one is lost") {
+    it.lose(0);
+    CHECK(it.Attempts.size() == 1);
+    REQUIRE(it.Finished);
+    CHECK(it.failure().Ran == ExecutionState::Unknown);
+    CHECK(it.Execution->counts().Lost == 1);
+    CHECK_FALSE(it.Execution->counts().IsAnswered);
+  }
+  SECTION("and to all others when that one has answered") {
+    it.respond(0);
+    REQUIRE(it.Attempts.size() == 4);
+    for (AttemptNumber i = 1; i != 4; ++i) {
+      it.markSent(i);
+      it.respond(i);
+    }
+    REQUIRE(it.Finished);
+    CHECK(std::get<MergedAnswer>(it.Finished->Result).Missing == 0);
+  }
+  SECTION("and to the next one when that one did not run it") {
+    it.Policy.Replicas = 1;
+    it.fail(0, AttemptEnd::NotSent);
+    REQUIRE(it.Attempts.size() == 2);
+    CHECK(it.Attempts[1].Part == 3);
+  }
+}
+
 // Guards against lost answers of other requests: a replica that crashes, or
 // connections that are reset, must cost no part.
 TEST_CASE("lost attempts are retried and hedges sent once a replica has "
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -459,6 +459,38 @@
   CHECK(limits.heldBytes() <= limits.processBytes());
 }
 
+// Guards against a request that crashes every replica that runs it, one after
+// the other, each time it comes again.
+TEST_CASE("a request that ends replicas is rejected after a few of them") {
+  Site site;
+  site.start();
+  const auto crashes = [&site] {
+    std::size_t n = 0;
+    for (const auto &it : site.Replicas)
+      n += it->crashes();
+    return n;
+  };
+  const std::string path = GENERATE("/all/deadly", "/one/deadly");
+  for (const auto &it : site.Replicas)
+    it->behaviour().DeadlyPath = path;
+  const std::size_t shards = path == "/all/deadly" ? 4 : 1;
+  transport::HttpResponse last;
+  for (int i = 0; i != 12; ++i) {
+    last = site.call(path);
+    site.runFor(100ms);
+  }
+  // One replica of each shard, the one retry, and a second arrival.
+  CHECK(crashes() <= shards + 2);
+  CHECK(last.Status == 503);
+  CHECK(last.Headers.find("Retry-After").has_value());
+  CHECK(site.executionCount(site.LastId) == 0);
+  site.runFor(3s);
+  const auto answer = site.call("/all/x");
+  CHECK(answer.Status == 200);
+  CHECK(answer.Headers.find("X-Missing-Parts") == "0");
+  CHECK(site.call("/one/x").Status == 200);
+}
+
 // Guards against a request that runs twice, and against an answer that states
 // that a request has not run although it has.
 TEST_CASE("a request that is not idempotent runs at most once under every "
--- a/tests/platform/replica_standin.cc
+++ b/tests/platform/replica_standin.cc
@@ -35,6 +35,15 @@
     Limits.back().To = std::min(Limits.back().To, Loop.now());
 }
 
+void ReplicaStandin::crash() {
+  if (!Server.isListening())
+    return;
+  ++Crashes;
+  Server.shutDown();
+  Loop.schedule(Behaviour.RestartTime,
+                [this] { static_cast<void>(Server.listen(Address)); });
+}
+
 void ReplicaStandin::onRequest(const HttpRequest &request,
                                const RawConnectionPtr &connection) {
   const auto header = [&request](std::string_view name) {
@@ -61,6 +70,10 @@
   Runs.push_back(
       {header("X-Request-Id"), request.Path, header("Host"), request.Body,
        std::strtoll(header("X-Deadline-Ms").c_str(), nullptr, 10), Loop.now()});
+  if (!Behaviour.DeadlyPath.empty() && request.Path == Behaviour.DeadlyPath) {
+    Loop.schedule(Behaviour.ServiceTime, [this] { crash(); });
+    return;
+  }
   if (Behaviour.Silent)
     return;
   if (!Behaviour.EndlessRepeated.empty()) {
--- a/tests/platform/replica_standin.h
+++ b/tests/platform/replica_standin.h
@@ -19,6 +19,9 @@
   /// Runs the request and sends these bytes, then the second ones without end.
   std::string EndlessStart;
   std::string EndlessRepeated;
+  /// A request with this path ends the replica when it has run for ServiceTime.
+  std::string DeadlyPath;
+  state::Duration RestartTime = std::chrono::seconds(3); ///< after its end
   int FailStatus = 0; ///< runs the request and responds with this status
 };
 
@@ -74,10 +77,12 @@
   const std::vector<ReceivedRequest> &received() const { return Received; }
   RawHttpServer &server() { return Server; }
   std::uint64_t receivedRequests() const { return Received.size(); }
+  std::size_t crashes() const { return Crashes; }
 
 private:
   void onRequest(const transport::HttpRequest &request,
                  const RawConnectionPtr &connection);
+  void crash();
 
   transport::EventLoop &Loop;
   std::string Id;
@@ -89,6 +94,7 @@
   std::vector<ExecutedRequest> Runs;
   std::vector<LimitPeriod> Limits; ///< the last one may be open
   std::vector<ReceivedRequest> Received;
+  std::size_t Crashes = 0;
 };
 
 } // namespace galenaflow::standin
--- a/tests/relay_task_test.cc
+++ b/tests/relay_task_test.cc
@@ -396,8 +396,8 @@
   fleet.Daemons[0] =
       std::make_unique<Daemon>(fleet.Loop, fleet.Source, fleet.Addresses[0], 1);
   fleet.start(0, 1);
-  CHECK(fleet.runUntilAll([](const Daemon &it) { return it.Version == 5; },
-                          4s));
+  CHECK(
+      fleet.runUntilAll([](const Daemon &it) { return it.Version == 5; }, 4s));
 }
 
 // Guards against a daemon that keeps to a limit that has ended, because it is
