Drain replicas that say that they leave

New rule of the users (DRAIN): a request sent over drain_ms after a machine passed on an answer with Server-Leaving must not reach that replica from that machine. Until now such a replica was used until its registration said so, which it may never do.

Change: the first response with the header drains the replica at this daemon until its next start, also when its registration expires and returns. LeavingReplicas remembers it; the header is not passed on to callers.

--- /dev/null
+++ b/src/coordination/leaving_replicas.h
@@ -0,0 +1,37 @@
+#ifndef GALENAFLOW_COORDINATION_LEAVING_REPLICAS_H
+#define GALENAFLOW_COORDINATION_LEAVING_REPLICAS_H
+
+#include "state/replica_directory.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace galenaflow::coordination {
+
+/// Remembers the replicas that have stated in a response that they leave. Their
+/// registrations may state it later or not at all, and may expire and return
+/// meanwhile. Ends for a replica with its next start.
+class LeavingReplicas {
+public:
+  using Records = std::map<std::string, state::ReplicaRecord, std::less<>>;
+
+  /// Returns false when it is known already.
+  bool add(const state::ReplicaRecord &replica);
+
+  bool empty() const { return Incarnations.empty(); }
+
+  /// Marks the records of leaving replicas as draining, and forgets replicas
+  /// that have started again.
+  void applyTo(Records &records);
+
+  /// Maximum number of replicas that are remembered.
+  static constexpr std::size_t MaxReplicas = 10'000;
+
+private:
+  std::map<std::string, std::uint64_t, std::less<>> Incarnations; ///< by id
+};
+
+} // namespace galenaflow::coordination
+
+#endif
--- a/src/forwarding/forward_protocol.h
+++ b/src/forwarding/forward_protocol.h
@@ -38,6 +38,8 @@
 
   /// Requests a second that the replica accepts from all daemons together.
   std::optional<double> RequestLimit{};
+
+  bool IsLeaving = false; ///< whether the replica states that it leaves
 };
 
 /// Encodes requests to replicas and decodes their responses.
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -238,8 +238,33 @@
   }
 }
 
+// The replica is drained at once. Its registration says so later or not at all.
+void ForwardTask::recordLeaving(const Replica &replica) {
+  if (!Leaving.add(replica.Record) || replica.Record.Draining)
+    return;
+  state::log::info("replica_leaving", {{"replica", replica.Record.Id},
+                                       {"service", replica.Record.Service}});
+  Loop.post([this] {
+    coordination::LeavingReplicas::Records records;
+    for (const auto &[id, it] : Replicas)
+      records.emplace(id, it->Record);
+    setReplicas(records);
+  });
+}
+
 void ForwardTask::setReplicas(
     const std::map<std::string, state::ReplicaRecord, std::less<>> &records) {
+  if (Leaving.empty()) {
+    applyReplicas(records);
+    return;
+  }
+  coordination::LeavingReplicas::Records drained = records;
+  Leaving.applyTo(drained);
+  applyReplicas(drained);
+}
+
+void ForwardTask::applyReplicas(
+    const coordination::LeavingReplicas::Records &records) {
   Placement.setReplicas(records, Loop.now());
   for (auto it = Replicas.begin(); it != Replicas.end();) {
     const auto record = records.find(it->first);
@@ -680,6 +705,8 @@
     FailedAttempts.add();
   }
   recordLimit(*attempt.Target, decoded);
+  if (decoded.IsLeaving)
+    recordLeaving(*attempt.Target);
   Placement.onEnded(attempt.Target->Record.Id, attempt.SentAt,
                     attempt.ExpectedLatency, outcome, now);
   if (isMisdirected(decoded)) {
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -6,6 +6,7 @@
 #include "coordination/connection_plan.h"
 #include "coordination/hedge_policy.h"
 #include "coordination/lag_estimate.h"
+#include "coordination/leaving_replicas.h"
 #include "coordination/request_limiter.h"
 #include "coordination/window_budget.h"
 #include "forwarding/forwarder.h"
@@ -225,6 +226,8 @@
   void logFailedAttempt(const Attempt &attempt,
                         const ReplicaResult &result) const;
   void recordLimit(const Replica &replica, const ReplicaResult &result);
+  void recordLeaving(const Replica &replica);
+  void applyReplicas(const coordination::LeavingReplicas::Records &records);
   coordination::FleetComposition fleetComposition() const;
   coordination::LimitShare limitShare(const Replica &replica) const;
   bool allowsRequest(Replica &replica);
@@ -252,6 +255,7 @@
   /// Services of shard sets whose requests are delegated to executors.
   std::set<std::string, std::less<>> DelegatedServices;
   std::size_t LimitedReplicas = 0;
+  coordination::LeavingReplicas Leaving;
 
   /// Of replicas that are not in the directory, where they may return.
   std::map<std::string, UnlistedLimit, std::less<>> UnlistedLimits;
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -189,6 +189,44 @@
   CHECK(site.replica("s0a").runs().size() == before);
 }
 
+// Guards against requests to a replica that leaves and whose registration says
+// nothing of it, or returns after it had expired.
+TEST_CASE("a replica that says that it leaves gets no further request") {
+  Site site;
+  site.start();
+  auto &one = site.replica("p0");
+  auto &shard = site.replica("s0a");
+  const bool rejects = GENERATE(false, true);
+  const auto callAll = [&site] {
+    for (int i = 0; i != 10; ++i) {
+      const auto answer = site.call("/one/x");
+      CHECK(answer.Status == 200);
+      CHECK_FALSE(answer.Headers.find("Server-Leaving"));
+      CHECK(site.call("/all/x").Headers.find("X-Missing-Parts") == "0");
+    }
+  };
+  const auto received = [&] {
+    return one.received().size() + shard.received().size();
+  };
+  // These also add to the budget of extra attempts.
+  callAll();
+  std::size_t before = received();
+  for (auto *it : {&one, &shard}) {
+    it->behaviour().SaysLeaving = true;
+    it->behaviour().Reject = rejects;
+  }
+  callAll();
+  CHECK(received() - before <= 4);
+  before = received();
+  site.Store.put(one.key(), one.entry());
+  site.Store.remove(shard.key());
+  site.runFor(1300ms);
+  site.Store.put(shard.key(), shard.entry());
+  site.runFor(1300ms);
+  callAll();
+  CHECK(received() == before);
+}
+
 TEST_CASE("an older version of the routes is not applied") {
   Site site;
   site.start();
--- a/tests/platform/replica_standin.cc
+++ b/tests/platform/replica_standin.cc
@@ -56,6 +56,8 @@
   if (!Limits.empty() && Limits.back().To == state::TimePoint::max())
     response.Headers.add("Server-Limit",
                          std::to_string(Limits.back().PerSecond));
+  if (Behaviour.SaysLeaving)
+    response.Headers.add("Server-Leaving", "1");
   if (header("X-Target-Instance") != Id) {
     response.Status = 421;
     connection->respond(response);
