Send nothing to a replica that has asked for a pause

When all replicas of a service are paused, requests are rejected at once with the rest of the pause; the Retry-After of callers is spread.

--- a/src/forwarding/entry_service.cc
+++ b/src/forwarding/entry_service.cc
@@ -166,10 +166,10 @@
 EntryService::retryAfter(const ForwardFailure &failure) {
   if (failure.Ran != coordination::ExecutionState::NotRun)
     return std::nullopt;
-  if (failure.RetryAfter)
-    return failure.RetryAfter;
-  return Duration(std::uniform_int_distribution<std::int64_t>(
+  // Spreads the callers, who would all return at the same time.
+  const Duration spread(std::uniform_int_distribution<std::int64_t>(
       Options.MinRetryAfter.count(), Options.MaxRetryAfter.count())(Random));
+  return failure.RetryAfter.value_or(Duration(0)) + spread;
 }
 
 } // namespace galenaflow::forwarding
--- a/src/forwarding/forward_protocol.h
+++ b/src/forwarding/forward_protocol.h
@@ -39,6 +39,9 @@
   /// Requests a second that the replica accepts from all daemons together.
   std::optional<double> RequestLimit{};
 
+  /// Time for which the replica accepts nothing more from this daemon.
+  std::optional<state::Duration> Pause{};
+
   bool IsLeaving = false; ///< whether the replica states that it leaves
 };
 
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -129,8 +129,43 @@
 }
 
 bool ForwardTask::allowsRequest(Replica &replica) {
-  return !replica.Limiter ||
-         replica.Limiter->available(limitShare(replica), Loop.now()) != 0;
+  return !isPaused(replica) &&
+         (!replica.Limiter ||
+          replica.Limiter->available(limitShare(replica), Loop.now()) != 0);
+}
+
+bool ForwardTask::isPaused(const Replica &replica) const {
+  return replica.PausedUntil > Loop.now();
+}
+
+void ForwardTask::recordPause(Replica &replica, Duration pause) {
+  const TimePoint until = Loop.now() + pause;
+  if (until <= replica.PausedUntil)
+    return;
+  state::log::info("replica_paused", {{"replica", replica.Record.Id},
+                                      {"service", replica.Record.Service},
+                                      {"pause_ms", pause.count() / 1000}});
+  replica.PausedUntil = until;
+  LastPauseEnd = std::max(LastPauseEnd, until);
+}
+
+// Returns the time until each of the services has a replica that is not paused;
+// nothing when they have one now.
+std::optional<Duration>
+ForwardTask::pauseOf(const std::vector<std::string> &services) const {
+  Duration longest(0);
+  for (const std::string &service : services) {
+    const auto replicas = ReplicasByService.find(service);
+    if (replicas == ReplicasByService.end())
+      continue;
+    TimePoint first = TimePoint::max();
+    for (const ReplicaPtr &replica : replicas->second)
+      if (!replica->Record.Draining)
+        first = std::min(first, replica->PausedUntil);
+    if (first != TimePoint::max())
+      longest = std::max(longest, first - Loop.now());
+  }
+  return longest > Duration(0) ? std::optional(longest) : std::nullopt;
 }
 
 void ForwardTask::setRequestLimit(std::string_view replica, double perSecond) {
@@ -138,7 +173,7 @@
   if (it == Replicas.end()) {
     const auto unlisted = UnlistedLimits.find(replica);
     if (unlisted != UnlistedLimits.end() && perSecond == 0)
-      UnlistedLimits.erase(unlisted);
+      unlisted->second.Limiter.reset();
     return;
   }
   Replica &limited = *it->second;
@@ -170,16 +205,19 @@
 // replica registers again afterwards. Without its limiter each daemon would
 // send it a request more.
 void ForwardTask::keepLimit(const Replica &replica) {
-  if (replica.Limiter && UnlistedLimits.size() < MaxUnlistedLimits)
+  if ((replica.Limiter || isPaused(replica)) &&
+      UnlistedLimits.size() < MaxUnlistedLimits)
     UnlistedLimits.insert_or_assign(
-        replica.Record.Id,
-        UnlistedLimit{replica.Record.Incarnation, *replica.Limiter});
+        replica.Record.Id, UnlistedLimit{replica.Record.Incarnation,
+                                         replica.Limiter, replica.PausedUntil});
 }
 
 void ForwardTask::restoreLimit(Replica &replica) {
   const auto node = UnlistedLimits.extract(replica.Record.Id);
-  if (!node.empty() && node.mapped().Incarnation == replica.Record.Incarnation)
-    replica.Limiter = node.mapped().Limiter;
+  if (node.empty() || node.mapped().Incarnation != replica.Record.Incarnation)
+    return;
+  replica.Limiter = node.mapped().Limiter;
+  replica.PausedUntil = node.mapped().PausedUntil;
 }
 
 void ForwardTask::countLimited() {
@@ -452,7 +490,7 @@
 
 // Attempts that wait for a connection have not used their tokens yet.
 bool ForwardTask::isAtLimit(std::string_view service) {
-  if (LimitedReplicas == 0)
+  if (LimitedReplicas == 0 && LastPauseEnd <= Loop.now())
     return false;
   const auto queue = WaitingAttempts.find(service);
   const std::size_t waiting =
@@ -464,9 +502,13 @@
       [&](std::string_view id) {
         isUsable = true;
         const auto it = Replicas.find(id);
-        if (it == Replicas.end() || !it->second->Limiter)
+        if (it == Replicas.end())
           return true;
         Replica &replica = *it->second;
+        if (isPaused(replica))
+          return false;
+        if (!replica.Limiter)
+          return true;
         tokens += replica.Limiter->available(limitShare(replica), Loop.now());
         return tokens > waiting;
       },
@@ -548,6 +590,10 @@
     return;
   ForwardResult result;
   result.Outcome = std::move(action.Result);
+  auto *failure = std::get_if<coordination::ForwardFailure>(&result.Outcome);
+  if (failure != nullptr &&
+      failure->Fault == coordination::ForwardFault::ServerLimit)
+    failure->RetryAfter = pauseOf(request->Execution.options().Services);
   result.Counts = request->Execution.counts();
   result.Elapsed = Loop.now() - request->ArrivedAt;
   result.Remaining = request->CallerDeadline - Loop.now();
@@ -705,6 +751,8 @@
     FailedAttempts.add();
   }
   recordLimit(*attempt.Target, decoded);
+  if (decoded.Pause)
+    recordPause(*attempt.Target, *decoded.Pause);
   if (decoded.IsLeaving)
     recordLeaving(*attempt.Target);
   Placement.onEnded(attempt.Target->Record.Id, attempt.SentAt,
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -147,13 +147,15 @@
     coordination::ConnectBackoff Backoff;
     std::uint32_t Rank = 0; ///< position among the replicas of its service
     std::optional<coordination::RequestLimiter> Limiter;
+    state::TimePoint PausedUntil = state::TimePoint::min();
   };
   using ReplicaPtr = std::shared_ptr<Replica>;
 
-  /// The request limit of a replica that has left the directory.
+  /// What a replica that has left the directory accepts.
   struct UnlistedLimit {
     std::uint64_t Incarnation = 0;
-    coordination::RequestLimiter Limiter;
+    std::optional<coordination::RequestLimiter> Limiter;
+    state::TimePoint PausedUntil = state::TimePoint::min();
   };
 
   /// Most replicas in UnlistedLimits.
@@ -227,6 +229,10 @@
                         const ReplicaResult &result) const;
   void recordLimit(const Replica &replica, const ReplicaResult &result);
   void recordLeaving(const Replica &replica);
+  void recordPause(Replica &replica, state::Duration pause);
+  bool isPaused(const Replica &replica) const;
+  std::optional<state::Duration>
+  pauseOf(const std::vector<std::string> &services) const;
   void applyReplicas(const coordination::LeavingReplicas::Records &records);
   coordination::FleetComposition fleetComposition() const;
   coordination::LimitShare limitShare(const Replica &replica) const;
@@ -256,6 +262,7 @@
   std::set<std::string, std::less<>> DelegatedServices;
   std::size_t LimitedReplicas = 0;
   coordination::LeavingReplicas Leaving;
+  state::TimePoint LastPauseEnd = state::TimePoint::min();
 
   /// Of replicas that are not in the directory, where they may return.
   std::map<std::string, UnlistedLimit, std::less<>> UnlistedLimits;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -296,3 +296,11 @@
   CHECK(encoded.Headers.find("X-Missing-Parts") == "3");
   CHECK(encoded.Body == "records");
 }
+
+// Guards against pauses without end, and against dates taken as numbers.
+TEST_CASE("a pause is a number of seconds with an upper limit") {
+  CHECK(platform::decodeRetryAfter("2.5") == std::chrono::milliseconds(2500));
+  CHECK(platform::decodeRetryAfter("1e300") == platform::MaxPause);
+  CHECK_FALSE(platform::decodeRetryAfter("-1"));
+  CHECK_FALSE(platform::decodeRetryAfter("Wed, 21 Oct 2026 07:28:00 GMT"));
+}
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -227,6 +227,63 @@
   CHECK(received() == before);
 }
 
+// Guards against requests to a replica that has asked for a pause, also when
+// its registration has expired and returned meanwhile.
+TEST_CASE("a replica that rejects with Retry-After gets no request for so "
+          "long") {
+  Site site;
+  site.start();
+  for (int i = 0; i != 20; ++i)
+    CHECK(site.call("/one/x").Status == 200);
+  auto &paused = site.replica("p0");
+  paused.behaviour().Reject = true;
+  paused.behaviour().RejectRetryAfter = "3.5";
+  for (int i = 0; i != 10; ++i)
+    CHECK(site.call("/one/x").Status == 200);
+  const std::size_t before = paused.received().size();
+  REQUIRE_FALSE(paused.received().empty());
+  const state::TimePoint last = paused.received().back().At;
+  paused.behaviour().Reject = false;
+  site.Store.remove(paused.key());
+  site.runFor(1200ms);
+  site.Store.put(paused.key(), paused.entry());
+  while (site.Loop.now() < last + 3400ms)
+    CHECK(site.call("/one/x").Status == 200);
+  CHECK(paused.received().size() == before);
+  site.runFor(200ms);
+  for (int i = 0; i != 10; ++i)
+    CHECK(site.call("/one/x").Status == 200);
+  CHECK(paused.received().size() > before);
+}
+
+// Guards against callers that wait for replicas which accept nothing, or that
+// return before they do.
+TEST_CASE(
+    "a request whose replicas have all asked for a pause is rejected with "
+    "its rest") {
+  Site site;
+  site.start();
+  for (const char *id : {"p0", "p1"}) {
+    site.replica(id).behaviour().Reject = true;
+    site.replica(id).behaviour().RejectRetryAfter = "30";
+  }
+  for (int i = 0; i != 10; ++i)
+    site.call("/one/x");
+  const std::uint64_t before = site.replica("p0").receivedRequests() +
+                               site.replica("p1").receivedRequests();
+  const state::TimePoint start = site.Loop.now();
+  const auto answer = site.call("/one/x");
+  CHECK(site.Loop.now() - start < 50ms);
+  CHECK(answer.Status == 503);
+  const double seconds =
+      std::atof(std::string(*answer.Headers.find("Retry-After")).c_str());
+  CHECK(seconds > 25);
+  CHECK(seconds < 31);
+  CHECK(site.replica("p0").receivedRequests() +
+            site.replica("p1").receivedRequests() ==
+        before);
+}
+
 TEST_CASE("an older version of the routes is not applied") {
   Site site;
   site.start();
--- a/tests/platform/replica_standin.cc
+++ b/tests/platform/replica_standin.cc
@@ -66,6 +66,8 @@
   if (Behaviour.Reject) {
     response.Status = 503;
     response.Headers.add("X-Not-Executed", "1");
+    if (!Behaviour.RejectRetryAfter.empty())
+      response.Headers.add("Retry-After", Behaviour.RejectRetryAfter);
     connection->respond(response);
     return;
   }
--- a/tests/platform/replica_standin.h
+++ b/tests/platform/replica_standin.h
@@ -22,7 +22,8 @@
   /// A request with this path ends the replica when it has run for ServiceTime.
   std::string DeadlyPath;
   state::Duration RestartTime = std::chrono::seconds(3); ///< after its end
-  bool SaysLeaving = false; ///< states in all responses that it leaves
+  std::string RejectRetryAfter; ///< stated with a rejection, if not empty
+  bool SaysLeaving = false;     ///< states in all responses that it leaves
   int FailStatus = 0; ///< runs the request and responds with this status
 };
 
