Refuse requests that a stop would cut off

It could happen here: the process exits 5.3 s after SIGTERM, and until then took every request of a kept or new connection.

Change: once callers are no longer directed to a stopping daemon, it refuses requests whose time limit is later than its exit with 503, before anything is sent. Requests taken before that are not forwarded beyond the exit, so they end with an answer.

Remains: a request from before the SIGTERM whose limit is more than 5.3 s later is still cut.

--- a/src/forwarding/entry_service.cc
+++ b/src/forwarding/entry_service.cc
@@ -16,8 +16,8 @@
 EntryService::EntryService(transport::EventLoop &loop, CallerProtocol &protocol,
                            Forwarder &forwarding, EntryServiceOptions options,
                            state::MetricRegistry &metrics)
-    : Protocol(protocol), Forwarding(forwarding), Options(std::move(options)),
-      Random(Options.Seed), Metrics(metrics),
+    : Loop(loop), Protocol(protocol), Forwarding(forwarding),
+      Options(std::move(options)), Random(Options.Seed), Metrics(metrics),
       Server(loop, Options.Server,
              [this](HttpRequest request, const ResponderPtr &responder) {
                onRequest(std::move(request), responder);
@@ -28,6 +28,17 @@
   return Server.listen(address);
 }
 
+void EntryService::startDrain(state::TimePoint refuseFrom,
+                              state::TimePoint exitAt) {
+  RefuseFrom = refuseFrom;
+  ExitAt = exitAt;
+  Server.closeAfterResponses();
+}
+
+bool EntryService::isTooLate(Duration limit) const {
+  return Loop.now() >= RefuseFrom && ExitAt - Loop.now() < limit;
+}
+
 void EntryService::setRoutes(const state::RouteTablePtr &table) {
   Table = table;
   Server.setMaxBodyBytes(table->limits().MaxBodyBytes);
@@ -71,7 +82,17 @@
     responder->send(Protocol.refuse(Refusal::NoSuchRoute, {}, {}));
     return;
   }
-  const Duration remaining = call->Remaining.value_or(route->Timeout);
+  Duration remaining = call->Remaining.value_or(route->Timeout);
+  if (isTooLate(std::min(remaining, route->Timeout))) {
+    const ForwardFailure failure{coordination::ForwardFault::NoReplica, {}, {}};
+    state::log::info("request_refused",
+                     {{"id", call->Message.RequestId}, {"reason", "stopping"}});
+    countRequest("stopping", nullptr, Duration(0));
+    responder->send(
+        Protocol.refuse(Refusal::Stopping, failure, retryAfter(failure)));
+    return;
+  }
+  remaining = std::min(remaining, ExitAt - Loop.now());
   const std::string id = call->Message.RequestId;
   const ForwardId forwarded = Forwarding.forward(
       {std::make_shared<const ForwardedRequest>(std::move(call->Message)),
--- a/src/forwarding/entry_service.h
+++ b/src/forwarding/entry_service.h
@@ -19,6 +19,7 @@
 /// Why this process answers with an error of its own.
 enum class Refusal {
   NotReady,    ///< no routes are known yet
+  Stopping,    ///< the process exits before the request would have to end
   NoSuchRoute, ///< no route in force matches the request
   Failed,      ///< for the reason that the ForwardFailure states
 };
@@ -70,8 +71,10 @@
 
   void setRoutes(const state::RouteTablePtr &table);
 
-  /// From now on each connection is closed after its answer.
-  void startDrain() { Server.closeAfterResponses(); }
+  /// From now on each connection is closed after its answer, and no request is
+  /// forwarded beyond `exitAt`. From `refuseFrom` on, when callers are no
+  /// longer directed here, requests that may need longer are refused.
+  void startDrain(state::TimePoint refuseFrom, state::TimePoint exitAt);
 
   std::size_t openRequests() const { return Server.openRequests(); }
 
@@ -90,6 +93,10 @@
   std::optional<state::Duration>
   retryAfter(const coordination::ForwardFailure &failure);
 
+  /// Whether the process may exit before a request that may take `limit` ends.
+  bool isTooLate(state::Duration limit) const;
+
+  transport::EventLoop &Loop;
   CallerProtocol &Protocol;
   Forwarder &Forwarding;
   EntryServiceOptions Options;
@@ -98,6 +105,8 @@
       RoundRobins;
   std::mt19937_64 Random;
   state::MetricRegistry &Metrics;
+  state::TimePoint RefuseFrom = state::TimePoint::max();
+  state::TimePoint ExitAt = state::TimePoint::max();
   transport::HttpServer Server;
 };
 
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -698,6 +698,55 @@
   CHECK(site.Loop.now() - start < 5500ms);
 }
 
+// Guards against requests that are passed on late in a stop and then cut off by
+// the exit, among them some that may not be repeated.
+TEST_CASE("a stop under load leaves no request that has run without an "
+          "answer") {
+  Site site;
+  site.start();
+  for (const char *id : {"p0", "p1"})
+    site.replica(id).behaviour().ServiceTime = 400ms;
+  struct Call {
+    explicit Call(Site &it)
+        : Connection(it.Loop, it.Settings.CallerListener), Id(++it.LastId) {}
+    transport::HttpConnection Connection;
+    std::uint64_t Id;
+    std::optional<transport::HttpResult> Result;
+  };
+  std::vector<std::unique_ptr<Call>> calls;
+  const auto callOnce = [&] {
+    calls.push_back(std::make_unique<Call>(site));
+    Call &call = *calls.back();
+    transport::HttpRequest request{"POST", "/once/x", {}, ""};
+    request.Host = "h";
+    request.Headers.add("X-Request-Id", "id" + std::to_string(call.Id));
+    request.Headers.add("X-Deadline-Ms", "3000");
+    call.Connection.send(request, TestLimit, [&call](transport::HttpResult r) {
+      call.Result = std::move(r);
+    });
+  };
+  bool stopped = false;
+  site.Node->stop([&] { stopped = true; });
+  while (!stopped) {
+    callOnce();
+    site.Loop.runUntil([&] { return stopped; }, 250ms);
+  }
+  // The process exits here.
+  std::size_t answered = 0;
+  for (const auto &call : calls) {
+    INFO("id" << call->Id);
+    const bool hasAnswer = call->Result && call->Result->has_value();
+    CHECK((hasAnswer || site.executionCount(call->Id) == 0));
+    if (!hasAnswer)
+      continue;
+    ++answered;
+    CHECK((*call->Result)->Status < 504);
+    if ((*call->Result)->Status == 503)
+      CHECK(site.executionCount(call->Id) == 0);
+  }
+  CHECK(answered > calls.size() / 2);
+}
+
 // Reads of the store are billed, and those of all daemons add up.
 TEST_CASE("a daemon reads the store about once per second") {
   Site site;
