Cover odd entries of replicas and answers that stop inside their head

Deeply nested entries, numbers out of range and ports out of range among the entries of replicas leave the other replicas and later routes in use (17 entries in platform_node_test). A replica that stops inside the head of its answer, after every seventh byte, gives no success to requests of one service, of an unsafe route or of a shard set. Neither test needed a change of the code.

--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -628,6 +628,80 @@
   }
 }
 
+// Guards against a complete answer that is made of a head which the replica did
+// not finish.
+TEST_CASE("a replica that stops inside the head of its answer gives no success") {
+  Site site;
+  site.start();
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Response-Seal: seal\r\n"
+                           "Content-Length: 32\r\n\r\n";
+  const std::size_t step = 7;
+  for (std::size_t n = 0; n < head.size(); n += step) {
+    INFO("after " << n);
+    for (const auto &it : site.Replicas) {
+      it->behaviour().Answer = head.substr(0, n);
+      it->behaviour().IsAnswerCut = true;
+    }
+    CHECK(site.call("/one/x").Status >= 500);
+    CHECK(site.call("/once/x", "POST").Status >= 500);
+    CHECK(site.call("/all/x").Status >= 500);
+  }
+}
+
+// Guards against an entry of another writer that ends the processes which read
+// it, or keeps them from reading the others.
+TEST_CASE("entries of another writer change nothing for the other replicas") {
+  Site site;
+  site.start();
+  const std::string good = site.replica("p0").entry();
+  const auto with = [&good](const std::string &field,
+                            const std::string &value) {
+    std::string entry = good;
+    const std::size_t at = entry.find("\"" + field + "\":") + field.size() + 3;
+    entry.replace(at, entry.find_first_of(",}", at) - at, value);
+    return entry;
+  };
+  const std::string deep(200'000, '[');
+  const std::string objects = [] {
+    std::string text;
+    for (int i = 0; i != 100'000; ++i)
+      text += "{\"a\":";
+    return text;
+  }();
+  const std::vector<std::string> entries = {
+      deep,
+      deep + std::string(200'000, ']'),
+      objects + "1" + std::string(100'000, '}'),
+      with("service", deep),
+      with("slots", "1e400"),
+      with("slots", "99999999999999999999"),
+      with("slots", "4294967295"),
+      with("slots", "-1"),
+      with("cold_left_ms", "1e308"),
+      with("cold_left_ms", "-1e308"),
+      with("born", "1e30"),
+      with("born", "18446744073709551616"),
+      with("address", "\"127.0.0.1:99999\""),
+      with("address", "\"127.0.0.1:0\""),
+      with("address", "\"127.0.0.1:-1\""),
+      with("address", "\"127.0.0.1\""),
+      std::string("\xff\xfe\0", 3)};
+  for (std::size_t i = 0; i != entries.size(); ++i)
+    site.Store.put("servers/odd" + std::to_string(i), entries[i]);
+  site.add("o0", "other");
+  site.publishRoutes(9, "other");
+  site.runFor(1300ms);
+  CHECK(site.isReady());
+  CHECK(site.call("/one/x").Status == 200);
+  CHECK(site.replica("o0").runs().size() == 1);
+  // Entries whose fields are in range, but absurd, name a replica.
+  site.Store.put("servers/odd0", "[");
+  site.publishRoutes(12, "pool");
+  site.runFor(1300ms);
+  for (int i = 0; i != 20; ++i)
+    CHECK(site.call("/one/x").Status == 200);
+}
+
 TEST_CASE("no request runs at an address that now belongs to another replica") {
   Site site;
   site.start();
--- a/tests/platform/replica_standin.cc
+++ b/tests/platform/replica_standin.cc
@@ -85,6 +85,10 @@
                                  Behaviour.EndlessRepeated);
     return;
   }
+  if (Behaviour.IsAnswerCut) {
+    connection->respondCut(Behaviour.Answer);
+    return;
+  }
   if (Behaviour.ResetConnection) {
     connection->reset();
     return;
--- a/tests/platform/replica_standin.h
+++ b/tests/platform/replica_standin.h
@@ -24,6 +24,9 @@
   state::Duration RestartTime = std::chrono::seconds(3); ///< after its end
   std::string RejectRetryAfter; ///< stated with a rejection, if not empty
   bool SaysLeaving = false;     ///< states in all responses that it leaves
+  /// Runs the request and sends these bytes instead of the response.
+  std::string Answer;
+  bool IsAnswerCut = false; ///< closes the connection after Answer
   int FailStatus = 0; ///< runs the request and responds with this status
 };
 
--- a/tests/standin/raw_http_server.h
+++ b/tests/standin/raw_http_server.h
@@ -32,6 +32,9 @@
   void respondTruncated(const transport::HttpResponse &response,
                         std::size_t bytes);
 
+  /// Sends these bytes and closes the connection.
+  void respondCut(std::string bytes) { write(std::move(bytes), true); }
+
   /// Sends `start` and then `repeated` without end, until the peer closes.
   void respondEndlessly(std::string start, std::string repeated);
 
