--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -297,6 +297,15 @@
   CHECK(encoded.Body == "records");
 }
 
+// Guards against arithmetic that overflows with a time of another writer.
+TEST_CASE("times that are too long are shortened") {
+  const auto record = decodeReplica(
+      "a", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":2,
+              "state":"ready","cold_left_ms":1e308})");
+  REQUIRE(record);
+  CHECK(record->ColdRemaining == std::chrono::hours(24));
+}
+
 // Guards against pauses without end, and against dates taken as numbers.
 TEST_CASE("a pause is a number of seconds with an upper limit") {
   CHECK(platform::decodeRetryAfter("2.5") == std::chrono::milliseconds(2500));
