--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -630,7 +630,8 @@
 
 // Guards against a complete answer that is made of a head which the replica did
 // not finish.
-TEST_CASE("a replica that stops inside the head of its answer gives no success") {
+TEST_CASE(
+    "a replica that stops inside the head of its answer gives no success") {
   Site site;
   site.start();
   const std::string head = "HTTP/1.1 200 OK\r\nX-Response-Seal: seal\r\n"
--- a/tests/platform/replica_standin.cc
+++ b/tests/platform/replica_standin.cc
@@ -22,7 +22,8 @@
   return R"({"service":")" + Service + R"(","address":")" +
          AdvertisedAddress.toText() +
          R"(","zone":"z1","version":"v1","slots":2,"state":")" + state +
-         R"(","cold_left_ms":0,"seq":1,"born":1700000000000})";
+         R"(","cold_left_ms":0,"seq":1,"born":)" +
+         std::to_string(1'700'000'000'000 + Starts) + "}";
 }
 
 void ReplicaStandin::startLimit(double perSecond) {
@@ -38,35 +39,55 @@
 void ReplicaStandin::crash() {
   if (!Server.isListening())
     return;
-  ++Crashes;
+  CrashedAt.push_back(Loop.now());
   Server.shutDown();
   Loop.schedule(Behaviour.RestartTime,
                 [this] { static_cast<void>(Server.listen(Address)); });
 }
 
+void ReplicaStandin::askForPause(state::Duration lasting,
+                                 state::Duration pause) {
+  RejectsUntil = Loop.now() + lasting;
+  RequestedPause = pause;
+}
+
+void ReplicaStandin::restart() {
+  IsLeaving = false;
+  RejectsUntil = state::TimePoint::min();
+  ++Starts;
+}
+
 void ReplicaStandin::onRequest(const HttpRequest &request,
                                const RawConnectionPtr &connection) {
   const auto header = [&request](std::string_view name) {
     return std::string(request.Headers.find(name).value_or(""));
   };
-  Received.push_back({header("X-Request-Id"), Loop.now()});
+  const bool saysLeaving = Behaviour.SaysLeaving || IsLeaving;
+  const bool asksForPause = RejectsUntil > Loop.now();
+  Received.push_back({header("X-Request-Id"), Loop.now(), Starts, saysLeaving,
+                      asksForPause ? RequestedPause : state::Duration(0)});
   HttpResponse response;
   response.Headers.add("X-Request-Id", header("X-Request-Id"));
   response.Headers.add("X-Server-Load", "0,0,2,100");
   if (!Limits.empty() && Limits.back().To == state::TimePoint::max())
     response.Headers.add("Server-Limit",
                          std::to_string(Limits.back().PerSecond));
-  if (Behaviour.SaysLeaving)
+  if (saysLeaving)
     response.Headers.add("Server-Leaving", "1");
   if (header("X-Target-Instance") != Id) {
     response.Status = 421;
     connection->respond(response);
     return;
   }
-  if (Behaviour.Reject) {
+  if (Behaviour.Reject || asksForPause) {
     response.Status = 503;
     response.Headers.add("X-Not-Executed", "1");
-    if (!Behaviour.RejectRetryAfter.empty())
+    if (asksForPause)
+      response.Headers.add(
+          "Retry-After",
+          std::to_string(
+              std::chrono::duration<double>(RequestedPause).count()));
+    else if (!Behaviour.RejectRetryAfter.empty())
       response.Headers.add("Retry-After", Behaviour.RejectRetryAfter);
     connection->respond(response);
     return;
@@ -74,7 +95,8 @@
   Runs.push_back(
       {header("X-Request-Id"), request.Path, header("Host"), request.Body,
        std::strtoll(header("X-Deadline-Ms").c_str(), nullptr, 10), Loop.now()});
-  if (!Behaviour.DeadlyPath.empty() && request.Path == Behaviour.DeadlyPath) {
+  if (request.Path == Behaviour.DeadlyPath ||
+      DeadlyPaths.contains(request.Path)) {
     Loop.schedule(Behaviour.ServiceTime, [this] { crash(); });
     return;
   }
--- a/tests/platform/replica_standin.h
+++ b/tests/platform/replica_standin.h
@@ -3,6 +3,7 @@
 
 #include "standin/raw_http_server.h"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,7 +28,7 @@
   /// Runs the request and sends these bytes instead of the response.
   std::string Answer;
   bool IsAnswerCut = false; ///< closes the connection after Answer
-  int FailStatus = 0; ///< runs the request and responds with this status
+  int FailStatus = 0;       ///< runs the request and responds with this status
 };
 
 /// One request that a replica ran.
@@ -51,6 +52,9 @@
 struct ReceivedRequest {
   std::string Id;
   state::TimePoint At;
+  std::size_t Start = 0;    ///< number of starts of the replica before it
+  bool SaidLeaving = false; ///< whether the response says that it leaves
+  state::Duration Pause{0}; ///< that the response asks for
 };
 
 /// Serves the interface of one replica of the platform and records what it ran.
@@ -82,7 +86,21 @@
   const std::vector<ReceivedRequest> &received() const { return Received; }
   RawHttpServer &server() { return Server; }
   std::uint64_t receivedRequests() const { return Received.size(); }
-  std::size_t crashes() const { return Crashes; }
+  std::size_t crashes() const { return CrashedAt.size(); }
+  const std::vector<state::TimePoint> &crashedAt() const { return CrashedAt; }
+
+  /// Requests with these paths end the replica, as with
+  /// ReplicaBehaviour::DeadlyPath, for as long as it exists.
+  void addDeadlyPath(const std::string &path) { DeadlyPaths.insert(path); }
+
+  /// States in all responses that it leaves, until it starts again.
+  void leave() { IsLeaving = true; }
+
+  /// Rejects requests for `lasting` and asks for a pause of `pause`.
+  void askForPause(state::Duration lasting, state::Duration pause);
+
+  /// Starts again under the same id, as another incarnation.
+  void restart();
 
 private:
   void onRequest(const transport::HttpRequest &request,
@@ -99,7 +117,12 @@
   std::vector<ExecutedRequest> Runs;
   std::vector<LimitPeriod> Limits; ///< the last one may be open
   std::vector<ReceivedRequest> Received;
-  std::size_t Crashes = 0;
+  std::vector<state::TimePoint> CrashedAt;
+  std::set<std::string> DeadlyPaths;
+  bool IsLeaving = false;
+  std::size_t Starts = 0;
+  state::TimePoint RejectsUntil = state::TimePoint::min();
+  state::Duration RequestedPause{0};
 };
 
 } // namespace galenaflow::standin
--- a/tests/platform/soak.cc
+++ b/tests/platform/soak.cc
@@ -236,6 +236,7 @@
   sendCalls();
   keepCopies();
   injectLimit();
+  startDeadly();
   const state::TimePoint end = Loop.now() + Options.FaultTime;
   while (Loop.now() < end) {
     injectFault();
@@ -265,6 +266,9 @@
   checkRuns();
   checkRoutes();
   checkLimits();
+  checkLeaving();
+  checkPauses();
+  checkDeadly();
   checkDelegation();
   if (!Violations.empty())
     for (const Daemon &daemon : Daemons)
@@ -274,6 +278,9 @@
             << " leave_checks=" << DrainChecks
             << " limit_checks=" << LimitChecks
             << " route_checks=" << RouteChecks
+            << " leaving_checks=" << LeavingChecks
+            << " pause_checks=" << PauseChecks
+            << " deadly_checks=" << DeadlyChecks
             << " broken=" << Violations.size() << std::endl;
   return Violations;
 }
@@ -286,7 +293,8 @@
   schedule(CallPeriod, [this] { sendCalls(); });
 }
 
-void Soak::send(const std::string &path, std::size_t index, bool isRecovery) {
+void Soak::send(const std::string &path, std::size_t index, bool isRecovery,
+                const std::string &suffix) {
   Daemon &daemon = Daemons[index];
   transport::HttpConnection *free = nullptr;
   for (const auto &it : daemon.Callers)
@@ -303,8 +311,10 @@
   call->Daemon = index;
   call->SentAt = Loop.now();
   call->IsRecovery = isRecovery;
-  transport::HttpRequest request{
-      path == "/once/" ? "POST" : "GET", path + call->Id, {}, ""};
+  transport::HttpRequest request{path == "/once/" ? "POST" : "GET",
+                                 path + (suffix.empty() ? call->Id : suffix),
+                                 {},
+                                 ""};
   request.Host = "h";
   request.Headers.add("X-Request-Id", call->Id);
   request.Headers.add("X-Deadline-Ms", std::to_string(CallerDeadline.count()));
@@ -340,7 +350,7 @@
     checkSingle(call, *result);
 }
 
-void Soak::checkSingle(const Call &call, const HttpResponse &response) {
+void Soak::checkSingle(Call &call, const HttpResponse &response) {
   const auto seal = response.Headers.find("X-Response-Seal").value_or("");
   const auto dot = seal.find('.');
   if (dot == std::string_view::npos || seal.substr(dot + 1) != call.Id) {
@@ -351,6 +361,7 @@
   std::string expected;
   for (const std::string &record : recordsOf(std::string(seal.substr(0, dot))))
     expected += record;
+  call.Replica = seal.substr(0, dot);
   if (response.Body != expected)
     reportViolation("the answer to " + call.Id +
                     " is not the body that the replica sent");
@@ -534,7 +545,7 @@
 }
 
 void Soak::injectFault() {
-  switch (randomBelow(8)) {
+  switch (randomBelow(10)) {
   case 0:
     injectDaemonFault(Daemons[randomBelow(Daemons.size())]);
     break;
@@ -553,6 +564,12 @@
   case 5:
     restoreStore();
     break;
+  case 6:
+    injectLeaving();
+    break;
+  case 7:
+    injectPause();
+    break;
   default:
     injectReplicaFault();
   }
@@ -709,6 +726,8 @@
   const Duration lasting(300'000 + randomBelow(2'000'000));
   if (isStore)
     recordFaultPeriod(index, lasting);
+  else
+    NetworkFaults.insert(Replicas[index]->id());
   switch (randomBelow(5)) {
   case 0:
     route.apply({{"up", {{"delay_ms", 60}}}});
--- a/tests/platform/soak.h
+++ b/tests/platform/soak.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <unistd.h>
 #include <vector>
@@ -64,7 +65,8 @@
     state::TimePoint SentAt;
     bool IsRecovery = false;
     bool IsDone = false;
-    int Status = 0; ///< 0: no response
+    int Status = 0;      ///< 0: no response
+    std::string Replica; ///< that gave the answer; empty for several
   };
 
   std::unique_ptr<ProxyRoute> openRoute(const std::string &id,
@@ -73,13 +75,19 @@
   void startDaemon(Daemon &daemon);
   void publish();
   void sendCalls();
-  void send(const std::string &path, std::size_t daemon, bool isRecovery);
+  void send(const std::string &path, std::size_t daemon, bool isRecovery,
+            const std::string &suffix = "");
   void onResult(Call &call, const transport::HttpResult &result);
-  void checkSingle(const Call &call, const transport::HttpResponse &response);
+  void checkSingle(Call &call, const transport::HttpResponse &response);
   void checkMerged(const Call &call, const transport::HttpResponse &response);
   void checkRuns();
   void checkDelegation();
   void checkLimits();
+  void checkLeaving();
+  void checkPauses();
+  void checkDeadly();
+  bool hadFault(std::size_t daemon, state::TimePoint from,
+                state::TimePoint to) const;
   bool wasHealthy(const std::string &id, state::TimePoint at) const;
   bool wereSendersHealthy(const std::string &id, state::TimePoint at) const;
   bool wasWithoutFault(std::size_t target, state::TimePoint at) const;
@@ -94,6 +102,10 @@
   void checkRoutes();
   void injectReplicaFault();
   void injectLimit();
+  void injectLeaving();
+  void injectPause();
+  void startDeadly();
+  void sendDeadly();
   void injectNetworkFault();
   void injectDirectoryChange();
   void superviseDaemons();
@@ -130,6 +142,15 @@
   std::uint64_t DrainChecks = 0;
   /// Number of requests that were checked against the limits of replicas.
   std::uint64_t LimitChecks = 0;
+  /// Path of the requests that end replicas; empty in half of the runs.
+  std::string DeadlyPath;
+  std::set<std::string> DeadlyCalls; ///< ids
+  /// Replicas on whose routes responses may have been lost.
+  std::set<std::string> NetworkFaults;
+  /// Number of requests that were checked not to reach a leaving replica.
+  std::uint64_t LeavingChecks = 0;
+  std::uint64_t PauseChecks = 0;
+  std::uint64_t DeadlyChecks = 0;
   /// Number of runs that were checked to follow the published routes.
   std::uint64_t RouteChecks = 0;
   std::vector<std::string> Violations;
