Remove twins and derived state from the quarantine and the stop

* Drain states when its lag ends and when the process exits; the node derived both from the options a second time.
* EntryService: one function for the two refusals before forwarding.
* QuarantineTask uses the links of RelayTask instead of a list of its own, and starts a timer only with new evidence, not with each answer while anything is suspect.
* What is kept of replicas that have left ends with their pause.
Such entries could fill the table, after which no limits of others were kept.

--- a/src/coordination/drain.cc
+++ b/src/coordination/drain.cc
@@ -47,8 +47,7 @@
 DrainActions Drain::tick(const DrainProgress &progress) {
   if (Phase == DrainPhase::Serving || Phase == DrainPhase::Done)
     return {};
-  const state::Duration elapsed = Time.now() - StartedAt;
-  if (elapsed >= Options.BalancerLag + Options.LongestDeadline) {
+  if (Time.now() >= latestExit()) {
     TimedOut = progress.OpenRequests != 0 || !progress.LeasesHandedOver ||
                !progress.GrantsHandedOver || !progress.RecordsCopied;
     Phase = DrainPhase::Done;
@@ -57,7 +56,7 @@
     return actions;
   }
   if (Phase == DrainPhase::BalancerLag) {
-    if (elapsed < Options.BalancerLag)
+    if (Time.now() < balancerLagEnd())
       return {};
     Phase = DrainPhase::Handover;
   }
--- a/src/coordination/drain.h
+++ b/src/coordination/drain.h
@@ -59,6 +59,15 @@
   /// Advances the sequence. Call at least every 100 ms while stopping.
   DrainActions tick(const DrainProgress &progress);
 
+  /// When callers are no longer directed here, and when the process exits at
+  /// the latest. Call after requestStop().
+  state::TimePoint balancerLagEnd() const {
+    return StartedAt + Options.BalancerLag;
+  }
+  state::TimePoint latestExit() const {
+    return balancerLagEnd() + Options.LongestDeadline;
+  }
+
   DrainPhase phase() const { return Phase; }
   bool isHealthy() const { return Phase == DrainPhase::Serving; }
   /// Whether the time limit ended the sequence before all work was completed.
--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -133,7 +133,7 @@
   if (ArePrimariesHeld)
     sendFirstPrimary();
   else
-    sendHeldPrimaries();
+    sendRemainingPrimaries();
 }
 
 void ForwardExecution::sendFirstPrimary() {
@@ -147,17 +147,21 @@
   }
 }
 
-void ForwardExecution::sendHeldPrimaries() {
+void ForwardExecution::sendRemainingPrimaries() {
   ArePrimariesHeld = false;
   for (std::uint32_t part = 0; part != Parts.size(); ++part)
     if (!Parts[part].Failed && !Parts[part].Response && Parts[part].Open == 0)
       sendAttempt(part, AttemptKind::Primary);
 }
 
+bool ForwardExecution::hasOpenAttempt() const {
+  return std::any_of(Parts.begin(), Parts.end(),
+                     [](const Part &part) { return part.Open != 0; });
+}
+
 // The first part has ended without an answer.
 void ForwardExecution::settleHeldPrimaries() {
-  const auto isOpen = [](const Part &part) { return part.Open != 0; };
-  if (!ArePrimariesHeld || std::any_of(Parts.begin(), Parts.end(), isOpen))
+  if (!ArePrimariesHeld || hasOpenAttempt())
     return;
   if (Counts.Lost == 0) {
     sendFirstPrimary();
@@ -300,7 +304,7 @@
       retryOrFail(index);
   }
   if (ArePrimariesHeld)
-    sendHeldPrimaries();
+    sendRemainingPrimaries();
 }
 
 void ForwardExecution::retryOrFail(std::uint32_t index) {
@@ -311,8 +315,7 @@
 // When no attempt is open any more, one retry shows whether the connections
 // were lost for another reason, such as a reset of all connections.
 void ForwardExecution::settleHeldRetries() {
-  const auto isOpen = [](const Part &part) { return part.Open != 0; };
-  if (Counts.IsAnswered || std::any_of(Parts.begin(), Parts.end(), isOpen))
+  if (Counts.IsAnswered || hasOpenAttempt())
     return;
   for (std::uint32_t index = 0; index != Parts.size(); ++index) {
     if (!std::exchange(Parts[index].IsRetryHeld, false))
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -231,8 +231,9 @@
   Attempt *openAttempt(AttemptNumber number);
   void sendPrimaries();
   void sendFirstPrimary();
-  void sendHeldPrimaries();
+  void sendRemainingPrimaries();
   void settleHeldPrimaries();
+  bool hasOpenAttempt() const;
   void sendAttempt(std::uint32_t part, AttemptKind kind);
   bool mayRunAgain(const Part &part) const;
   bool retry(std::uint32_t part, AttemptEnd end);
--- a/src/coordination/request_quarantine.h
+++ b/src/coordination/request_quarantine.h
@@ -68,6 +68,9 @@
   /// Adds the evidence of another daemon.
   void merge(std::span<const state::RequestEvidence> evidence, TimePoint now);
 
+  /// Whether takeNew() would return any evidence.
+  bool hasNew() const { return !New.empty(); }
+
   /// Returns the evidence that is new since the last call, to be passed on.
   std::vector<state::RequestEvidence> takeNew(TimePoint now);
 
--- a/src/forwarding/entry_service.cc
+++ b/src/forwarding/entry_service.cc
@@ -57,6 +57,15 @@
   return {route.Targets[RoundRobins[route.Name].next(weights)].Service};
 }
 
+void EntryService::refuse(transport::HttpResponder &responder,
+                          std::string_view requestId, Refusal refusal,
+                          std::string_view reason, std::string_view outcome) {
+  const ForwardFailure failure{coordination::ForwardFault::NoReplica, {}, {}};
+  state::log::info("request_refused", {{"id", requestId}, {"reason", reason}});
+  countRequest(outcome, nullptr, Duration(0));
+  responder.send(Protocol.refuse(refusal, failure, retryAfter(failure)));
+}
+
 void EntryService::onRequest(HttpRequest request,
                              const ResponderPtr &responder) {
   auto call = Protocol.decode(std::move(request));
@@ -65,12 +74,8 @@
     return;
   }
   if (!Table) {
-    const ForwardFailure failure{coordination::ForwardFault::NoReplica, {}, {}};
-    state::log::info("request_refused", {{"id", call->Message.RequestId},
-                                         {"reason", "no_routes"}});
-    countRequest("not_ready", nullptr, Duration(0));
-    responder->send(
-        Protocol.refuse(Refusal::NotReady, failure, retryAfter(failure)));
+    refuse(*responder, call->Message.RequestId, Refusal::NotReady, "no_routes",
+           "not_ready");
     return;
   }
   const state::Route *route =
@@ -84,12 +89,8 @@
   }
   Duration remaining = call->Remaining.value_or(route->Timeout);
   if (isTooLate(std::min(remaining, route->Timeout))) {
-    const ForwardFailure failure{coordination::ForwardFault::NoReplica, {}, {}};
-    state::log::info("request_refused",
-                     {{"id", call->Message.RequestId}, {"reason", "stopping"}});
-    countRequest("stopping", nullptr, Duration(0));
-    responder->send(
-        Protocol.refuse(Refusal::Stopping, failure, retryAfter(failure)));
+    refuse(*responder, call->Message.RequestId, Refusal::Stopping, "stopping",
+           "stopping");
     return;
   }
   remaining = std::min(remaining, ExitAt - Loop.now());
--- a/src/forwarding/entry_service.h
+++ b/src/forwarding/entry_service.h
@@ -82,6 +82,10 @@
   using ResponderPtr = std::shared_ptr<transport::HttpResponder>;
 
   void onRequest(transport::HttpRequest request, const ResponderPtr &responder);
+  /// Refuses a request before it is forwarded; `outcome` is for the metrics.
+  void refuse(transport::HttpResponder &responder, std::string_view requestId,
+              Refusal refusal, std::string_view reason,
+              std::string_view outcome);
   std::vector<std::string> selectServices(const state::Route &route);
   void onResult(const ResponderPtr &responder, const std::string &requestId,
                 const state::RouteTablePtr &table, const state::Route &route,
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -174,6 +174,7 @@
     const auto unlisted = UnlistedLimits.find(replica);
     if (unlisted != UnlistedLimits.end() && perSecond == 0)
       unlisted->second.Limiter.reset();
+    dropEndedPauses();
     return;
   }
   Replica &limited = *it->second;
@@ -205,6 +206,7 @@
 // replica registers again afterwards. Without its limiter each daemon would
 // send it a request more.
 void ForwardTask::keepLimit(const Replica &replica) {
+  dropEndedPauses();
   if ((replica.Limiter || isPaused(replica)) &&
       UnlistedLimits.size() < MaxUnlistedLimits)
     UnlistedLimits.insert_or_assign(
@@ -212,6 +214,12 @@
                                          replica.Limiter, replica.PausedUntil});
 }
 
+void ForwardTask::dropEndedPauses() {
+  std::erase_if(UnlistedLimits, [this](const auto &it) {
+    return !it.second.Limiter && it.second.PausedUntil <= Loop.now();
+  });
+}
+
 void ForwardTask::restoreLimit(Replica &replica) {
   const auto node = UnlistedLimits.extract(replica.Record.Id);
   if (node.empty() || node.mapped().Incarnation != replica.Record.Incarnation)
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -239,6 +239,7 @@
   bool allowsRequest(Replica &replica);
   void keepLimit(const Replica &replica);
   void restoreLimit(Replica &replica);
+  void dropEndedPauses();
   void countLimited();
   double fleetExtraShare() const;
   void planConnections();
--- a/src/forwarding/quarantine_task.cc
+++ b/src/forwarding/quarantine_task.cc
@@ -109,14 +109,9 @@
 }
 
 void QuarantineTask::onLinkUp(const PeerIdentity &peer) {
-  Peers.push_back(peer);
   send(peer, Quarantine.all(Loop.now()));
 }
 
-void QuarantineTask::onLinkLost(const PeerIdentity &peer) {
-  std::erase(Peers, peer);
-}
-
 bool QuarantineTask::onMessage(const PeerIdentity &, std::uint16_t type,
                                std::string_view payload) {
   if (type != static_cast<std::uint16_t>(QuarantineMessageType::Evidence))
@@ -130,7 +125,7 @@
 }
 
 void QuarantineTask::scheduleMessage() {
-  if (MessageTimer != 0)
+  if (MessageTimer != 0 || !Quarantine.hasNew())
     return;
   const Duration sinceLast = LastMessageAt == state::TimePoint::min()
                                  ? Options.MessageInterval
@@ -143,12 +138,8 @@
 void QuarantineTask::sendNew() {
   MessageTimer = 0;
   const auto evidence = Quarantine.takeNew(Loop.now());
-  if (evidence.empty())
-    return;
   LastMessageAt = Loop.now();
-  // A link that closes while it is written to changes the list.
-  const std::vector<PeerIdentity> peers = Peers;
-  for (const PeerIdentity &peer : peers)
+  for (const PeerIdentity &peer : Links.peers())
     send(peer, evidence);
 }
 
--- a/src/forwarding/quarantine_task.h
+++ b/src/forwarding/quarantine_task.h
@@ -33,7 +33,7 @@
   void cancel(ForwardId id) override;
 
   void onLinkUp(const transport::PeerIdentity &peer) override;
-  void onLinkLost(const transport::PeerIdentity &peer) override;
+  void onLinkLost(const transport::PeerIdentity &) override {}
   bool onMessage(const transport::PeerIdentity &peer, std::uint16_t type,
                  std::string_view payload) override;
 
@@ -55,7 +55,6 @@
   Forwarder &Next;
   QuarantineTaskOptions Options;
   coordination::RequestQuarantine Quarantine;
-  std::vector<transport::PeerIdentity> Peers;
   std::set<ForwardId> Rejected; ///< whose callbacks have not run yet
   ForwardId LastRejected;
   state::TimePoint LastMessageAt = state::TimePoint::min();
--- a/src/forwarding/relay_task.h
+++ b/src/forwarding/relay_task.h
@@ -134,6 +134,11 @@
     return Network.send(peer, type, payload);
   }
 
+  /// The daemons to which links are up.
+  std::vector<transport::PeerIdentity> peers() const {
+    return Network.connected();
+  }
+
   /// `listener` must live as long as the links.
   void addListener(PeerListener &listener) { Listeners.push_back(&listener); }
 
