--- a/review/2/case.py
+++ b/review/2/case.py
@@ -44,7 +44,7 @@
     await asyncio.sleep(1)
     unread = daemon.unread_bytes()
     d.record.write(f"bytes that daemon 0 has not read of its callers: {unread}")
-    if unread != 0:
+    if unread:
         raise dep.CannotRun("the daemon has not read the requests")
     stopped_at = d.record.now()
     if TROUBLE:
