--- a/review/2/case.py
+++ b/review/2/case.py
@@ -21,6 +21,7 @@
 WORK_S = 2.2
 BUDGET_MS = 12000
 GRACE_S = 6
+STABILITY_S = 4
 LOSS_SLACK_S = 0.2
 REQUESTS = 10
 
@@ -36,7 +37,7 @@
                   "target_latency_ms": 8000, "priority": 1, "service": "report",
                   "max_attempts": 1}], ["report"])
     await d.start_daemons()
-    await asyncio.sleep(2)
+    await asyncio.sleep(STABILITY_S + 1)
     daemon = d.daemons[0]
     sent = [asyncio.ensure_future(
         d.request(daemon, f"/report/{i}", "POST", BUDGET_MS, b"x" * 300))
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -306,7 +306,7 @@
                        "grace_s": 6, "loss_slack_ms": 200, "config_apply_ms": 3000,
                        "rollback_slack_ms": 250, "max_stretch_ms": 12000,
                        "retry_ratio": 0.2, "budget_window_s": 10,
-                       "retry_slack": 52, "recovery_s": 12},
+                       "retry_slack": 56, "recovery_s": 12},
             "platform": {"address": d.store.address, "form": "read",
                          "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20,
                          "value_bytes": 1048576, "min_ttl_ms": 1000},
@@ -446,6 +446,10 @@
     was broken, else None."""
     async def main():
         deployment = Deployment(folder, daemons)
+        task, loop = asyncio.current_task(), asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        deployment.record.write(f"TROUBLE={os.environ.get('TROUBLE', '1')}")
         try:
             broken = await asyncio.wait_for(play(deployment), 112)
             deployment.record.write(f"broken: {broken}" if broken else "held")
@@ -455,6 +459,6 @@
             deployment.stop()
     try:
         return asyncio.run(main())
-    except Exception as e:  # also a fault of the case itself
+    except (Exception, asyncio.CancelledError) as e:  # also a fault of the case
         print(f"could not run: {type(e).__name__} {e}")
         return 2
