Ask at one place whether a part of a request may run once more

Cause: a suspect request is sent to one part first, and the primaries of the other parts are held until a replica has answered. onFailure() closes the attempt, then calls onAnswered(), and the held primaries went to every part without an open attempt, among them the part that had just run. Retries and hedges asked whether a part may run again, primaries did not, and an attempt that waited for a connection was not counted, so that a held hedge ran beside it at more than max_attempts replicas.

Change: sendAttempt() is the only place that makes attempts and asks mayRun(); an attempt counts from when it is made; held primaries go only to parts that have not begun.

Ruled out: the quarantine, resending by the HTTP client, delegation (only idempotent requests), writes of galenaflowd (one open sub-request at a time).

--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -10,8 +10,11 @@
 // one hedge, and retries after failures. The first success, or 3xx or 4xx of an
 // unsharded route, ends the part and cancels its other attempts.
 // `CountedAttempts` is the number of attempts that ran or may still run, of any
-// kind; it never exceeds the route's limit. An attempt that was rejected,
-// misdirected or not sent is subtracted again.
+// kind; it never exceeds the route's limit. An attempt counts from the moment
+// at which it is made, although it may wait for a connection, and is subtracted
+// again when it was rejected, misdirected or not sent. sendAttempt() is the
+// only place that makes attempts, and mayRun() the only one that decides
+// whether a part may run once more.
 //
 // A request over many shards that ends the replicas would end both replicas of
 // each shard within its first tenth of a second, if its hedges and retries were
@@ -147,10 +150,11 @@
   }
 }
 
+// A part that has begun has ended or waits for a retry, which is not made here.
 void ForwardExecution::sendRemainingPrimaries() {
   ArePrimariesHeld = false;
   for (std::uint32_t part = 0; part != Parts.size(); ++part)
-    if (!Parts[part].Failed && !Parts[part].Response && Parts[part].Open == 0)
+    if (!Parts[part].Failed && !Parts[part].Begun)
       sendAttempt(part, AttemptKind::Primary);
 }
 
@@ -172,10 +176,21 @@
       failPart(part, ForwardFault::BackendFailed);
 }
 
-void ForwardExecution::sendAttempt(std::uint32_t part, AttemptKind kind) {
+bool ForwardExecution::mayRun(const Part &part) const {
+  const std::uint32_t limit =
+      Options.Route->IsIdempotent ? Options.Route->MaxAttempts : 1;
+  return part.CountedAttempts < limit;
+}
+
+bool ForwardExecution::sendAttempt(std::uint32_t index, AttemptKind kind) {
+  Part &part = Parts[index];
+  if (!mayRun(part))
+    return false;
   const auto number = static_cast<AttemptNumber>(Attempts.size());
-  Attempts.push_back({part, kind, true, false});
-  ++Parts[part].Open;
+  Attempts.push_back({index, kind, true});
+  part.Begun = true;
+  ++part.CountedAttempts;
+  ++part.Open;
   switch (kind) {
   case AttemptKind::Primary:
     ++Counts.Primaries;
@@ -187,7 +202,8 @@
     ++Counts.Retries;
     break;
   }
-  Pending.emplace_back(SendAttempt{number, part, kind});
+  Pending.emplace_back(SendAttempt{number, index, kind});
+  return true;
 }
 
 ForwardExecution::Attempt *ForwardExecution::openAttempt(AttemptNumber number) {
@@ -205,7 +221,6 @@
   Part &part = Parts[attempt->Part];
   attempt->Sent = true;
   part.Tried.push_back(replica);
-  ++part.CountedAttempts;
   const bool mayHedge = Options.Route->IsIdempotent && Options.HedgeAfter &&
                         !part.Hedged && attempt->Kind != AttemptKind::Hedge;
   if (mayHedge)
@@ -260,7 +275,7 @@
   Part &part = Parts[index];
   attempt->Open = false;
   --part.Open;
-  if (certainlyNotRun(failure.End) && attempt->Sent)
+  if (certainlyNotRun(failure.End))
     --part.CountedAttempts;
   if (failure.End == AttemptEnd::Rejected) {
     ++Counts.Rejections;
@@ -273,7 +288,7 @@
     LastFailure = std::move(failure.Response);
   if (failure.End == AttemptEnd::Failed)
     onAnswered(now);
-  const bool isHeld = failure.IsLost && !Counts.IsAnswered && mayRunAgain(part);
+  const bool isHeld = failure.IsLost && !Counts.IsAnswered && mayRun(part);
   if (part.Open == 0 && isHeld) {
     part.IsRetryHeld = true;
   } else if (part.Open == 0 && !retry(index, failure.End)) {
@@ -331,11 +346,6 @@
   }
 }
 
-bool ForwardExecution::mayRunAgain(const Part &part) const {
-  return Options.Route->IsIdempotent &&
-         part.CountedAttempts < Options.Route->MaxAttempts;
-}
-
 bool ForwardExecution::retry(std::uint32_t index, AttemptEnd end) {
   Part &part = Parts[index];
   const bool isUncounted = certainlyNotRun(end);
@@ -343,9 +353,7 @@
   if (isUncounted &&
       part.Tried.size() >= Options.Route->MaxAttempts + MaxUncountedAttempts)
     return false;
-  if (!isUncounted && !mayRunAgain(part))
-    return false;
-  if (!Policy.hasOther(service, part.Tried))
+  if (!mayRun(part) || !Policy.hasOther(service, part.Tried))
     return false;
   // A request that was not sent, or that reached another service, is no load
   // for this service and takes no token. A replica can lose its address to
@@ -356,8 +364,7 @@
   if (needsToken && !Policy.tryTakeExtra(service))
     return false;
   part.HedgeAt = TimePoint::max();
-  sendAttempt(index, AttemptKind::Retry);
-  return true;
+  return sendAttempt(index, AttemptKind::Retry);
 }
 
 bool ForwardExecution::holdsHedges() const {
@@ -373,7 +380,7 @@
     part.IsHedgeHeld = true;
     return;
   }
-  if (!mayRunAgain(part) || !Policy.hasOther(service, part.Tried))
+  if (!mayRun(part) || !Policy.hasOther(service, part.Tried))
     return;
   if (!Policy.tryTakeExtra(service)) {
     part.HedgeAt = now + HedgeTokenRetryDelay;
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -217,6 +217,7 @@
 
   struct Part {
     std::vector<state::ReplicaId> Tried;
+    bool Begun = false;                ///< whether an attempt was ever made
     std::uint32_t CountedAttempts = 0; ///< ran, may have run or may still run
     std::uint32_t Open = 0;
     std::uint32_t Rejections = 0;
@@ -234,8 +235,8 @@
   void sendRemainingPrimaries();
   void settleHeldPrimaries();
   bool hasOpenAttempt() const;
-  void sendAttempt(std::uint32_t part, AttemptKind kind);
-  bool mayRunAgain(const Part &part) const;
+  bool mayRun(const Part &part) const;
+  bool sendAttempt(std::uint32_t part, AttemptKind kind);
   bool retry(std::uint32_t part, AttemptEnd end);
   void hedge(std::uint32_t part, TimePoint now);
   bool holdsHedges() const;
--- a/tests/forward_execution_test.cc
+++ b/tests/forward_execution_test.cc
@@ -474,10 +474,44 @@
   CHECK(it.Cancelled.size() == 3);
 }
 
-// With random events in random order, each part runs at most as often as the
-// route allows, and the request ends exactly once with correct counts.
+// Guards against an unsafe request that runs at two replicas: a failure that a
+// replica answers must not let the held primaries repeat the part that ran.
+TEST_CASE("a suspect request that its first replica answers with a failure is "
+          "not sent to another one") {
+  Fixture it;
+  it.Route.IsIdempotent = false;
+  it.Options.IsSuspect = true;
+  it.start();
+  it.markSent(0);
+  it.respond(0, 500);
+  CHECK(it.Attempts.size() == 1);
+  REQUIRE(it.Finished);
+  CHECK(it.failure().Ran == ExecutionState::Ran);
+  CHECK(it.failure().Response->Status == 500);
+}
+
+// Guards against a part that runs at more replicas than the route allows,
+// because a hedge that was held is sent beside a retry that waits for a
+// connection.
+TEST_CASE("an attempt that waits for a connection counts towards the limit") {
+  Fixture it(2);
+  it.Options.HedgeAfter = 20ms;
+  it.start();
+  it.markAllSent();
+  it.fireTimer();
+  it.fail(0, AttemptEnd::Unknown);
+  REQUIRE(it.Attempts.size() == 3);
+  it.respond(1);
+  it.fireTimer();
+  CHECK(it.Attempts.size() == 3);
+}
+
+// With random events in random order, each part may run at most as often as the
+// route allows, and the request ends exactly once with correct counts. Guards
+// against any path that sends an attempt without asking whether the part may
+// run once more.
 TEST_CASE("no order of events exceeds the limits of a route") {
-  for (std::uint64_t seed = 0; seed != 2000; ++seed) {
+  for (std::uint64_t seed = 0; seed != 20'000; ++seed) {
     INFO("seed " << seed);
     std::mt19937_64 random(seed);
     const auto pick = [&random](std::size_t n) {
@@ -485,13 +519,16 @@
     };
     Fixture it(pick(2) == 0 ? 0 : 1 + pick(5), 0.5);
     it.Policy.Tokens = static_cast<int>(pick(6));
-    it.Policy.Replicas = 1 + pick(3);
+    it.Policy.Replicas = 1 + pick(4);
     it.Route.IsIdempotent = pick(3) != 0;
-    it.Route.MaxAttempts = static_cast<std::uint32_t>(1 + pick(2));
+    it.Route.MaxAttempts = static_cast<std::uint32_t>(1 + pick(3));
+    it.Options.IsSuspect = pick(2) == 0;
+    it.Options.FirstPart = pick(5);
     it.Options.HedgeAfter = 20ms;
     it.Options.PartialAt = it.Now + 60ms;
     it.start();
     std::map<AttemptNumber, bool> openAttempts; // true once sent
+    // Attempts of each part that ran, may have run or may still run.
     std::map<std::uint32_t, std::uint32_t> runs;
     std::size_t listed = 0;
     for (int step = 0; step != 300 && !it.Finished; ++step) {
@@ -506,37 +543,44 @@
       auto attempt = openAttempts.begin();
       std::advance(attempt, static_cast<long>(pick(openAttempts.size())));
       const AttemptNumber number = attempt->first;
+      const std::uint32_t part = it.Attempts[number].Part;
       if (!attempt->second) {
+        if (pick(8) == 0) {
+          openAttempts.erase(attempt);
+          it.fail(number, AttemptEnd::NotSent);
+          continue;
+        }
         attempt->second = true;
+        ++runs[part];
         it.markSent(number);
         continue;
       }
       openAttempts.erase(attempt);
-      const std::uint32_t part = it.Attempts[number].Part;
-      switch (pick(5)) {
+      switch (pick(6)) {
       case 0:
+        --runs[part];
         it.fail(number, AttemptEnd::Rejected);
         break;
       case 1:
+        --runs[part];
         it.fail(number, AttemptEnd::NotSent);
         break;
       case 2:
-        ++runs[part];
         it.fail(number, AttemptEnd::Unknown);
         break;
       case 3:
-        ++runs[part];
+        it.lose(number);
+        break;
+      case 4:
         it.respond(number, 500);
         break;
       default:
-        ++runs[part];
         it.respond(number);
       }
     }
     REQUIRE(it.Finished);
-    const std::uint32_t allowed = it.Route.IsIdempotent || it.Route.isSharded()
-                                      ? it.Route.MaxAttempts
-                                      : 1;
+    const std::uint32_t allowed =
+        it.Route.IsIdempotent ? it.Route.MaxAttempts : 1;
     std::uint32_t total = 0;
     for (const auto &[part, n] : runs) {
       CHECK(n <= allowed);
