Answer open requests before a stopping daemon exits

Cause: the end of a stop was a limit for requests that arrive after the SIGTERM only. Open requests kept their own deadlines, and the process exited at the end of its grace period whether they had an answer or not.

Change: Forwarder::startDrain() passes the exit on to all owners of requests. Executions end by then, as not run (503) when that is certain. A waiting attempt that cannot end before the exit, by its place in the queue and the usual latency, fails at once, so that its caller can go elsewhere in time. An executor gives such requests back to the delegating daemon, which executes them itself; a daemon that stops ends the requests that it has delegated.

Ruled out: answers that are not flushed (the exit waits for them), a second SIGTERM, SIGHUP, the stop of galenaflowd (it lasts as long as any deadline).

--- a/src/coordination/drain.cc
+++ b/src/coordination/drain.cc
@@ -1,5 +1,8 @@
 #include "coordination/drain.h"
 
+#include <algorithm>
+#include <cstdint>
+
 // The health check fails first. Requests are still accepted during the
 // balancer's lag, because the balancer continues to send them. Leases and
 // grants are handed over after the lag, since writes that arrive during it may
@@ -27,6 +30,12 @@
   return "done";
 }
 
+bool canEndWithin(state::Duration remaining, std::size_t ahead,
+                  std::size_t connections, state::Duration latency) {
+  const std::size_t rounds = ahead / std::max<std::size_t>(connections, 1) + 1;
+  return static_cast<std::int64_t>(rounds) * latency <= remaining;
+}
+
 DrainActions Drain::requestStop() {
   DrainActions actions;
   if (Phase != DrainPhase::Serving)
--- a/src/coordination/drain.h
+++ b/src/coordination/drain.h
@@ -29,6 +29,13 @@
 /// Returns the phase in snake_case.
 std::string_view drainPhaseName(DrainPhase phase);
 
+/// Whether an attempt that waits for a connection behind `ahead` others can end
+/// within `remaining`, if each attempt takes `latency` and `connections` of
+/// them are at work at a time. Attempts that are at work already are not
+/// counted, so the answer is false only when the time is certainly too short.
+bool canEndWithin(state::Duration remaining, std::size_t ahead,
+                  std::size_t connections, state::Duration latency);
+
 /// The state of the work to be completed before the exit.
 struct DrainProgress {
   std::size_t OpenRequests = 0;
--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -60,7 +60,8 @@
 /// Whether an attempt with this end has certainly not run at its service.
 bool certainlyNotRun(AttemptEnd end) {
   return end == AttemptEnd::Rejected || end == AttemptEnd::Misdirected ||
-         end == AttemptEnd::NotSent || end == AttemptEnd::AtLimit;
+         end == AttemptEnd::NotSent || end == AttemptEnd::AtLimit ||
+         end == AttemptEnd::Stopping;
 }
 
 /// A hedge for which the budget has no token is tried again after this time.
@@ -79,6 +80,8 @@
     return "not_sent";
   case AttemptEnd::AtLimit:
     return "at_limit";
+  case AttemptEnd::Stopping:
+    return "stopping";
   case AttemptEnd::Failed:
     return "failed";
   case AttemptEnd::Unknown:
@@ -105,6 +108,8 @@
     return "server_limit";
   case ForwardFault::Quarantined:
     return "quarantined";
+  case ForwardFault::Stopping:
+    return "stopping";
   case ForwardFault::CallerGone:
     break;
   }
@@ -300,6 +305,8 @@
       fault = ForwardFault::RejectedByServer;
     else if (failure.End == AttemptEnd::AtLimit)
       fault = ForwardFault::ServerLimit;
+    else if (failure.End == AttemptEnd::Stopping)
+      fault = ForwardFault::Stopping;
     failPart(index, fault);
   }
   settleHeldRetries();
@@ -348,6 +355,8 @@
 
 bool ForwardExecution::retry(std::uint32_t index, AttemptEnd end) {
   Part &part = Parts[index];
+  if (end == AttemptEnd::Stopping)
+    return false;
   const bool isUncounted = certainlyNotRun(end);
   const std::string &service = Options.Services[index];
   if (isUncounted &&
@@ -430,8 +439,9 @@
   }
   const std::size_t total = Parts.size();
   if (!hasEnoughParts(total - FailedParts)) {
-    const bool isRejected =
-        FailedParts == total || LastFault == ForwardFault::ServerLimit;
+    const bool isRejected = FailedParts == total ||
+                            LastFault == ForwardFault::ServerLimit ||
+                            LastFault == ForwardFault::Stopping;
     fail(isRejected ? LastFault : ForwardFault::TooFewParts);
     return;
   }
@@ -499,11 +509,12 @@
   if (Finished)
     return {};
   TimerAt = TimePoint::max();
-  if (now >= Options.DeadlineAt) {
+  if (now >= std::min(Options.DeadlineAt, Options.ExitAt)) {
     if (Options.Route->isSharded() && hasEnoughParts(AnsweredParts))
       finishMerged();
     else
-      fail(ForwardFault::DeadlineExceeded);
+      fail(now >= Options.DeadlineAt ? ForwardFault::DeadlineExceeded
+                                     : ForwardFault::Stopping);
     return completeEvent(now);
   }
   tryFinish(now);
@@ -519,9 +530,14 @@
   return completeEvent(now);
 }
 
+ForwardActions ForwardExecution::onStop(TimePoint exitAt, TimePoint now) {
+  Options.ExitAt = exitAt;
+  return completeEvent(now);
+}
+
 ForwardActions ForwardExecution::completeEvent(TimePoint now) {
   if (!Finished) {
-    TimePoint next = Options.DeadlineAt;
+    TimePoint next = std::min(Options.DeadlineAt, Options.ExitAt);
     if (Options.PartialAt > now)
       next = std::min(next, Options.PartialAt);
     for (const Part &part : Parts)
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -30,6 +30,7 @@
   Misdirected, ///< another replica has the address, and did not run the request
   NotSent,     ///< certainly no byte reached the replica
   AtLimit,     ///< not sent: the replicas' request limits are used up
+  Stopping,    ///< not sent: it could not end before this process exits
   Failed,      ///< ran, and the replica responded with a failure
   Unknown,     ///< sent; the request may have run
 };
@@ -74,6 +75,7 @@
   TooFewParts, ///< parts failed, and fewer than the minimum can still succeed
   ServerLimit, ///< the replicas' request limits are used up
   Quarantined, ///< equal requests have ended the replicas that ran them
+  Stopping,    ///< this process exits before the request could end
   CallerGone,
 };
 
@@ -146,6 +148,9 @@
 
   TimePoint DeadlineAt; ///< when the result is due at the latest
 
+  /// When this process exits; the result is due by then, too.
+  TimePoint ExitAt = TimePoint::max();
+
   /// From this time on, the request finishes as soon as the minimum of parts
   /// has responded. max(): always wait for all parts.
   TimePoint PartialAt = TimePoint::max();
@@ -194,6 +199,9 @@
   ForwardActions onTimer(TimePoint now);
   ForwardActions onCallerCancel(TimePoint now);
 
+  /// This process exits at `exitAt`, although the deadline may be later.
+  ForwardActions onStop(TimePoint exitAt, TimePoint now);
+
   const std::string &service(std::uint32_t part) const {
     return Options.Services[part];
   }
--- a/src/forwarding/delegation_task.cc
+++ b/src/forwarding/delegation_task.cc
@@ -141,8 +141,7 @@
   open.Executor = *executor;
   Selector.onSent(*executor);
   const Duration objective = open.Call.Route->LatencyObjective;
-  const Duration maxWait = std::min(
-      open.Call.Remaining - Options.DeadlineMargin, open.Call.Route->Timeout);
+  const Duration maxWait = endsAt(open) - open.ArrivedAt;
   open.Timer = Loop.schedule(
       objective.count() == 0 ? maxWait : std::min(objective, maxWait),
       [this, id] { onTimeout(id); });
@@ -156,7 +155,7 @@
   request.Sequence = id;
   request.RouteVersion = open.Call.Table->version();
   request.Route = open.Call.Route->Name;
-  request.Remaining = open.Call.Remaining;
+  request.Remaining = std::min(open.Call.Remaining, ExitAt - Loop.now());
   request.ReturnTime = Overhead;
   request.RequestId = message.RequestId;
   request.Method = message.Method;
@@ -251,14 +250,31 @@
   finish(id, std::move(*result));
 }
 
+void DelegationTask::startDrain(TimePoint exitAt) {
+  ExitAt = exitAt;
+  for (auto &[id, open] : OpenRequests) {
+    if (open.Executor.empty())
+      continue;
+    Loop.cancel(open.Timer);
+    open.Timer = Loop.schedule(endsAt(open) - Loop.now(),
+                               [this, id = id] { onTimeout(id); });
+  }
+  Local.startDrain(exitAt);
+}
+
+TimePoint DelegationTask::endsAt(const OpenRequest &open) const {
+  return std::min({open.DeadlineAt - Options.DeadlineMargin,
+                   open.ArrivedAt + open.Call.Route->Timeout, ExitAt});
+}
+
 void DelegationTask::onTimeout(ForwardId id) {
   OpenRequest &open = OpenRequests.at(id);
   open.Timer = 0;
   const TimePoint now = Loop.now();
-  const TimePoint failAt = std::min(open.DeadlineAt - Options.DeadlineMargin,
-                                    open.ArrivedAt + open.Call.Route->Timeout);
+  const TimePoint failAt = endsAt(open);
   if (now >= failAt) {
-    fail(id, ForwardFault::DeadlineExceeded);
+    fail(id, now >= ExitAt ? ForwardFault::Stopping
+                           : ForwardFault::DeadlineExceeded);
     return;
   }
   if (!open.IsPending) {
--- a/src/forwarding/delegation_task.h
+++ b/src/forwarding/delegation_task.h
@@ -57,6 +57,7 @@
 
   ForwardId forward(ForwardCall call, ForwardCallback callback) override;
   void cancel(ForwardId id) override;
+  void startDrain(state::TimePoint exitAt) override;
 
   void onLinkUp(const transport::PeerIdentity &peer) override;
   void onLinkLost(const transport::PeerIdentity &peer) override;
@@ -84,6 +85,7 @@
   void abandon(ForwardId id, const std::string &executor);
   void onReply(protocol::DelegatedReply reply);
   void onTimeout(ForwardId id);
+  state::TimePoint endsAt(const OpenRequest &open) const;
   void fail(ForwardId id, coordination::ForwardFault fault);
   void finish(ForwardId id, ForwardResult result);
 
@@ -95,6 +97,7 @@
   std::unordered_map<std::string, transport::PeerIdentity> LinkedPeers;
   std::unordered_map<ForwardId, OpenRequest> OpenRequests;
   ForwardId LastId = 0;
+  state::TimePoint ExitAt = state::TimePoint::max();
 
   /// Last recorded time with a link to an executor.
   state::TimePoint LastLinkedAt = state::TimePoint::min();
--- a/src/forwarding/entry_service.cc
+++ b/src/forwarding/entry_service.cc
@@ -33,6 +33,7 @@
   RefuseFrom = refuseFrom;
   ExitAt = exitAt;
   Server.closeAfterResponses();
+  Forwarding.startDrain(exitAt);
 }
 
 bool EntryService::isTooLate(Duration limit) const {
@@ -87,13 +88,12 @@
     responder->send(Protocol.refuse(Refusal::NoSuchRoute, {}, {}));
     return;
   }
-  Duration remaining = call->Remaining.value_or(route->Timeout);
+  const Duration remaining = call->Remaining.value_or(route->Timeout);
   if (isTooLate(std::min(remaining, route->Timeout))) {
     refuse(*responder, call->Message.RequestId, Refusal::Stopping, "stopping",
            "stopping");
     return;
   }
-  remaining = std::min(remaining, ExitAt - Loop.now());
   const std::string id = call->Message.RequestId;
   const ForwardId forwarded = Forwarding.forward(
       {std::make_shared<const ForwardedRequest>(std::move(call->Message)),
--- a/src/forwarding/entry_service.h
+++ b/src/forwarding/entry_service.h
@@ -71,9 +71,9 @@
 
   void setRoutes(const state::RouteTablePtr &table);
 
-  /// From now on each connection is closed after its answer, and no request is
-  /// forwarded beyond `exitAt`. From `refuseFrom` on, when callers are no
-  /// longer directed here, requests that may need longer are refused.
+  /// From now on each connection is closed after its answer, and every request
+  /// is answered by `exitAt`. From `refuseFrom` on, when callers are no longer
+  /// directed here, requests that may need longer are refused.
   void startDrain(state::TimePoint refuseFrom, state::TimePoint exitAt);
 
   std::size_t openRequests() const { return Server.openRequests(); }
--- a/src/forwarding/executor_task.cc
+++ b/src/forwarding/executor_task.cc
@@ -39,6 +39,13 @@
   reply.Outcome = DelegationOutcome::Failed;
   const auto *failure =
       std::get_if<coordination::ForwardFailure>(&result.Outcome);
+  // The delegating daemon has time to execute the request itself.
+  if (failure != nullptr &&
+      failure->Fault == coordination::ForwardFault::Stopping &&
+      failure->Ran == coordination::ExecutionState::NotRun) {
+    reply.Outcome = DelegationOutcome::Refused;
+    return reply;
+  }
   reply.Fault = static_cast<std::uint8_t>(
       failure != nullptr ? failure->Fault
                          : coordination::ForwardFault::BackendFailed);
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -1,5 +1,6 @@
 #include "forwarding/forward_task.h"
 
+#include "coordination/drain.h"
 #include "state/log.h"
 #include "state/request_limit.h"
 
@@ -9,6 +10,12 @@
 // replica: the replica is chosen when a connection is free, so no attempt waits
 // for a paused replica while another could execute it.
 //
+// While the process stops, requests whose deadline is after its exit are
+// checked often: one that waits behind too many others to end in time is failed
+// at once, as not run, so that its caller can go to another daemon. Otherwise
+// it would wait for nothing, or be sent to a replica just to be cut off by the
+// exit.
+//
 // An attempt whose response is no longer needed keeps its connection for a
 // short time if it belongs to a shard set, because a new connection costs a
 // replica about as much as the rest of the work. Work for a single replica
@@ -35,6 +42,9 @@
 /// the second replica has time to respond.
 constexpr double MaxHedgeFraction = 0.45;
 
+/// How often a stopping process looks for attempts that cannot end in time.
+constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
+
 constexpr Duration MinHedgeDelay = std::chrono::milliseconds(2);
 
 AttemptOutcome toOutcome(const ReplicaResult &result, bool cancelled) {
@@ -81,6 +91,7 @@
 
 ForwardTask::~ForwardTask() {
   Loop.cancel(WarmTimer);
+  Loop.cancel(DrainTimer);
   for (const auto &[id, request] : Requests)
     Loop.cancel(request->Timer);
 }
@@ -428,6 +439,7 @@
   const Duration margin =
       std::min(Options.DeadlineMargin + call.ReturnTime, remaining / 2);
   options.DeadlineAt = now + std::min(remaining - margin, route.Timeout);
+  options.ExitAt = ExitAt;
   const Duration objective = route.LatencyObjective;
   if (objective.count() == 0)
     return options;
@@ -476,6 +488,64 @@
   executeActions(id, it->second->Execution.onCallerCancel(Loop.now()));
 }
 
+void ForwardTask::startDrain(TimePoint exitAt) {
+  ExitAt = exitAt;
+  std::vector<ForwardId> open;
+  for (const auto &[id, request] : Requests)
+    open.push_back(id);
+  for (const ForwardId id : open) {
+    const auto it = Requests.find(id);
+    if (it != Requests.end())
+      executeActions(id, it->second->Execution.onStop(exitAt, Loop.now()));
+  }
+  endUnfinishable();
+}
+
+void ForwardTask::endUnfinishable() {
+  std::vector<WaitKey> found;
+  for (const auto &[service, queue] : WaitingAttempts)
+    findUnfinishable(service, queue, found);
+  for (const WaitKey &key : found) {
+    const auto it = Requests.find(key.Request);
+    if (it == Requests.end())
+      continue;
+    auto &execution = it->second->Execution;
+    if (WaitingAttempts[execution.service(key.Part)].erase(key) != 0)
+      executeActions(key.Request,
+                     execution.onFailure(key.Number,
+                                         {AttemptEnd::Stopping, {}, {}},
+                                         Loop.now()));
+  }
+  DrainTimer = Loop.schedule(DrainCheckInterval, [this] { endUnfinishable(); });
+}
+
+void ForwardTask::findUnfinishable(const std::string &service,
+                                   const std::set<WaitKey> &queue,
+                                   std::vector<WaitKey> &found) {
+  std::size_t connections = 0;
+  const auto replicas = ReplicasByService.find(service);
+  if (replicas != ReplicasByService.end())
+    for (const ReplicaPtr &replica : replicas->second)
+      connections += replica->Pool.limit();
+  std::size_t ahead = 0;
+  for (const WaitKey &key : queue) {
+    const auto it = Requests.find(key.Request);
+    if (it == Requests.end())
+      continue;
+    if (isUnfinishable(key, *it->second, ahead, connections))
+      found.push_back(key);
+    else
+      ++ahead;
+  }
+}
+
+bool ForwardTask::isUnfinishable(const WaitKey &key, const Request &request,
+                                 std::size_t ahead, std::size_t connections) {
+  return key.DeadlineAt > ExitAt &&
+         !coordination::canEndWithin(ExitAt - Loop.now(), ahead, connections,
+                                     expectedLatency(request.ClassKey));
+}
+
 bool ForwardTask::tryTakeExtra(std::string_view service) {
   const auto it = Budgets.find(service);
   const bool taken =
@@ -640,6 +710,12 @@
   if (it == Requests.end())
     return true;
   Request &request = *it->second;
+  if (isUnfinishable(key, request, 0, 1)) {
+    executeActions(key.Request,
+                   request.Execution.onFailure(
+                       key.Number, {AttemptEnd::Stopping, {}, {}}, Loop.now()));
+    return true;
+  }
   const auto tried = request.Execution.triedReplicas(key.Part);
   const auto canSend = [this](std::string_view id) {
     const auto replica = Replicas.find(id);
@@ -684,7 +760,7 @@
 bool ForwardTask::send(Request &request, const WaitKey &key,
                        const ReplicaPtr &target) {
   const TimePoint now = Loop.now();
-  const Duration remaining = key.DeadlineAt - now;
+  const Duration remaining = std::min(key.DeadlineAt, ExitAt) - now;
   const AttemptId id = ++LastAttempt;
   Attempt attempt;
   attempt.Request = key.Request;
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -118,6 +118,7 @@
 
   ForwardId forward(ForwardCall call, ForwardCallback callback) override;
   void cancel(ForwardId id) override;
+  void startDrain(state::TimePoint exitAt) override;
 
   std::size_t openRequests() const { return Requests.size(); }
 
@@ -222,6 +223,12 @@
   void armTimer(ForwardId id, Request &request, state::TimePoint at);
   void dispatch(const std::string &service);
   void scheduleDispatch(const std::string &service);
+  void endUnfinishable();
+  void findUnfinishable(const std::string &service,
+                        const std::set<WaitKey> &queue,
+                        std::vector<WaitKey> &found);
+  bool isUnfinishable(const WaitKey &key, const Request &request,
+                      std::size_t ahead, std::size_t connections);
   bool dispatchOne(const std::string &service, const WaitKey &key);
   bool send(Request &request, const WaitKey &key, const ReplicaPtr &target);
   void onAttemptEnded(AttemptId id, transport::HttpResult result);
@@ -283,6 +290,8 @@
   std::size_t SuspectRequests = 0;
   AttemptId LastAttempt = 0;
   transport::TimerId WarmTimer = 0;
+  transport::TimerId DrainTimer = 0;
+  state::TimePoint ExitAt = state::TimePoint::max();
   state::Counter &Hedges;
   state::Counter &Retries;
   state::Counter &BudgetRefusals;
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -68,6 +68,10 @@
   /// Cancels a request whose caller has disconnected, with its attempts at
   /// replicas.
   virtual void cancel(ForwardId id) = 0;
+
+  /// This process exits at `exitAt`. Each request, open or new, gets its result
+  /// by then, and one that cannot end in that time as soon as this is known.
+  virtual void startDrain(state::TimePoint exitAt) = 0;
 };
 
 } // namespace galenaflow::forwarding
--- a/src/forwarding/quarantine_task.h
+++ b/src/forwarding/quarantine_task.h
@@ -31,6 +31,7 @@
 
   ForwardId forward(ForwardCall call, ForwardCallback callback) override;
   void cancel(ForwardId id) override;
+  void startDrain(state::TimePoint exitAt) override { Next.startDrain(exitAt); }
 
   void onLinkUp(const transport::PeerIdentity &peer) override;
   void onLinkLost(const transport::PeerIdentity &) override {}
--- a/tests/delegation_task_test.cc
+++ b/tests/delegation_task_test.cc
@@ -41,6 +41,7 @@
   std::vector<ForwardCall> Calls;
   std::map<ForwardId, ForwardCallback> OpenCalls;
   std::vector<ForwardId> Cancelled;
+  state::TimePoint ExitAt = state::TimePoint::max();
 
   ForwardId forward(ForwardCall call, ForwardCallback callback) override {
     Calls.push_back(std::move(call));
@@ -54,15 +55,18 @@
     Cancelled.push_back(id);
     OpenCalls.erase(id);
   }
+  void startDrain(state::TimePoint exitAt) override { ExitAt = exitAt; }
   void complete(ForwardId id) {
-    auto node = OpenCalls.extract(id);
-    if (node.empty())
-      return;
     ForwardResult result;
     result.Outcome = coordination::MergedAnswer{{"sig"}, 1, "records"};
     result.Counts.Parts = 20;
     result.Counts.Hedges = 3;
-    node.mapped()(std::move(result));
+    complete(id, std::move(result));
+  }
+  void complete(ForwardId id, ForwardResult result) {
+    auto node = OpenCalls.extract(id);
+    if (!node.empty())
+      node.mapped()(std::move(result));
   }
 };
 
@@ -233,6 +237,60 @@
   CHECK(it.Strong->Executor.openRequests() == 6);
 }
 
+// Guards against requests that are lost with an executor that stops, although
+// their daemon has time to execute them.
+TEST_CASE("a request that a stopping executor has not started is executed "
+          "locally, and one that it may have started is not") {
+  DaemonPair it;
+  it.Strong->Local.CompletesCalls = false;
+  it.call();
+  REQUIRE(it.waitFor([&] { return it.Strong->Executor.openRequests() == 1; }));
+  ForwardResult result;
+  coordination::ForwardFailure failure;
+  failure.Fault = coordination::ForwardFault::Stopping;
+  SECTION("not started") {
+    result.Outcome = failure;
+    it.Strong->Local.complete(1, std::move(result));
+    REQUIRE(it.waitForResults(1));
+    CHECK(it.Weak->Local.Calls.size() == 1);
+    CHECK(std::holds_alternative<coordination::MergedAnswer>(
+        it.Results[0].Outcome));
+  }
+  SECTION("may have been started") {
+    failure.Ran = coordination::ExecutionState::Unknown;
+    result.Outcome = failure;
+    it.Strong->Local.complete(1, std::move(result));
+    REQUIRE(it.waitForResults(1));
+    CHECK(it.Weak->Local.Calls.empty());
+    const auto &reported =
+        std::get<coordination::ForwardFailure>(it.Results[0].Outcome);
+    CHECK(reported.Fault == coordination::ForwardFault::Stopping);
+    CHECK(reported.Ran == coordination::ExecutionState::Unknown);
+  }
+}
+
+// Guards against a daemon that exits while an executor works for its caller.
+TEST_CASE("a delegated request gets its result before its daemon exits") {
+  DaemonPair it;
+  it.Strong->Local.CompletesCalls = false;
+  it.call(300ms);
+  REQUIRE(it.waitFor([&] { return it.Strong->Executor.openRequests() == 1; }));
+  const auto exitAt = it.Loop.now() + 50ms;
+  it.Weak->Delegation.startDrain(exitAt);
+  CHECK(it.Weak->Local.ExitAt == exitAt);
+  it.call(300ms);
+  REQUIRE(it.waitFor([&] { return it.Strong->Local.Calls.size() == 2; }));
+  CHECK(it.Strong->Local.Calls[1].Remaining <= 50ms);
+  it.runFor(60ms);
+  REQUIRE(it.Results.size() == 2);
+  for (const ForwardResult &result : it.Results) {
+    const auto &failure =
+        std::get<coordination::ForwardFailure>(result.Outcome);
+    CHECK(failure.Fault == coordination::ForwardFault::Stopping);
+    CHECK(failure.Ran == coordination::ExecutionState::Unknown);
+  }
+}
+
 // Guards against work of replicas for a caller that has disconnected.
 TEST_CASE("a request that its caller cancels is cancelled at the executor") {
   DaemonPair it;
--- a/tests/drain_test.cc
+++ b/tests/drain_test.cc
@@ -7,6 +7,18 @@
 using namespace galenaflow::coordination;
 using namespace std::chrono_literals;
 
+// Guards against a stopping process that keeps requests which it cannot end, or
+// refuses some which it can.
+TEST_CASE("an attempt ends in time if its turn comes early enough") {
+  CHECK(canEndWithin(2s, 0, 2, 2s));
+  CHECK(canEndWithin(2s, 1, 2, 2s));
+  CHECK_FALSE(canEndWithin(2s, 2, 2, 2s));
+  CHECK(canEndWithin(4s, 3, 2, 2s));
+  CHECK_FALSE(canEndWithin(1999ms, 0, 2, 2s));
+  CHECK(canEndWithin(2s, 0, 0, 2s));
+  CHECK_FALSE(canEndWithin(-1s, 0, 1, 0s));
+}
+
 // Guards against a stopping process that exits before its work is handed over,
 // or never exits.
 TEST_CASE(
--- a/tests/forward_execution_test.cc
+++ b/tests/forward_execution_test.cc
@@ -465,6 +465,32 @@
   CHECK(std::get<MergedAnswer>(it.Finished->Result).Missing == 0);
 }
 
+// Guards against requests that the exit of the process cuts off, and against an
+// answer that calls one of them not run although it may have run.
+TEST_CASE("a stop ends a request before the process exits") {
+  Fixture it;
+  it.Route.IsIdempotent = GENERATE(true, false);
+  it.start();
+  const bool isSent = GENERATE(true, false);
+  if (isSent)
+    it.markSent(0);
+  const TimePoint exitAt = it.Now + 100ms;
+  it.executeActions(it.Execution->onStop(exitAt, it.Now));
+  CHECK(it.Timer == exitAt);
+  SECTION("at the exit") { it.fireTimer(); }
+  SECTION("when it is known that it cannot end in time") {
+    if (isSent)
+      it.fireTimer();
+    else
+      it.fail(0, AttemptEnd::Stopping);
+    CHECK(it.Attempts.size() == 1);
+  }
+  REQUIRE(it.Finished);
+  CHECK(it.failure().Fault == ForwardFault::Stopping);
+  CHECK(it.failure().Ran ==
+        (isSent ? ExecutionState::Unknown : ExecutionState::NotRun));
+}
+
 TEST_CASE("when the caller cancels, all attempts are cancelled") {
   Fixture it(3);
   it.start();
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -78,6 +78,14 @@
                                services + "]" + padding + "}");
   }
 
+  /// Adds a route whose requests may take longer than a stop.
+  void publishLongRoute() {
+    Store.put("op/config", R"({"version":9,"routes":[
+ {"name":"long","host":"h","prefix":"/long/","route_type":"unsafe",
+  "timeout_ms":12000,"target_latency_ms":8000,"service":"pool",
+  "max_attempts":1}],"services":[{"name":"pool","max_conns":26}]})");
+  }
+
   void startNode() {
     Node = std::make_unique<platform::Node>(Loop, Settings);
     REQUIRE(Node->start());
@@ -124,6 +132,27 @@
   }
 };
 
+/// A request of a caller on a connection of its own.
+struct OpenCall {
+  OpenCall(Site &site, const std::string &method, const std::string &path,
+           state::Duration limit)
+      : Connection(site.Loop, site.Settings.CallerListener), Id(++site.LastId) {
+    transport::HttpRequest request{method, path, {}, ""};
+    request.Host = "h";
+    request.Headers.add("X-Request-Id", "id" + std::to_string(Id));
+    request.Headers.add("X-Deadline-Ms", std::to_string(limit.count() / 1000));
+    Connection.send(request, limit + 1s,
+                    [this](transport::HttpResult r) { Result = std::move(r); });
+  }
+  /// Zero without an answer.
+  int status() const {
+    return Result && Result->has_value() ? (*Result)->Status : 0;
+  }
+  transport::HttpConnection Connection;
+  std::uint64_t Id;
+  std::optional<transport::HttpResult> Result;
+};
+
 } // namespace
 
 TEST_CASE(
@@ -773,6 +802,37 @@
   CHECK(site.Loop.now() - start < 5500ms);
 }
 
+// Guards against requests that wait for a replica while the process stops,
+// whose deadline is after its exit: they were cut off without an answer.
+TEST_CASE("a stop answers requests that wait for longer than it lasts") {
+  Site site;
+  site.start();
+  site.publishLongRoute();
+  for (const char *id : {"p0", "p1"})
+    site.replica(id).behaviour().ServiceTime = 2s;
+  site.runFor(1300ms);
+  std::vector<std::unique_ptr<OpenCall>> calls;
+  for (int i = 0; i != 10; ++i)
+    calls.push_back(std::make_unique<OpenCall>(site, "POST", "/long/x", 12s));
+  site.runFor(200ms);
+  bool stopped = false;
+  site.Node->stop([&] { stopped = true; });
+  const bool isAnsweredAtOnce =
+      site.Loop.runUntil([&] { return calls.back()->status() == 503; }, 2s);
+  CHECK(isAnsweredAtOnce);
+  REQUIRE(site.Loop.runUntil([&] { return stopped; }, TestLimit));
+  // The process exits here.
+  std::size_t served = 0;
+  for (const auto &call : calls) {
+    INFO("id" << call->Id << " status " << call->status());
+    CHECK(call->status() != 0);
+    if (call->status() == 503)
+      CHECK(site.executionCount(call->Id) == 0);
+    served += call->status() == 200 ? 1U : 0U;
+  }
+  CHECK(served >= 4);
+}
+
 // Guards against requests that are passed on late in a stop and then cut off by
 // the exit, among them some that may not be repeated.
 TEST_CASE("a stop under load leaves no request that has run without an "
--- a/tests/quarantine_task_test.cc
+++ b/tests/quarantine_task_test.cc
@@ -37,6 +37,7 @@
     return WereSuspect.size();
   }
   void cancel(ForwardId) override {}
+  void startDrain(state::TimePoint) override {}
 
   transport::EventLoop &Loop;
   std::uint32_t Lost = 0;
