Count overlapping lost executions once, and try quarantined requests again

Cause: two executions with three lost attempts were proof against a request, also when all of them were lost in one moment, as every execution at work is in a crash. And nothing could disprove the verdict: only an answer clears a request, and a quarantined one was never sent.

Change: only an execution that began 50 ms or more after an earlier one was lost counts beside it; the messages between daemons state when an execution began. A quarantined request is sent twice more at most, to one replica each time, 10 and 20 s after its last loss, by the daemon that saw that loss or, if it gets none, by another at a random time. Retry-After states the time to the next trial. Evidence of more than eight executions was passed back and forth between daemons without end; what is evicted at once is no longer passed on.

Ruled out: attempts at the dead replicas (they end as not sent, not lost).

--- a/src/coordination/request_quarantine.cc
+++ b/src/coordination/request_quarantine.cc
@@ -7,6 +7,17 @@
 // a reset of all connections, ends harmless requests as well. Such a request is
 // answered when it comes again, at the one replica to which it is sent first.
 //
+// Neither are many that are lost together: when all replicas of a service
+// crash, every execution of a popular request that is at work is lost. Only an
+// execution that began after an earlier one was lost shows anything new. The
+// independent executions are chosen by their ends, earliest first, which yields
+// the largest number of them.
+//
+// A verdict must be open to disproof, so a quarantined request is tried again.
+// The daemon that saw the last lost execution goes first, and the others at
+// random times whose spread grows with the fleet, so that the evidence of one
+// trial stops the others.
+//
 // The evidence of all daemons is a set of executions, which can be merged in
 // any order and more than once. Each daemon derives the standing of a request
 // from that set, so no daemon decides for others. Ages are sent instead of
@@ -22,15 +33,27 @@
                                   : entry.Executions.back().EndedAt;
 }
 
+RequestQuarantine::Observations
+RequestQuarantine::observe(const Entry &entry) const {
+  Observations seen;
+  TimePoint lastEnd;
+  for (const Execution &it : entry.Executions) {
+    if (seen.Count != 0 && it.BeganAt < lastEnd + Options.IndependenceGap)
+      continue;
+    ++seen.Count;
+    seen.Lost += it.Lost;
+    lastEnd = it.EndedAt;
+  }
+  return seen;
+}
+
 TimePoint RequestQuarantine::quarantinedUntil(const Entry &entry) const {
-  std::uint32_t lost = 0;
-  for (const Execution &execution : entry.Executions)
-    lost += execution.Lost;
-  const std::size_t n = entry.Executions.size();
-  if (n < Options.MinExecutions || lost < Options.MinLostAttempts)
+  const Observations seen = observe(entry);
+  if (seen.Count < Options.MinExecutions || seen.Lost < Options.MinLostAttempts)
     return TimePoint::min();
-  const Duration doubled = Options.MinQuarantineTime *
-                           (std::int64_t{1} << (n - Options.MinExecutions));
+  const Duration doubled =
+      Options.MinQuarantineTime *
+      (std::int64_t{1} << (seen.Count - Options.MinExecutions));
   return lastEvidenceAt(entry) + std::min(doubled, Options.MaxQuarantineTime);
 }
 
@@ -51,23 +74,64 @@
                                             : RequestStanding::Suspect;
 }
 
+// Other daemons' trials are known by their lost executions.
+TimePoint RequestQuarantine::trialAt(const Entry &entry,
+                                     std::uint32_t daemons) const {
+  const std::size_t seen = observe(entry).Count;
+  const std::size_t trials =
+      std::max(entry.Trials, seen - std::min(seen, Options.MinExecutions));
+  if (trials >= Options.MaxTrials)
+    return TimePoint::max();
+  const Execution &last = entry.Executions.back();
+  TimePoint at =
+      last.EndedAt + Options.TrialPause * (std::int64_t{1} << trials);
+  if (!last.IsOwn) {
+    std::mt19937_64 random(Salt ^ last.Id);
+    const Duration spread = Options.TrialSpread * std::max(daemons, 1U);
+    at += Duration(
+        std::uniform_int_distribution<std::int64_t>(0, spread.count())(random));
+  }
+  return std::max(at, entry.NextTrialAt);
+}
+
 Duration RequestQuarantine::remaining(const RequestFingerprint &request,
+                                      std::uint32_t daemons,
                                       TimePoint now) const {
   const auto it = Entries.find(request);
-  if (it == Entries.end())
+  if (it == Entries.end() || quarantinedUntil(it->second) <= now)
     return Duration(0);
-  const TimePoint until = quarantinedUntil(it->second);
-  return until > now ? until - now : Duration(0);
+  const TimePoint until =
+      std::min(quarantinedUntil(it->second), trialAt(it->second, daemons));
+  return std::max(until - now, Duration(0));
+}
+
+bool RequestQuarantine::tryTrial(const RequestFingerprint &request,
+                                 std::uint32_t daemons, TimePoint now) {
+  const auto it = Entries.find(request);
+  if (it == Entries.end() || quarantinedUntil(it->second) <= now ||
+      trialAt(it->second, daemons) > now)
+    return false;
+  Entry &entry = it->second;
+  entry.NextTrialAt =
+      now + Options.TrialPause * (std::int64_t{1} << ++entry.Trials);
+  entry.IsTrialOpen = true;
+  return true;
 }
 
 RequestStanding RequestQuarantine::onEnded(const RequestFingerprint &request,
-                                           std::uint32_t lost, bool isAnswered,
+                                           const ExecutionEnd &end,
                                            TimePoint now) {
-  if (isAnswered) {
+  const auto it = Entries.find(request);
+  if (it != Entries.end() && std::exchange(it->second.IsTrialOpen, false) &&
+      !end.MayHaveRun) {
+    --it->second.Trials;
+    it->second.NextTrialAt = now + Options.TrialRetryPause;
+  }
+  if (end.IsAnswered) {
     if (Entries.contains(request) && clear(request, now, now))
-      New.push_back({request, {0, 0, now}});
-  } else if (lost != 0) {
-    const Execution execution{Random() | 1, lost, now};
+      New.push_back({request, {0, 0, now, now, true}});
+  } else if (end.Lost != 0) {
+    const Execution execution{Random() | 1, end.Lost, end.BeganAt, now, true};
     if (add(request, execution, now))
       New.push_back({request, execution});
   }
@@ -77,7 +141,8 @@
 void RequestQuarantine::merge(std::span<const RequestEvidence> evidence,
                               TimePoint now) {
   for (const RequestEvidence &it : evidence) {
-    const Execution execution{it.Execution, it.Lost, now - it.Age};
+    const Execution execution{it.Execution, it.Lost, now - it.StartAge,
+                              now - it.Age, false};
     const bool isNew = it.Execution == 0
                            ? clear(it.Request, execution.EndedAt, now)
                            : add(it.Request, execution, now);
@@ -89,8 +154,8 @@
 std::vector<RequestEvidence> RequestQuarantine::takeNew(TimePoint now) {
   std::vector<RequestEvidence> evidence;
   for (const auto &[request, execution] : std::exchange(New, {}))
-    evidence.push_back(
-        {request, execution.Id, execution.Lost, now - execution.EndedAt});
+    evidence.push_back({request, execution.Id, execution.Lost,
+                        now - execution.EndedAt, now - execution.BeganAt});
   return evidence;
 }
 
@@ -100,8 +165,8 @@
   std::vector<RequestEvidence> evidence;
   for (const auto &[request, entry] : Entries)
     for (const Execution &execution : entry.Executions)
-      evidence.push_back(
-          {request, execution.Id, execution.Lost, now - execution.EndedAt});
+      evidence.push_back({request, execution.Id, execution.Lost,
+                          now - execution.EndedAt, now - execution.BeganAt});
   return evidence;
 }
 
@@ -143,14 +208,34 @@
       [](const auto &a, const auto &b) { return a.EndedAt < b.EndedAt; });
   executions.insert(at, execution);
   if (executions.size() > MaxExecutions)
-    executions.erase(executions.begin());
-  return true;
+    evictExecution(entry);
+  return std::any_of(
+      executions.begin(), executions.end(),
+      [&](const Execution &it) { return it.Id == execution.Id; });
+}
+
+// Evicts the latest execution that is not independent, which changes no
+// verdict, or else the oldest one. An execution that is evicted at once is not
+// passed on, or daemons would pass it back and forth.
+void RequestQuarantine::evictExecution(Entry &entry) const {
+  auto &executions = entry.Executions;
+  auto evicted = executions.begin();
+  TimePoint lastEnd = evicted->EndedAt;
+  for (auto it = executions.begin() + 1; it != executions.end(); ++it) {
+    if (it->BeganAt < lastEnd + Options.IndependenceGap)
+      evicted = it;
+    else
+      lastEnd = it->EndedAt;
+  }
+  executions.erase(evicted);
 }
 
 bool RequestQuarantine::clear(const RequestFingerprint &request, TimePoint at,
                               TimePoint now) {
   Entry &entry = entryFor(request, now);
   entry.AnsweredAt = std::max(entry.AnsweredAt, at);
+  entry.Trials = 0;
+  entry.NextTrialAt = TimePoint::min();
   return std::erase_if(entry.Executions, [at](const Execution &it) {
            return it.EndedAt <= at;
          }) != 0;
--- a/src/forwarding/quarantine_task.cc
+++ b/src/forwarding/quarantine_task.cc
@@ -33,7 +33,10 @@
                                  "ones had ended replicas")),
       Suspects(metrics.counter("galenaflow_suspect_requests_total",
                                "Requests that were sent to one replica first "
-                               "because an equal one had ended replicas")) {}
+                               "because an equal one had ended replicas")),
+      Trials(metrics.counter("galenaflow_quarantine_trials_total",
+                             "Quarantined requests that were sent to one "
+                             "replica to learn whether they still end it")) {}
 
 QuarantineTask::~QuarantineTask() { Loop.cancel(MessageTimer); }
 
@@ -41,26 +44,33 @@
   if (!Quarantine.empty()) {
     const auto fingerprint = call.Message->fingerprint();
     const auto standing = Quarantine.standing(fingerprint, Loop.now());
-    if (standing == RequestStanding::Quarantined)
-      return reject(*call.Message, fingerprint, std::move(callback));
-    call.IsSuspect = standing == RequestStanding::Suspect;
+    if (standing == RequestStanding::Quarantined) {
+      if (!Quarantine.tryTrial(fingerprint, Links.daemonCount(), Loop.now()))
+        return reject(*call.Message, fingerprint, std::move(callback));
+      Trials.add();
+      state::log::info("request_tried",
+                       {{"id", call.Message->RequestId},
+                        {"fingerprint", fingerprint.toText()}});
+    }
+    call.IsSuspect = standing != RequestStanding::Normal;
     if (call.IsSuspect)
       Suspects.add();
   }
   const auto message = call.Message;
-  return Next.forward(
-      std::move(call),
-      [this, message, callback = std::move(callback)](ForwardResult result) {
-        onResult(*message, result);
-        callback(std::move(result));
-      });
+  return Next.forward(std::move(call),
+                      [this, message, beganAt = Loop.now(),
+                       callback = std::move(callback)](ForwardResult result) {
+                        onResult(*message, beganAt, result);
+                        callback(std::move(result));
+                      });
 }
 
 ForwardId QuarantineTask::reject(const ForwardedRequest &message,
                                  const state::RequestFingerprint &fingerprint,
                                  ForwardCallback callback) {
   Rejections.add();
-  const Duration remaining = Quarantine.remaining(fingerprint, Loop.now());
+  const Duration remaining =
+      Quarantine.remaining(fingerprint, Links.daemonCount(), Loop.now());
   state::log::info("request_rejected", {{"id", message.RequestId},
                                         {"fingerprint", fingerprint.toText()},
                                         {"left_ms", remaining.count() / 1000}});
@@ -87,14 +97,20 @@
 }
 
 void QuarantineTask::onResult(const ForwardedRequest &message,
+                              state::TimePoint beganAt,
                               const ForwardResult &result) {
   const coordination::ForwardCounts &counts = result.Counts;
   if (counts.Lost == 0 && Quarantine.empty())
     return;
   const auto fingerprint = message.fingerprint();
   const auto before = Quarantine.standing(fingerprint, Loop.now());
-  const auto after = Quarantine.onEnded(fingerprint, counts.Lost,
-                                        counts.IsAnswered, Loop.now());
+  const auto *failure =
+      std::get_if<coordination::ForwardFailure>(&result.Outcome);
+  const bool mayHaveRun = failure == nullptr ||
+                          failure->Ran != coordination::ExecutionState::NotRun;
+  const auto after = Quarantine.onEnded(
+      fingerprint, {beganAt, counts.Lost, counts.IsAnswered, mayHaveRun},
+      Loop.now());
   if (counts.Lost != 0 && !counts.IsAnswered)
     state::log::info("request_lost", {{"id", message.RequestId},
                                       {"fingerprint", fingerprint.toText()},
--- a/src/forwarding/quarantine_task.h
+++ b/src/forwarding/quarantine_task.h
@@ -18,9 +18,10 @@
   std::uint64_t Seed = 1; ///< must differ between daemons and starts
 };
 
-/// Rejects requests that end the replicas that run them, and passes all others
-/// on to `next`. Exchanges evidence with the other daemons: each passes what is
-/// new to it on to all daemons that it has a link to.
+/// Rejects requests that end the replicas that run them, but for a few trials,
+/// and passes all others on to `next`. Exchanges evidence with the other
+/// daemons: each passes what is new to it on to all daemons that it has a link
+/// to.
 class QuarantineTask final : public Forwarder, public PeerListener {
 public:
   QuarantineTask(transport::EventLoop &loop, RelayTask &links, Forwarder &next,
@@ -45,7 +46,8 @@
   ForwardId reject(const ForwardedRequest &message,
                    const state::RequestFingerprint &fingerprint,
                    ForwardCallback callback);
-  void onResult(const ForwardedRequest &message, const ForwardResult &result);
+  void onResult(const ForwardedRequest &message, state::TimePoint beganAt,
+                const ForwardResult &result);
   void scheduleMessage();
   void sendNew();
   void send(const transport::PeerIdentity &peer,
@@ -62,6 +64,7 @@
   transport::TimerId MessageTimer = 0;
   state::Counter &Rejections;
   state::Counter &Suspects;
+  state::Counter &Trials;
 };
 
 } // namespace galenaflow::forwarding
--- a/src/protocol/quarantine_generated.h
+++ b/src/protocol/quarantine_generated.h
@@ -30,7 +30,8 @@
     VT_LOW = 6,
     VT_EXECUTION = 8,
     VT_LOST = 10,
-    VT_AGE_US = 12
+    VT_AGE_US = 12,
+    VT_START_AGE_US = 14
   };
   uint64_t high() const {
     return GetField<uint64_t>(VT_HIGH, 0);
@@ -47,6 +48,9 @@
   int64_t age_us() const {
     return GetField<int64_t>(VT_AGE_US, 0);
   }
+  int64_t start_age_us() const {
+    return GetField<int64_t>(VT_START_AGE_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_HIGH, 8) &&
@@ -54,6 +58,7 @@
            VerifyField<uint64_t>(verifier, VT_EXECUTION, 8) &&
            VerifyField<uint32_t>(verifier, VT_LOST, 4) &&
            VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_START_AGE_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -77,6 +82,9 @@
   void add_age_us(int64_t age_us) {
     fbb_.AddElement<int64_t>(QuarantineEvidence::VT_AGE_US, age_us, 0);
   }
+  void add_start_age_us(int64_t start_age_us) {
+    fbb_.AddElement<int64_t>(QuarantineEvidence::VT_START_AGE_US, start_age_us, 0);
+  }
   explicit QuarantineEvidenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -94,8 +102,10 @@
     uint64_t low = 0,
     uint64_t execution = 0,
     uint32_t lost = 0,
-    int64_t age_us = 0) {
+    int64_t age_us = 0,
+    int64_t start_age_us = 0) {
   QuarantineEvidenceBuilder builder_(_fbb);
+  builder_.add_start_age_us(start_age_us);
   builder_.add_age_us(age_us);
   builder_.add_execution(execution);
   builder_.add_low(low);
--- a/src/protocol/quarantine_messages.cc
+++ b/src/protocol/quarantine_messages.cc
@@ -14,9 +14,9 @@
   std::vector<flatbuffers::Offset<fb::QuarantineEvidence>> list;
   for (const RequestEvidence &it :
        evidence.first(std::min(evidence.size(), MaxListedEvidence)))
-    list.push_back(fb::CreateQuarantineEvidence(b, it.Request.High,
-                                                it.Request.Low, it.Execution,
-                                                it.Lost, it.Age.count()));
+    list.push_back(fb::CreateQuarantineEvidence(
+        b, it.Request.High, it.Request.Low, it.Execution, it.Lost,
+        it.Age.count(), it.StartAge.count()));
   const auto vector = b.CreateVector(list);
   b.Finish(fb::CreateQuarantineMessage(b, vector));
   return bytesOf(b);
@@ -39,10 +39,12 @@
                                 std::to_string(MaxListedEvidence));
   for (const fb::QuarantineEvidence *it : *in->evidence())
     if (it->age_us() >= 0)
-      evidence.push_back({{it->high(), it->low()},
-                          it->execution(),
-                          it->lost(),
-                          state::Duration(it->age_us())});
+      evidence.push_back(
+          {{it->high(), it->low()},
+           it->execution(),
+           it->lost(),
+           state::Duration(it->age_us()),
+           state::Duration(std::max(it->age_us(), it->start_age_us()))});
   return evidence;
 }
 
--- a/src/state/request_evidence.h
+++ b/src/state/request_evidence.h
@@ -18,6 +18,7 @@
 
   std::uint32_t Lost = 0; ///< attempts whose replica ended the connection
   Duration Age{0};        ///< since the execution ended
+  Duration StartAge{0};   ///< since it began; at least Age
 
   bool operator==(const RequestEvidence &) const = default;
 };
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -3,6 +3,7 @@
 #include "platform/replica_standin.h"
 #include "support/process.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 
 using namespace galenaflow;
@@ -583,6 +584,29 @@
   CHECK(limits.heldBytes() <= limits.processBytes());
 }
 
+// Guards against a popular request that is rejected for minutes because it was
+// at work when all replicas of its service crashed.
+TEST_CASE("a request that was at work when all replicas crashed is served "
+          "again after their return") {
+  Site site;
+  site.add("p2", "pool");
+  site.start();
+  site.runFor(1300ms);
+  const std::array<std::string, 3> pool{"p0", "p1", "p2"};
+  for (const std::string &id : pool)
+    site.replica(id).behaviour().ServiceTime = 100ms;
+  std::vector<std::unique_ptr<OpenCall>> calls;
+  for (int i = 0; i != 6; ++i)
+    calls.push_back(std::make_unique<OpenCall>(site, "GET", "/one/x", 700ms));
+  site.runFor(50ms);
+  for (const std::string &id : pool) {
+    REQUIRE(site.replica(id).runs().size() == 1);
+    site.replica(id).crash();
+  }
+  site.runFor(3s + 2500ms);
+  CHECK(site.call("/one/x").Status == 200);
+}
+
 // Guards against a request that crashes every replica that runs it, one after
 // the other, each time it comes again.
 TEST_CASE("a request that ends replicas is rejected after a few of them") {
--- a/tests/platform/replica_standin.h
+++ b/tests/platform/replica_standin.h
@@ -99,13 +99,16 @@
   /// Rejects requests for `lasting` and asks for a pause of `pause`.
   void askForPause(state::Duration lasting, state::Duration pause);
 
+  /// Ends all connections and refuses further ones until it starts again after
+  /// ReplicaBehaviour::RestartTime.
+  void crash();
+
   /// Starts again under the same id, as another incarnation.
   void restart();
 
 private:
   void onRequest(const transport::HttpRequest &request,
                  const RawConnectionPtr &connection);
-  void crash();
 
   transport::EventLoop &Loop;
   std::string Id;
