Read a bounded piece of a connection in each turn of the event loop

Cause: h2o reads a socket until it is empty, into a buffer that it doubles. A peer that sends faster than the process reads keeps it reading: one read returned 39 MB here, in a buffer of 67 MB, before any limit saw a byte.

Change: connections to servers, the store and other daemons are read with readInput(), 64 KiB a turn. The rest waits in the receive buffer and holds up the peer.

Ruled out: fragmentation of the heap.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -3,6 +3,7 @@
 #include "state/log.h"
 #include "transport/h2o_api.h"
 #include "transport/http_response_parser.h"
+#include "transport/socket_input.h"
 
 #include <algorithm>
 #include <charconv>
@@ -18,8 +19,8 @@
 //
 // A peer may send bytes without end. Everything that is held of a response is
 // limited, for the response and for the process, and the connection is closed
-// when a limit is exceeded. One turn of the event loop reads at most what the
-// socket's receive buffer holds.
+// when a limit is exceeded. One turn of the event loop reads at most
+// MaxReadBytes.
 //
 // Results are delivered by a posted task, so that callbacks may destroy the
 // connection or send again.
@@ -130,7 +131,8 @@
   void finish(HttpResult result);
   void fail(ErrorCode code, const std::string &text,
             ResponseLimit limit = ResponseLimit::None);
-  void consumeInput();
+  void onInputEnded(bool isClosedInOrder);
+  void consumeInput(std::string_view bytes);
   void onParsed(HttpResponseParser::State state);
   bool holdParsedBytes();
   void releaseHeldBytes();
@@ -191,7 +193,7 @@
   self->IdleTimeout = DefaultIdleTimeout;
   self->ConnectedAt = self->Loop.now();
   self->HasResponded = false;
-  h2o_socket_read_start(sock, &Impl::onRead);
+  startReading(sock, &Impl::onRead);
   if (self->Busy) {
     self->write();
     return;
@@ -224,41 +226,42 @@
   impl->Writing = false;
 }
 
-void HttpConnection::Impl::onRead(h2o_socket_t *sock, const char *err) {
+void HttpConnection::Impl::onRead(h2o_socket_t *sock, const char *) {
   auto *impl = static_cast<Impl *>(sock->data);
   if (impl == nullptr)
     return;
   const auto self = impl->shared_from_this();
-  self->consumeInput();
-  if (err == nullptr || self->Sock != sock)
-    return;
-  const bool closedCleanly = err == h2o_socket_error_closed;
-  if (self->Busy && !self->ResultPosted) {
-    if (closedCleanly &&
-        self->Parser->finish() == HttpResponseParser::State::Complete) {
-      self->onParsed(HttpResponseParser::State::Complete);
+  const SocketInput input = readInput(sock);
+  if (!input.Bytes.empty())
+    self->consumeInput(input.Bytes);
+  else if (input.IsClosed || input.IsBroken)
+    self->onInputEnded(input.IsClosed);
+}
+
+void HttpConnection::Impl::onInputEnded(bool isClosedInOrder) {
+  if (Busy && !ResultPosted) {
+    if (isClosedInOrder &&
+        Parser->finish() == HttpResponseParser::State::Complete) {
+      onParsed(HttpResponseParser::State::Complete);
       return;
     }
-    const std::string text = closedCleanly ? self->Parser->error()
-                                           : std::string("connection broken");
-    self->closeSocket();
-    self->finish(tl::unexpected(
-        HttpFailure{{ErrorCode::Unavailable, self->Authority + ": " + text},
-                    self->MaybeSent,
-                    !self->HasReceived}));
+    const std::string text =
+        isClosedInOrder ? Parser->error() : std::string("connection broken");
+    closeSocket();
+    finish(tl::unexpected(
+        HttpFailure{{ErrorCode::Unavailable, Authority + ": " + text},
+                    MaybeSent,
+                    !HasReceived}));
     return;
   }
-  const bool isNew = self->Loop.now() - self->ConnectedAt < RefusalWindow;
-  if (!self->HasResponded && isNew)
-    ++self->RefusedConnections;
-  self->closeSocket();
-  self->notifyIdleChange();
+  const bool isNew = Loop.now() - ConnectedAt < RefusalWindow;
+  if (!HasResponded && isNew)
+    ++RefusedConnections;
+  closeSocket();
+  notifyIdleChange();
 }
 
-void HttpConnection::Impl::consumeInput() {
-  h2o_buffer_t *&input = Sock->input;
-  if (input->size == 0)
-    return;
+void HttpConnection::Impl::consumeInput(std::string_view bytes) {
   if (!Busy || ResultPosted) {
     // No exchange is waiting for a response, so the bytes belong to none.
     closeSocket();
@@ -266,9 +269,7 @@
     return;
   }
   HasReceived = true;
-  const auto state = Parser->feed({input->bytes, input->size});
-  h2o_buffer_consume(&input, input->size);
-  onParsed(state);
+  onParsed(Parser->feed(bytes));
 }
 
 bool HttpConnection::Impl::hasMismatchedEcho(
--- a/src/transport/peer_link.cc
+++ b/src/transport/peer_link.cc
@@ -1,6 +1,7 @@
 #include "transport/peer_link.h"
 
 #include "transport/h2o_api.h"
+#include "transport/socket_input.h"
 
 #include <algorithm>
 #include <map>
@@ -132,7 +133,7 @@
 
 void PeerNetwork::Impl::startReading(const LinkPtr &link) {
   link->Connecting = false;
-  h2o_socket_read_start(link->Socket, &Impl::onRead);
+  transport::startReading(link->Socket, &Impl::onRead);
   flush(link);
 }
 
@@ -177,19 +178,19 @@
     link->Network->startReading(link);
 }
 
-void PeerNetwork::Impl::onRead(h2o_socket_t *socket, const char *err) {
+void PeerNetwork::Impl::onRead(h2o_socket_t *socket, const char *) {
   if (socket->data == nullptr)
     return;
   const LinkPtr link = linkOf(socket);
-  if (err != nullptr) {
+  const SocketInput input = readInput(socket);
+  if (input.IsClosed || input.IsBroken) {
     link->Network->close(link, link->Session.hasPartialFrame()
                                    ? LinkCloseReason::Truncated
                                    : LinkCloseReason::PeerClosed);
     return;
   }
-  const std::string bytes(socket->input->bytes, socket->input->size);
-  h2o_buffer_consume(&socket->input, socket->input->size);
-  link->Network->processInput(link, bytes);
+  if (!input.Bytes.empty())
+    link->Network->processInput(link, input.Bytes);
 }
 
 void PeerNetwork::Impl::processInput(const LinkPtr &link,
