Count a response until its caller has it, and drop answers nobody reads

Cause: the limit on all responses of the process ended when a response was complete.

Change: a response is counted in ReceiveLimits until it has been written or is no longer needed; parts of a merge only until they have been trimmed. Answers are written in pieces, and a connection that takes no piece for the request timeout is closed. A received body gives unused memory back.

Tests: two tests of http_transport_test expected that nothing is counted while they still held a response; they now release it first, and one also expects that it was counted.

--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -51,6 +51,7 @@
 /// since selecting records takes time.
 void trimPart(BackendResponse &response, std::size_t topK) {
   response.Headers = {};
+  response.Hold = nullptr;
   if (response.Body.size() <= 2 * topK * RecordBytes)
     return;
   const std::array<std::string_view, 1> whole{response.Body};
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -21,6 +21,9 @@
   std::string Body;
   std::string Signature; ///< proves which replica gave the response
 
+  /// Counts the bytes against a limit of the process for as long as it exists.
+  std::shared_ptr<const void> Hold{};
+
   bool isSuccess() const { return Status >= 200 && Status < 300; }
 };
 
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -43,6 +43,9 @@
 /// Idle timeouts are longer.
 constexpr state::Duration RefusalWindow = std::chrono::milliseconds(900);
 
+/// Unused memory of a received body above which it is freed, in bytes.
+constexpr std::size_t MaxUnusedBytes = std::size_t{64} << 10;
+
 std::string encodeRequest(const HttpRequest &request,
                           const std::string &authority) {
   std::string text;
@@ -349,7 +352,11 @@
     IdleTimeout = std::max(*limit - IdleMargin, state::Duration(0));
   if (!reusable)
     closeSocket();
-  finish(std::move(Parser->response()));
+  HttpResponse &response = Parser->response();
+  if (response.Body.capacity() - response.Body.size() > MaxUnusedBytes)
+    response.Body.shrink_to_fit();
+  response.Hold = Loop.receiveLimits().makeHold(std::exchange(HeldBytes, 0));
+  finish(std::move(response));
 }
 
 void HttpConnection::Impl::finish(HttpResult result) {
--- a/src/transport/http_message.h
+++ b/src/transport/http_message.h
@@ -1,6 +1,7 @@
 #ifndef GALENAFLOW_TRANSPORT_HTTP_MESSAGE_H
 #define GALENAFLOW_TRANSPORT_HTTP_MESSAGE_H
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -60,6 +61,10 @@
   int Status = 200;
   HttpHeaders Headers;
   std::string Body;
+
+  /// Counts a received response in ReceiveLimits for as long as it exists. To
+  /// be passed on with the body.
+  std::shared_ptr<const void> Hold{};
 };
 
 /// A JSON response with its content type set.
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -2,9 +2,11 @@
 
 #include "transport/h2o_api.h"
 
+#include <algorithm>
 #include <cstring>
 #include <openssl/ssl.h>
 #include <poll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <unordered_set>
 #include <utility>
@@ -14,6 +16,11 @@
 // memory pool keeps the responder alive: h2o disposes of the pool when the
 // response has been written or the connection has ended, and the dispose
 // callback is the only reliable notification of either event.
+//
+// An answer is written in pieces. h2o asks for the next one when the socket has
+// taken the last, which tells a caller that reads slowly from one that does not
+// read at all. Without that, such callers would hold answers for ever, since
+// h2o has no timeout for writing.
 
 namespace galenaflow::transport {
 
@@ -24,6 +31,9 @@
 
 class Responder;
 
+/// Size of a piece of an answer, in bytes.
+constexpr std::size_t WritePieceBytes = std::size_t{256} << 10;
+
 struct RoutingHandler {
   h2o_handler_t Super;
   HttpServer::Impl *Server;
@@ -45,6 +55,8 @@
   bool IsShutdownRequested = false;
   /// The responders that have not sent a response.
   std::unordered_set<Responder *> OpenResponders;
+  /// The responders whose response is being written.
+  std::unordered_set<Responder *> WritingResponders;
   TimerId DisconnectTimer = 0;
 
   Impl(EventLoop &loop, HttpServerOptions options, HttpHandler handler)
@@ -95,13 +107,29 @@
     Req->res.status = response.Status;
     Req->res.reason = "";
     Req->res.content_length = Body.size();
+    Hold = std::move(response.Hold);
     for (const auto &[name, value] : response.Headers.items())
       addHeader(name, value);
-    Generator.proceed = [](h2o_generator_t *, h2o_req_t *) {};
-    Generator.stop = [](h2o_generator_t *, h2o_req_t *) {};
-    h2o_iovec_t buf = h2o_iovec_init(Body.data(), Body.size());
-    h2o_start_response(Req, &Generator);
-    h2o_send(Req, &buf, 1, H2O_SEND_STATE_FINAL);
+    Generator.Super.proceed = [](h2o_generator_t *it, h2o_req_t *) {
+      reinterpret_cast<ResponseGenerator *>(it)->Owner->sendPiece();
+    };
+    Generator.Super.stop = [](h2o_generator_t *, h2o_req_t *) {};
+    Server->WritingResponders.insert(this);
+    Server->scheduleDisconnectCheck();
+    h2o_start_response(Req, &Generator.Super);
+    sendPiece();
+  }
+
+  /// Whether the peer has taken nothing of the response for `timeout`.
+  bool isStalled(state::Duration timeout) const {
+    return Req != nullptr && Req->version < 0x200 &&
+           Server->Loop.now() - LastProgress >= timeout;
+  }
+
+  /// Ends the connection; h2o then frees the request.
+  void shutDown() {
+    h2o_socket_t *sock = Req->conn->callbacks->get_socket(Req->conn);
+    shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
   }
 
   bool isOpen() const override { return Req != nullptr && !Sent; }
@@ -118,9 +146,9 @@
     Req->res.reason = "";
     Req->res.content_length = SIZE_MAX;
     Req->http1_is_persistent = 0;
-    Generator.proceed = [](h2o_generator_t *, h2o_req_t *) {};
-    Generator.stop = [](h2o_generator_t *, h2o_req_t *) {};
-    h2o_start_response(Req, &Generator);
+    Generator.Super.proceed = [](h2o_generator_t *, h2o_req_t *) {};
+    Generator.Super.stop = [](h2o_generator_t *, h2o_req_t *) {};
+    h2o_start_response(Req, &Generator.Super);
     h2o_send(Req, nullptr, 0, H2O_SEND_STATE_ERROR);
   }
 
@@ -128,12 +156,30 @@
   void detach() {
     --Server->Requests;
     Server->OpenResponders.erase(this);
+    Server->WritingResponders.erase(this);
     Req = nullptr;
+    Body = {};
+    Hold = nullptr;
     if (!Sent && DisconnectCallback)
       Server->Loop.post(std::move(DisconnectCallback));
   }
 
 private:
+  struct ResponseGenerator {
+    h2o_generator_t Super;
+    Responder *Owner;
+  };
+
+  void sendPiece() {
+    LastProgress = Server->Loop.now();
+    const std::size_t n = std::min(WritePieceBytes, Body.size() - Written);
+    h2o_iovec_t buf = h2o_iovec_init(Body.data() + Written, n);
+    Written += n;
+    h2o_send(Req, &buf, 1,
+             Written == Body.size() ? H2O_SEND_STATE_FINAL
+                                    : H2O_SEND_STATE_IN_PROGRESS);
+  }
+
   void markSent() {
     Sent = true;
     Server->OpenResponders.erase(this);
@@ -148,9 +194,12 @@
 
   h2o_req_t *Req;
   HttpServer::Impl *Server;
-  h2o_generator_t Generator{};
+  ResponseGenerator Generator{{}, this};
   bool Sent = false;
   std::string Body;
+  std::size_t Written = 0; ///< bytes of Body that were passed to h2o
+  state::TimePoint LastProgress;
+  std::shared_ptr<const void> Hold; ///< of the response
   std::function<void()> DisconnectCallback;
 };
 
@@ -254,7 +303,10 @@
   for (Responder *responder : disconnected)
     if (OpenResponders.contains(responder))
       responder->onPeerClosed();
-  if (!OpenResponders.empty())
+  for (Responder *responder : WritingResponders)
+    if (responder->isStalled(Options.RequestTimeout))
+      responder->shutDown();
+  if (!OpenResponders.empty() || !WritingResponders.empty())
     scheduleDisconnectCheck();
 }
 
@@ -343,6 +395,7 @@
 }
 
 void HttpServer::setRequestTimeout(state::Duration timeout) {
+  Self->Options.RequestTimeout = timeout;
   // The timeout list of the context holds the timeout of new entries.
   Self->Context.http1.req_timeout.timeout = static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -42,7 +42,8 @@
   /// Connections above this number are closed when accepted.
   std::size_t MaxConnections = 10000;
 
-  /// A connection that sends no complete request within this time is closed.
+  /// A connection that sends no complete request within this time is closed,
+  /// and an HTTP/1.1 connection that takes nothing of an answer for so long.
   state::Duration RequestTimeout = std::chrono::seconds(10);
 
   /// PEM files of the certificate chain and the key. Both are empty for plain
@@ -55,7 +56,8 @@
 class HttpServer {
 public:
   /// h2o does not read from an HTTP/1.1 connection while a request is open, so
-  /// the sockets of open requests are polled for a disconnect with this period.
+  /// the sockets of open requests are polled for a disconnect with this period,
+  /// and answers that are being written are checked for progress.
   static constexpr state::Duration DisconnectCheckPeriod =
       std::chrono::milliseconds(100);
 
--- a/src/transport/receive_limits.cc
+++ b/src/transport/receive_limits.cc
@@ -4,7 +4,9 @@
 // shards has as many responses open, and all requests together many more, so
 // the sum needs a limit of its own: a process that exceeds the memory of its VM
 // is killed with all its requests, while a response that is refused fails one
-// attempt.
+// attempt. The sum includes responses that callers take slowly: a replica that
+// sends the largest allowed ones, and callers that read nothing, would exceed
+// the memory otherwise.
 
 namespace galenaflow::transport {
 
@@ -17,13 +19,18 @@
 
 bool ReceiveLimits::tryGrow(std::size_t before, std::size_t after) {
   const std::size_t reserve = after > SmallResponseBytes ? ProcessBytes / 4 : 0;
-  const std::size_t total = HeldBytes - before + after;
+  const std::size_t total = *HeldBytes - before + after;
   if (after > before && total > ProcessBytes - reserve)
     return false;
-  HeldBytes = total;
+  *HeldBytes = total;
   return true;
 }
 
+std::shared_ptr<const void> ReceiveLimits::makeHold(std::size_t n) const {
+  return {HeldBytes.get(),
+          [held = HeldBytes, n](const std::size_t *) { *held -= n; }};
+}
+
 void ReceiveLimits::exportTo(state::MetricRegistry &metrics) const {
   for (std::size_t i = 1; i != ResponseLimitCount; ++i) {
     const auto limit = static_cast<ResponseLimit>(i);
@@ -35,8 +42,8 @@
   }
   metrics
       .gauge("galenaflow_open_response_bytes",
-             "Bytes of the responses that are being received")
-      .set(static_cast<double>(HeldBytes));
+             "Bytes of the responses that are being received or passed on")
+      .set(static_cast<double>(*HeldBytes));
 }
 
 } // namespace galenaflow::transport
--- a/src/transport/receive_limits.h
+++ b/src/transport/receive_limits.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string_view>
 
 namespace galenaflow::transport {
@@ -25,8 +26,9 @@
 /// The name of the limit in snake_case, for logs and metrics.
 std::string_view responseLimitName(ResponseLimit limit);
 
-/// Limits the bytes of all responses that this process has received and not
-/// yet delivered, and counts the responses that exceeded any limit.
+/// Limits the bytes of all responses that this process holds, from their first
+/// byte until they have been passed on to a caller or are no longer needed, and
+/// counts the responses that exceeded any limit.
 class ReceiveLimits {
 public:
   /// Sets the limit in bytes. A quarter of it is reserved for small responses,
@@ -40,9 +42,13 @@
   bool tryGrow(std::size_t before, std::size_t after);
 
   /// Releases the bytes of a response.
-  void release(std::size_t n) { HeldBytes -= n; }
+  void release(std::size_t n) { *HeldBytes -= n; }
 
-  std::size_t heldBytes() const { return HeldBytes; }
+  /// Returns an object that releases these bytes when it is destroyed. It may
+  /// outlive this one.
+  std::shared_ptr<const void> makeHold(std::size_t n) const;
+
+  std::size_t heldBytes() const { return *HeldBytes; }
 
   void countExceeded(ResponseLimit limit) {
     ++Exceeded[static_cast<std::size_t>(limit)];
@@ -61,7 +67,7 @@
 
 private:
   std::size_t ProcessBytes = DefaultProcessBytes;
-  std::size_t HeldBytes = 0;
+  std::shared_ptr<std::size_t> HeldBytes = std::make_shared<std::size_t>(0);
   std::array<std::uint64_t, ResponseLimitCount> Exceeded{};
 };
 
--- a/tests/http_transport_test.cc
+++ b/tests/http_transport_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <sys/socket.h>
 #include <unistd.h>
 
 using namespace galenaflow;
@@ -406,6 +407,7 @@
   REQUIRE_FALSE(failing.Result->has_value());
   CHECK(failing.Result->error().Cause.Code == state::ErrorCode::Unavailable);
   CHECK(endless.Loop.receiveLimits().exceeded(it.Limit) == 1);
+  served.Result.reset();
   CHECK(endless.Loop.receiveLimits().heldBytes() == 0);
   CHECK_FALSE(bad.isConnected());
 }
@@ -444,9 +446,60 @@
   REQUIRE(served.waitForResult());
   CHECK(served.Result->has_value());
   connections.clear();
+  // A response counts until it is no longer needed.
+  CHECK(limits.heldBytes() >= 1000);
+  served.Result.reset();
   CHECK(limits.heldBytes() == 0);
 }
 
+// Guards against callers that hold their answers for ever because they do not
+// read them, and against a limit that cuts off callers that read slowly.
+TEST_CASE("an answer that its caller does not read is dropped, and one that is "
+          "read slowly is not") {
+  EventLoop loop;
+  constexpr std::size_t size = std::size_t{8} << 20;
+  HttpServerOptions options;
+  options.RequestTimeout = 400ms;
+  HttpServer server(
+      loop, options, [](const HttpRequest &, const auto &responder) {
+        responder->send(jsonResponse(200, std::string(size, 'a')));
+      });
+  const auto address = server.listen(anyPort());
+  const int caller = socket(AF_INET, SOCK_STREAM, 0);
+  const int bufferBytes = 64 << 10;
+  setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &bufferBytes, sizeof(bufferBytes));
+  REQUIRE(connect(caller, address->data(), address->Length) == 0);
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  REQUIRE(write(caller, request.data(), request.size()) > 0);
+  const auto start = loop.now();
+  std::size_t received = 0;
+  const bool reads = GENERATE(true, false);
+  std::vector<char> buffer(std::size_t{512} << 10);
+  const auto isEnded = [&] {
+    return reads ? received >= size
+                 : loop.now() - start > 100ms && server.openRequests() == 0;
+  };
+  while (!isEnded() && loop.now() - start < TestLimit) {
+    const auto next = loop.now() + 50ms;
+    while (loop.now() < next) {
+      loop.runUntil([] { return false; }, 5ms);
+      const ssize_t n =
+          reads ? recv(caller, buffer.data(),
+                       std::min<std::size_t>(buffer.size(), 64 << 10),
+                       MSG_DONTWAIT)
+                : 0;
+      received += n > 0 ? static_cast<std::size_t>(n) : 0;
+    }
+  }
+  CHECK((received >= size) == reads);
+  if (reads)
+    CHECK(loop.now() - start > options.RequestTimeout);
+  CHECK(loop.runUntil([&] { return server.openRequests() == 0; }, TestLimit));
+  close(caller);
+  CHECK(
+      loop.runUntil([&] { return server.openConnections() == 0; }, TestLimit));
+}
+
 TEST_CASE("a response without a length is complete only after a clean close") {
   RawServer server;
   server.Responses = {"HTTP/1.1 200 OK\r\n\r\nbody"};
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -5,6 +5,8 @@
 
 #include <array>
 #include <catch2/catch.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace galenaflow;
 using namespace std::chrono_literals;
@@ -154,6 +156,33 @@
   std::optional<transport::HttpResult> Result;
 };
 
+/// A caller that sends a request and reads nothing until it disconnects.
+class UnreadCall {
+public:
+  UnreadCall(Site &site, const std::string &path)
+      : Socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    const int size = 4096;
+    setsockopt(Socket, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    const auto &address = site.Settings.CallerListener;
+    REQUIRE(connect(Socket, address.data(), address.Length) == 0);
+    const std::string request = "GET " + path +
+                                " HTTP/1.1\r\nHost: h\r\nX-Request-Id: id" +
+                                std::to_string(++site.LastId) + "\r\n\r\n";
+    REQUIRE(write(Socket, request.data(), request.size()) ==
+            static_cast<ssize_t>(request.size()));
+  }
+  UnreadCall(UnreadCall &&other) noexcept
+      : Socket(std::exchange(other.Socket, -1)) {}
+  UnreadCall &operator=(UnreadCall &&) = delete;
+  ~UnreadCall() {
+    if (Socket != -1)
+      close(Socket);
+  }
+
+private:
+  int Socket;
+};
+
 } // namespace
 
 TEST_CASE(
@@ -584,6 +613,33 @@
   CHECK(limits.heldBytes() <= limits.processBytes());
 }
 
+// Guards against a process that is killed for its memory because a replica
+// sends as much as one response may have, and callers do not read their
+// answers.
+TEST_CASE("answers that callers do not read are limited together") {
+  Site site;
+  site.Settings.MemoryBytes = std::uint64_t{160} << 20;
+  site.start();
+  for (const char *id : {"p0", "p1"}) {
+    site.replica(id).behaviour().EndlessStart =
+        "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n"
+        "Content-Length: 4000000\r\n\r\n";
+    site.replica(id).behaviour().EndlessRepeated =
+        std::string(std::size_t{64} << 10, 'a');
+  }
+  const transport::ReceiveLimits &limits = site.Loop.receiveLimits();
+  std::vector<UnreadCall> callers;
+  for (int i = 0; i != 16; ++i) {
+    callers.emplace_back(site, "/one/x");
+    site.runFor(100ms);
+    CHECK(limits.heldBytes() <= limits.processBytes());
+  }
+  CHECK(limits.exceeded(transport::ResponseLimit::ProcessBytes) != 0);
+  CHECK(site.call("/all/x").Status == 200);
+  callers.clear();
+  CHECK(site.Loop.runUntil([&] { return limits.heldBytes() == 0; }, 2s));
+}
+
 // Guards against a popular request that is rejected for minutes because it was
 // at work when all replicas of its service crashed.
 TEST_CASE("a request that was at work when all replicas crashed is served "
