--- a/tests/platform/metadata_store.cc
+++ b/tests/platform/metadata_store.cc
@@ -140,7 +140,10 @@
   json page{{"items", json::array()},
             {"has_more", false},
             {"store_revision", Revision}};
-  for (auto it = Items.upper_bound(after); it != Items.end(); ++it) {
+  if (Faults.RepeatPages)
+    page["has_more"] = true;
+  for (auto it = Items.upper_bound(Faults.RepeatPages ? "" : after);
+       it != Items.end(); ++it) {
     if (!it->first.starts_with(prefix))
       continue;
     if (page["items"].size() == PageSize) {
--- a/tests/platform/metadata_store.h
+++ b/tests/platform/metadata_store.h
@@ -19,6 +19,7 @@
   bool Throttle = false;        ///< 429 to every call
   int DropNextResponses = 0;    ///< number of calls that get no response
   bool HideWatchEvents = false; ///< watches report no changes
+  bool RepeatPages = false; ///< each page is the first one, with more to come
 };
 
 /// Serves the interface of the platform's metadata store from memory: items
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -446,6 +446,19 @@
   CHECK(site.call("/all/x").Headers.find("X-Missing-Parts") == "0");
 }
 
+// Guards against a full read that never ends and fills the memory, because the
+// store announces further pages without end.
+TEST_CASE("pages of a directory that do not advance end the read") {
+  Site site;
+  site.Store.faults().RepeatPages = true;
+  site.startNode();
+  site.runFor(1s);
+  CHECK(site.Store.calls() < 20);
+  CHECK_FALSE(site.isReady());
+  site.Store.faults() = {};
+  CHECK(site.Loop.runUntil([&] { return site.isReady(); }, TestLimit));
+}
+
 // Without a hedge, a query that reaches the paused replicas of two shards has
 // too few parts at its deadline.
 TEST_CASE("a paused shard replica is hedged") {
