Limit the receive buffer of accepted connections

Cause: as for replicas, h2o reads until a socket is empty, into a buffer that it doubles. Connections of callers can't be read with readInput(), since h2o reads them itself.

Change: the receive buffer of accepted connections is 64 KiB, so that a read soon finds less than it asked for.

--- a/src/transport/socket_address.cc
+++ b/src/transport/socket_address.cc
@@ -18,6 +18,9 @@
 
 constexpr int ListenBacklog = 1024;
 
+/// Receive buffer of accepted connections, in bytes.
+constexpr int AcceptedReceiveBufferBytes = 64 << 10;
+
 tl::unexpected<state::Error> invalidAddress(std::string_view text) {
   return makeError(ErrorCode::InvalidArgument,
                    "expected IP:PORT, got \"" + std::string(text) + "\"");
@@ -80,6 +83,9 @@
                      std::string("socket: ") + std::strerror(errno));
   const int on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  // Accepted connections inherit this. h2o reads them until they are empty.
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &AcceptedReceiveBufferBytes,
+             sizeof(AcceptedReceiveBufferBytes));
   if (bind(fd, address.data(), address.Length) != 0 ||
       listen(fd, ListenBacklog) != 0) {
     const int ec = errno;
--- a/tests/receive_memory_test.cc
+++ b/tests/receive_memory_test.cc
@@ -1,4 +1,5 @@
 #include "transport/http_client.h"
+#include "transport/http_server.h"
 
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -107,4 +108,47 @@
   // A buffer that grows by doubling may hold twice the bytes.
   CHECK(peakMemory() - before <= 3 * limit);
 }
+
+// Guards against the same on the side of callers, whose connections h2o reads:
+// extensions of chunks are not kept, but a read returned all that had arrived.
+TEST_CASE(
+    "callers that send faster than they are read cost no more memory than "
+    "their limits") {
+  constexpr std::size_t callers = 50;
+  constexpr std::size_t headBytes = 400'000; // h2o's limit
+  EventLoop loop;
+  HttpServerOptions options;
+  HttpServer server(loop, options, [](const HttpRequest &, const auto &it) {
+    it->send(jsonResponse(200, ""));
+  });
+  const auto address = server.listen(*parseSocketAddress("127.0.0.1:0"));
+  REQUIRE(address);
+  std::string bytes = "1;" + std::string(std::size_t{1} << 20, 'a');
+  const std::size_t before = peakMemory();
+  std::atomic<bool> isEnded = false;
+  std::vector<std::thread> threads;
+  for (std::size_t i = 0; i != callers; ++i)
+    threads.emplace_back([&] {
+      SocketAddress target = *address;
+      const int fd = socket(AF_INET, SOCK_STREAM, 0);
+      const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n";
+      if (connect(fd, target.data(), target.Length) == 0)
+        ::send(fd, head.data(), head.size(), MSG_NOSIGNAL);
+      while (!isEnded &&
+             ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0)
+        ;
+      close(fd);
+    });
+  loop.runUntil([] { return false; }, 300ms);
+  // The receive buffers fill while the process does something else.
+  std::this_thread::sleep_for(200ms);
+  loop.runUntil([] { return false; }, 1s);
+  const std::size_t grown = peakMemory() - before;
+  isEnded = true;
+  loop.runUntil([&] { return server.openConnections() == 0; }, TestLimit);
+  for (std::thread &it : threads)
+    it.join();
+  CHECK(grown <= callers * (headBytes + options.MaxBodyBytes));
+}
 #endif
