Remember a failed read until a newer view has been read

Would be seen as: replicas that are dropped for a second after an outage of the store of 2.2 to 3 s.

Cause: after a failed read a daemon also reads from other daemons. A view that one of them had kept from before the outage reset the mark of the failure, so that the longer limit for a source that was merely silent decided whether there had been an outage.

Change: only a view that was read after the own one resets the mark.

Evidence: the new test of directory_reader_test failed before and passes now.

--- a/src/coordination/directory_reader.cc
+++ b/src/coordination/directory_reader.cc
@@ -25,11 +25,13 @@
   return HasContent ? DirectoryRead::Changes : DirectoryRead::Full;
 }
 
+// A view that another daemon read before the last read of this one does not show
+// that the source is available again.
 bool DirectoryReader::onSuccess(TimePoint readAt, TimePoint now) {
-  const Duration timeout = std::exchange(HasFailed, false)
-                               ? Options.OutageTimeout
-                               : Options.SilenceTimeout;
+  const Duration timeout =
+      HasFailed ? Options.OutageTimeout : Options.SilenceTimeout;
   const bool wasOut = LastReadAt + timeout < now;
+  HasFailed = HasFailed && readAt <= LastReadAt;
   IsReadOpen = false;
   LastReadAt = std::max(LastReadAt, readAt);
   Backoff = Options.MinBackoff;
--- a/tests/directory_reader_test.cc
+++ b/tests/directory_reader_test.cc
@@ -47,6 +47,23 @@
   CHECK(it.Now - start == 2 * it.Options.Period);
 }
 
+// Guards against records that are dropped after an outage, because a view that
+// other daemons had kept from before it seemed to show that it had ended.
+TEST_CASE("an old view of a relay does not end an outage") {
+  Fixture it;
+  it.next();
+  it.Reader.onFullRead(at(40), it.Now, it.Now);
+  const TimePoint lastRead = it.Now;
+  it.next();
+  it.Reader.onFailure(it.Now);
+  it.next();
+  it.Now = lastRead + 1100ms;
+  CHECK_FALSE(it.Reader.onChanges(at(40), lastRead, it.Now));
+  it.Now = lastRead + it.Options.OutageTimeout + 100ms;
+  it.next();
+  CHECK(it.Reader.onChanges(at(41), it.Now, it.Now));
+}
+
 // Guards against a fleet whose daemons are not counted for seconds after a stop
 // of all of them.
 TEST_CASE("reads are more frequent for a limited time after the start") {
