Test calls that a silent outage of the source has swallowed

It is not a fault here: six daemons have a change within 3 s of the end of outages of 3.3 and 6.4 s, with each call of the outage ending 0.7 s after it was made. The test passed on the code as it was and stays as a guard.

--- a/tests/relay_task_test.cc
+++ b/tests/relay_task_test.cc
@@ -11,6 +11,9 @@
 
 constexpr auto TestLimit = 10s;
 
+/// As that of the platform's store client.
+constexpr auto CallTimeout = 700ms;
+
 state::RouteTablePtr makeTable(std::uint64_t version) {
   return std::make_shared<const state::RouteTable>(
       version, std::vector<state::Route>(), std::vector<state::RoutedService>(),
@@ -30,11 +33,18 @@
   std::uint64_t Revision = 10;
   std::uint64_t Version = 1;
   bool IsUnavailable = false;
+  bool IsSilent = false; ///< calls get no answer, also when this ends meanwhile
   bool HasRoutes = true; ///< false: none have been published yet
   int Reads = 0;
 
   void readAll(DirectoryCallback callback) override {
     ++Reads;
+    if (IsSilent) {
+      Loop.schedule(CallTimeout, [callback] {
+        callback(tl::unexpected(DirectoryFault::Failed));
+      });
+      return;
+    }
     if (Shared != nullptr && !IsUnavailable) {
       Shared->readAll(std::move(callback));
       return;
@@ -303,6 +313,29 @@
       [](const Daemon &it) { return it.Records.size() == 3; }, 4s));
 }
 
+// Guards against calls that were made in the last moments of a silent outage
+// and end only after it: a change that is made when the source answers again
+// must take effect within the operator's limit.
+TEST_CASE("calls that a silent outage has swallowed do not delay the changes "
+          "after it") {
+  const auto outage = GENERATE(3300ms, 6400ms);
+  Fleet fleet(6);
+  REQUIRE(fleet.runUntilAll([](const Daemon &it) { return it.Version == 1; }));
+  fleet.run(3200ms);
+  fleet.Source.IsSilent = true;
+  fleet.run(outage);
+  const int reads = fleet.Source.Reads;
+  REQUIRE(fleet.Loop.runUntil([&] { return fleet.Source.Reads > reads; }, 5s));
+  fleet.Source.IsSilent = false;
+  ++fleet.Source.Version;
+  fleet.Source.put("c");
+  CHECK(fleet.runUntilAll(
+      [](const Daemon &it) {
+        return it.Version == 2 && it.Records.contains("c");
+      },
+      3s));
+}
+
 // Guards against a relay whose own outage delays a removal at other daemons:
 // the relay keeps expired records for a grace period, and other daemons must
 // not.
