Keep the part's index before the first answer adds attempts

Seen: the address sanitizer reports a read of freed memory in ForwardExecution::onResponse(), found by the review. No effect was seen in the release build, where the value read there usually is unchanged.

Cause: onAnswered() may add attempts, which moves the vector; the pointer to the attempt was used after it.

Change: the index of the part is kept instead. onFailure() did so already.

Evidence: the new test reported heap-use-after-free with the address sanitizer before; now all of forward_execution_test, with its 20,000 random schedules, passes with it twice.

--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -252,7 +252,9 @@
   Attempt *attempt = openAttempt(number);
   if (attempt == nullptr)
     return {};
-  Part &part = Parts[attempt->Part];
+  // onAnswered() may add attempts, which moves those that exist.
+  const std::uint32_t index = attempt->Part;
+  Part &part = Parts[index];
   attempt->Open = false;
   --part.Open;
   part.HedgeAt = TimePoint::max();
@@ -262,10 +264,10 @@
   ++AnsweredParts;
   onAnswered(now);
   for (AttemptNumber other = 0; other != Attempts.size(); ++other)
-    if (Attempts[other].Open && Attempts[other].Part == attempt->Part) {
+    if (Attempts[other].Open && Attempts[other].Part == index) {
       Attempts[other].Open = false;
       --part.Open;
-      Pending.emplace_back(CancelAttempt{other, attempt->Part});
+      Pending.emplace_back(CancelAttempt{other, index});
     }
   tryFinish(now);
   return completeEvent(now);
--- a/tests/forward_execution_test.cc
+++ b/tests/forward_execution_test.cc
@@ -445,6 +445,23 @@
   CHECK(it.Attempts[6].Part == 3);
 }
 
+// Guards against freed memory that is read when the first answer releases a held
+// retry, whose attempt moves the others. Shown by the address sanitizer.
+TEST_CASE("the first answer ends the other attempts of its own part only") {
+  Fixture it(2);
+  it.start();
+  it.markAllSent();
+  it.lose(0);
+  it.respond(1);
+  REQUIRE(it.Attempts.size() == 3);
+  CHECK(it.Attempts[2].Part == 0);
+  CHECK(it.Cancelled.empty());
+  it.markSent(2);
+  it.respond(2);
+  REQUIRE(it.Finished);
+  CHECK(std::get<MergedAnswer>(it.Finished->Result).Missing == 0);
+}
+
 // Guards against requests that fail because all connections were reset.
 TEST_CASE("a request whose connections are all lost succeeds after one retry "
           "has been answered") {
