--- a/src/coordination/directory_reader.cc
+++ b/src/coordination/directory_reader.cc
@@ -25,8 +25,8 @@
   return HasContent ? DirectoryRead::Changes : DirectoryRead::Full;
 }
 
-// A view that another daemon read before the last read of this one does not show
-// that the source is available again.
+// A view that another daemon read before the last read of this one does not
+// show that the source is available again.
 bool DirectoryReader::onSuccess(TimePoint readAt, TimePoint now) {
   const Duration timeout =
       HasFailed ? Options.OutageTimeout : Options.SilenceTimeout;
--- a/tests/delegation_task_test.cc
+++ b/tests/delegation_task_test.cc
@@ -245,12 +245,15 @@
   it.Strong->Local.CompletesCalls = false;
   it.call();
   REQUIRE(it.waitFor([&] { return it.Strong->Executor.openRequests() == 1; }));
-  ForwardResult result;
   coordination::ForwardFailure failure;
   failure.Fault = coordination::ForwardFault::Stopping;
-  SECTION("not started") {
+  const auto endAtExecutor = [&] {
+    ForwardResult result;
     result.Outcome = failure;
     it.Strong->Local.complete(1, std::move(result));
+  };
+  SECTION("not started") {
+    endAtExecutor();
     REQUIRE(it.waitForResults(1));
     CHECK(it.Weak->Local.Calls.size() == 1);
     CHECK(std::holds_alternative<coordination::MergedAnswer>(
@@ -258,8 +261,7 @@
   }
   SECTION("may have been started") {
     failure.Ran = coordination::ExecutionState::Unknown;
-    result.Outcome = failure;
-    it.Strong->Local.complete(1, std::move(result));
+    endAtExecutor();
     REQUIRE(it.waitForResults(1));
     CHECK(it.Weak->Local.Calls.empty());
     const auto &reported =
--- a/tests/forward_execution_test.cc
+++ b/tests/forward_execution_test.cc
@@ -445,8 +445,8 @@
   CHECK(it.Attempts[6].Part == 3);
 }
 
-// Guards against freed memory that is read when the first answer releases a held
-// retry, whose attempt moves the others. Shown by the address sanitizer.
+// Guards against freed memory that is read when the first answer releases a
+// held retry, whose attempt moves the others. Shown by the address sanitizer.
 TEST_CASE("the first answer ends the other attempts of its own part only") {
   Fixture it(2);
   it.start();
--- a/tests/receive_memory_test.cc
+++ b/tests/receive_memory_test.cc
@@ -93,10 +93,11 @@
   for (int i = 0; i != 30; ++i) {
     connections.push_back(
         std::make_unique<HttpConnection>(loop, server.address()));
-    connections.back()->send(request, TestLimit, [&ended](HttpResult result) {
-      CHECK_FALSE(result.has_value());
-      ++ended;
-    });
+    connections.back()->send(request, TestLimit,
+                             [&ended](const HttpResult &result) {
+                               CHECK_FALSE(result.has_value());
+                               ++ended;
+                             });
   }
   loop.runUntil([] { return false; }, 50ms);
   server.start();
