Share the choice of independent executions, failed sends and test callers

Each is one function now. A test of node_test had a caller of its own beside OpenCall, and uses that. Behaviour and assertions are unchanged.

Run before the commit: request_quarantine_test, quarantine_task_test, delegation_task_test and node_test pass, lint of the changed files, format.

--- a/src/coordination/request_quarantine.cc
+++ b/src/coordination/request_quarantine.cc
@@ -37,9 +37,12 @@
 RequestQuarantine::observe(const Entry &entry) const {
   Observations seen;
   TimePoint lastEnd;
-  for (const Execution &it : entry.Executions) {
-    if (seen.Count != 0 && it.BeganAt < lastEnd + Options.IndependenceGap)
+  for (std::size_t i = 0; i != entry.Executions.size(); ++i) {
+    const Execution &it = entry.Executions[i];
+    if (seen.Count != 0 && it.BeganAt < lastEnd + Options.IndependenceGap) {
+      seen.LastDependent = i;
       continue;
+    }
     ++seen.Count;
     seen.Lost += it.Lost;
     lastEnd = it.EndedAt;
@@ -151,11 +154,17 @@
   }
 }
 
+RequestEvidence RequestQuarantine::toEvidence(const RequestFingerprint &request,
+                                              const Execution &execution,
+                                              TimePoint now) {
+  return {request, execution.Id, execution.Lost, now - execution.EndedAt,
+          now - execution.BeganAt};
+}
+
 std::vector<RequestEvidence> RequestQuarantine::takeNew(TimePoint now) {
   std::vector<RequestEvidence> evidence;
   for (const auto &[request, execution] : std::exchange(New, {}))
-    evidence.push_back({request, execution.Id, execution.Lost,
-                        now - execution.EndedAt, now - execution.BeganAt});
+    evidence.push_back(toEvidence(request, execution, now));
   return evidence;
 }
 
@@ -165,8 +174,7 @@
   std::vector<RequestEvidence> evidence;
   for (const auto &[request, entry] : Entries)
     for (const Execution &execution : entry.Executions)
-      evidence.push_back({request, execution.Id, execution.Lost,
-                          now - execution.EndedAt, now - execution.BeganAt});
+      evidence.push_back(toEvidence(request, execution, now));
   return evidence;
 }
 
@@ -207,29 +215,17 @@
       executions.begin(), executions.end(), execution,
       [](const auto &a, const auto &b) { return a.EndedAt < b.EndedAt; });
   executions.insert(at, execution);
+  // Evicts the latest execution that is not independent, which changes no
+  // verdict, or else the oldest one. An execution that is evicted at once is
+  // not passed on, or daemons would pass it back and forth.
   if (executions.size() > MaxExecutions)
-    evictExecution(entry);
+    executions.erase(executions.begin() +
+                     static_cast<std::ptrdiff_t>(observe(entry).LastDependent));
   return std::any_of(
       executions.begin(), executions.end(),
       [&](const Execution &it) { return it.Id == execution.Id; });
 }
 
-// Evicts the latest execution that is not independent, which changes no
-// verdict, or else the oldest one. An execution that is evicted at once is not
-// passed on, or daemons would pass it back and forth.
-void RequestQuarantine::evictExecution(Entry &entry) const {
-  auto &executions = entry.Executions;
-  auto evicted = executions.begin();
-  TimePoint lastEnd = evicted->EndedAt;
-  for (auto it = executions.begin() + 1; it != executions.end(); ++it) {
-    if (it->BeganAt < lastEnd + Options.IndependenceGap)
-      evicted = it;
-    else
-      lastEnd = it->EndedAt;
-  }
-  executions.erase(evicted);
-}
-
 bool RequestQuarantine::clear(const RequestFingerprint &request, TimePoint at,
                               TimePoint now) {
   Entry &entry = entryFor(request, now);
--- a/src/coordination/request_quarantine.h
+++ b/src/coordination/request_quarantine.h
@@ -146,10 +146,14 @@
   struct Observations {
     std::size_t Count = 0;
     std::uint32_t Lost = 0;
+    std::size_t LastDependent =
+        0; ///< index of the latest other execution, or 0
   };
 
+  static state::RequestEvidence
+  toEvidence(const state::RequestFingerprint &request,
+             const Execution &execution, TimePoint now);
   Observations observe(const Entry &entry) const;
-  void evictExecution(Entry &entry) const;
   TimePoint trialAt(const Entry &entry, std::uint32_t daemons) const;
   TimePoint lastEvidenceAt(const Entry &entry) const;
   TimePoint quarantinedUntil(const Entry &entry) const;
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -509,12 +509,9 @@
     const auto it = Requests.find(key.Request);
     if (it == Requests.end())
       continue;
-    auto &execution = it->second->Execution;
-    if (WaitingAttempts[execution.service(key.Part)].erase(key) != 0)
-      executeActions(key.Request,
-                     execution.onFailure(key.Number,
-                                         {AttemptEnd::Stopping, {}, {}},
-                                         Loop.now()));
+    Request &request = *it->second;
+    if (WaitingAttempts[request.Execution.service(key.Part)].erase(key) != 0)
+      failUnsent(key, request, AttemptEnd::Stopping);
   }
   DrainTimer = Loop.schedule(DrainCheckInterval, [this] { endUnfinishable(); });
 }
@@ -711,9 +708,7 @@
     return true;
   Request &request = *it->second;
   if (isUnfinishable(key, request, 0, 1)) {
-    executeActions(key.Request,
-                   request.Execution.onFailure(
-                       key.Number, {AttemptEnd::Stopping, {}, {}}, Loop.now()));
+    failUnsent(key, request, AttemptEnd::Stopping);
     return true;
   }
   const auto tried = request.Execution.triedReplicas(key.Part);
@@ -733,9 +728,14 @@
   const AttemptEnd end = Placement.hasOther(service, tried, Loop.now())
                              ? AttemptEnd::AtLimit
                              : AttemptEnd::NotSent;
+  failUnsent(key, request, end);
+  return true;
+}
+
+void ForwardTask::failUnsent(const WaitKey &key, Request &request,
+                             AttemptEnd end) {
   executeActions(key.Request, request.Execution.onFailure(
                                   key.Number, {end, {}, {}}, Loop.now()));
-  return true;
 }
 
 // Allows one connection to a replica that the plan gives none, for use when the
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -230,6 +230,8 @@
   bool isUnfinishable(const WaitKey &key, const Request &request,
                       std::size_t ahead, std::size_t connections);
   bool dispatchOne(const std::string &service, const WaitKey &key);
+  void failUnsent(const WaitKey &key, Request &request,
+                  coordination::AttemptEnd end);
   bool send(Request &request, const WaitKey &key, const ReplicaPtr &target);
   void onAttemptEnded(AttemptId id, transport::HttpResult result);
   void logFailedAttempt(const Attempt &attempt,
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -934,24 +934,9 @@
   site.start();
   for (const char *id : {"p0", "p1"})
     site.replica(id).behaviour().ServiceTime = 400ms;
-  struct Call {
-    explicit Call(Site &it)
-        : Connection(it.Loop, it.Settings.CallerListener), Id(++it.LastId) {}
-    transport::HttpConnection Connection;
-    std::uint64_t Id;
-    std::optional<transport::HttpResult> Result;
-  };
-  std::vector<std::unique_ptr<Call>> calls;
+  std::vector<std::unique_ptr<OpenCall>> calls;
   const auto callOnce = [&] {
-    calls.push_back(std::make_unique<Call>(site));
-    Call &call = *calls.back();
-    transport::HttpRequest request{"POST", "/once/x", {}, ""};
-    request.Host = "h";
-    request.Headers.add("X-Request-Id", "id" + std::to_string(call.Id));
-    request.Headers.add("X-Deadline-Ms", "3000");
-    call.Connection.send(request, TestLimit, [&call](transport::HttpResult r) {
-      call.Result = std::move(r);
-    });
+    calls.push_back(std::make_unique<OpenCall>(site, "POST", "/once/x", 3s));
   };
   bool stopped = false;
   site.Node->stop([&] { stopped = true; });
@@ -963,13 +948,13 @@
   std::size_t answered = 0;
   for (const auto &call : calls) {
     INFO("id" << call->Id);
-    const bool hasAnswer = call->Result && call->Result->has_value();
+    const bool hasAnswer = call->status() != 0;
     CHECK((hasAnswer || site.executionCount(call->Id) == 0));
     if (!hasAnswer)
       continue;
     ++answered;
-    CHECK((*call->Result)->Status < 504);
-    if ((*call->Result)->Status == 503)
+    CHECK(call->status() < 504);
+    if (call->status() == 503)
       CHECK(site.executionCount(call->Id) == 0);
   }
   CHECK(answered > calls.size() / 2);
