--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -111,6 +111,8 @@
     return "quarantined";
   case ForwardFault::Stopping:
     return "stopping";
+  case ForwardFault::NoRoom:
+    return "no_room";
   case ForwardFault::CallerGone:
     break;
   }
@@ -125,7 +127,10 @@
 }
 
 ForwardActions ForwardExecution::start(TimePoint now) {
-  sendPrimaries();
+  if (Options.RejectedFor)
+    fail(ForwardFault::NoRoom);
+  else
+    sendPrimaries();
   tryFinish(now);
   return completeEvent(now);
 }
@@ -133,8 +138,10 @@
 // No attempt is sent unless the request can succeed: a part of a request that
 // fails for want of others would use up the limit of its replica.
 void ForwardExecution::sendPrimaries() {
+  for (const std::uint32_t part : Options.LeftOut)
+    failPart(part, ForwardFault::NoRoom);
   for (std::uint32_t part = 0; part != Parts.size(); ++part)
-    if (Policy.isAtLimit(Options.Services[part]))
+    if (!Parts[part].Failed && Policy.isAtLimit(Options.Services[part]))
       failPart(part, ForwardFault::ServerLimit);
   if (!hasEnoughParts(Parts.size() - FailedParts))
     return;
@@ -444,6 +451,7 @@
   if (!hasEnoughParts(total - FailedParts)) {
     const bool isRejected = FailedParts == total ||
                             LastFault == ForwardFault::ServerLimit ||
+                            LastFault == ForwardFault::NoRoom ||
                             LastFault == ForwardFault::Stopping;
     fail(isRejected ? LastFault : ForwardFault::TooFewParts);
     return;
@@ -505,6 +513,8 @@
   else if (AnyUnknown)
     failure.Ran = ExecutionState::Unknown;
   failure.Response = std::move(LastFailure);
+  if (fault == ForwardFault::NoRoom)
+    failure.RetryAfter = Options.RejectedFor;
   Pending.emplace_back(FinishForward{std::move(failure)});
 }
 
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -79,6 +79,7 @@
   ServerLimit, ///< the replicas' request limits are used up
   Quarantined, ///< equal requests have ended the replicas that ran them
   Stopping,    ///< this process exits before the request could end
+  NoRoom, ///< more is waiting at the replicas than can be served in time
   CallerGone,
 };
 
@@ -165,6 +166,13 @@
   /// Selects the part to which a suspect request is sent first.
   std::size_t FirstPart = 0;
 
+  /// Parts that are not sent, since they have no room.
+  std::vector<std::uint32_t> LeftOut;
+
+  /// Set when the request is rejected for want of room: the time after which
+  /// its caller may try again.
+  std::optional<Duration> RejectedFor;
+
   /// Time without a response after which a hedge is sent to another replica.
   /// Empty: no hedges.
   std::optional<Duration> HedgeAfter;
--- a/src/forwarding/delegation_task.cc
+++ b/src/forwarding/delegation_task.cc
@@ -59,10 +59,13 @@
       static_cast<std::uint8_t>(coordination::ExecutionState::Unknown);
   if (reply.Fault > lastFault || reply.Ran > lastState)
     return std::nullopt;
-  result.Outcome = coordination::ForwardFailure{
+  coordination::ForwardFailure failure{
       static_cast<ForwardFault>(reply.Fault),
       static_cast<coordination::ExecutionState>(reply.Ran),
       {}};
+  if (reply.RetryAfter > Duration(0))
+    failure.RetryAfter = reply.RetryAfter;
+  result.Outcome = std::move(failure);
   return result;
 }
 
--- a/src/forwarding/executor_task.cc
+++ b/src/forwarding/executor_task.cc
@@ -49,6 +49,8 @@
   reply.Fault = static_cast<std::uint8_t>(
       failure != nullptr ? failure->Fault
                          : coordination::ForwardFault::BackendFailed);
+  if (failure != nullptr)
+    reply.RetryAfter = failure->RetryAfter.value_or(state::Duration(0));
   reply.Ran = static_cast<std::uint8_t>(
       failure != nullptr ? failure->Ran
                          : coordination::ExecutionState::Unknown);
--- a/src/forwarding/forward_dispatch.cc
+++ b/src/forwarding/forward_dispatch.cc
@@ -39,6 +39,9 @@
 /// How often the replicas of waiting attempts are checked.
 constexpr Duration WaitCheckInterval = std::chrono::milliseconds(50);
 
+/// The same while replicas are held, mostly for some tens of milliseconds.
+constexpr Duration HoldCheckInterval = std::chrono::milliseconds(10);
+
 AttemptOutcome toOutcome(const ReplicaResult &result, bool cancelled) {
   if (std::holds_alternative<coordination::BackendResponse>(result.Outcome))
     return AttemptOutcome::Succeeded;
@@ -156,7 +159,12 @@
     it = queue.upper_bound(key);
   }
   if (!queue.empty() && WaitTimer == 0)
-    WaitTimer = Loop.schedule(WaitCheckInterval, [this] { checkWaiting(); });
+    WaitTimer = Loop.schedule(waitCheckInterval(), [this] { checkWaiting(); });
+}
+
+Duration ForwardTask::waitCheckInterval() const {
+  return Room.heldReplicas(Loop.now()) == 0 ? WaitCheckInterval
+                                            : HoldCheckInterval;
 }
 
 void ForwardTask::checkWaiting() {
@@ -170,7 +178,7 @@
       scheduleDispatch(service);
   }
   if (isAnyWaiting)
-    WaitTimer = Loop.schedule(WaitCheckInterval, [this] { checkWaiting(); });
+    WaitTimer = Loop.schedule(waitCheckInterval(), [this] { checkWaiting(); });
 }
 
 // Costs less than a dispatch of many attempts that all have to wait.
@@ -179,7 +187,8 @@
       service, {},
       [this](std::string_view id) {
         const auto it = Replicas.find(id);
-        if (it == Replicas.end() || !allowsRequest(*it->second))
+        if (it == Replicas.end() || !allowsRequest(*it->second) ||
+            !hasRoom(*it->second))
           return false;
         const Replica &replica = *it->second;
         return replica.Pool.hasFree() || (replica.Pool.limit() == 0 &&
@@ -201,7 +210,7 @@
   const auto canSend = [this](std::string_view id) {
     const auto replica = Replicas.find(id);
     return replica != Replicas.end() && replica->second->Pool.hasFree() &&
-           allowsRequest(*replica->second);
+           hasRoom(*replica->second) && allowsRequest(*replica->second);
   };
   // A replica whose connections are probed first has no free one afterwards.
   while (const auto chosen =
@@ -237,7 +246,8 @@
     const bool wasTried = std::find(tried.begin(), tried.end(),
                                     replica->Record.Id) != tried.end();
     if (wasTried || replica->Record.Draining || replica->Pool.limit() != 0 ||
-        replica->CooldownUntil > Loop.now() || !allowsRequest(*replica))
+        replica->CooldownUntil > Loop.now() || !hasRoom(*replica) ||
+        !allowsRequest(*replica))
       continue;
     replica->Pool.setLimit(1);
     return true;
@@ -276,6 +286,7 @@
     target->Limiter->onSent(limitShare(*target), now);
   }
   Placement.onSent(target->Record.Id, attempt.ExpectedLatency, now);
+  Room.onSent(target->Record.Id);
   Attempts.emplace(id, std::move(attempt));
   executeActions(key.Request,
                  request.Execution.onSent(key.Number, target->Record.Id, now));
@@ -317,11 +328,17 @@
     RequestClass &cls = requestClass(attempt.ClassKey);
     cls.MedianLatency.add(now - attempt.SentAt);
     cls.HedgeLatency.add(now - attempt.SentAt);
+    Room.onResponse(attempt.Target->Record.Service, attempt.Target->Record.Id,
+                    cls.Id, now - attempt.SentAt,
+                    decoded.Load ? &*decoded.Load : nullptr, now);
   } else if (outcome == AttemptOutcome::NotRun) {
     Rejections.add();
   } else if (outcome == AttemptOutcome::Failed) {
     FailedAttempts.add();
   }
+  if (outcome == AttemptOutcome::NotRun && !isMisdirected(decoded))
+    Room.onRejected(attempt.Target->Record.Service, attempt.Target->Record.Id,
+                    decoded.Load ? &*decoded.Load : nullptr, now);
   recordLimit(*attempt.Target, decoded);
   if (decoded.Pause)
     recordPause(*attempt.Target, *decoded.Pause);
--- a/src/forwarding/forward_replicas.cc
+++ b/src/forwarding/forward_replicas.cc
@@ -68,6 +68,7 @@
 void ForwardTask::applyReplicas(
     const coordination::LeavingReplicas::Records &records) {
   Placement.setReplicas(records, Loop.now());
+  Room.retain([&records](std::string_view id) { return records.contains(id); });
   for (auto it = Replicas.begin(); it != Replicas.end();) {
     const auto record = records.find(it->first);
     const Replica &known = *it->second;
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -36,7 +36,8 @@
                          state::MetricRegistry &metrics)
     : Loop(loop), Protocol(protocol), Options(std::move(options)),
       Placement(Options.DataCentre, std::mt19937_64(Options.Seed)),
-      StartedAt(loop.now()), LastFleetGrowthAt(StartedAt),
+      Admission({}, std::mt19937_64(Options.Seed + 1)), StartedAt(loop.now()),
+      LastFleetGrowthAt(StartedAt),
       Hedges(metrics.counter("galenaflow_hedges_total",
                              "Attempts sent beside one that is open")),
       Retries(metrics.counter("galenaflow_retries_total",
@@ -50,7 +51,12 @@
                                      "Attempts without a usable response")),
       LimitedAttempts(
           metrics.counter("galenaflow_limited_attempts_total",
-                          "Attempts at replicas with a request limit")) {
+                          "Attempts at replicas with a request limit")),
+      AdmissionRejections(metrics.counter(
+          "galenaflow_admission_rejections_total",
+          "Requests rejected on arrival, since the replicas have no room")),
+      PartsWithoutRoom(metrics.counter("galenaflow_parts_without_room_total",
+                                       "Parts left out of admitted requests")) {
   warmAll();
 }
 
@@ -69,6 +75,7 @@
     if (isDelegable(route))
       DelegatedServices.insert(route.Shards.Services.begin(),
                                route.Shards.Services.end());
+  setMaxWaits();
   planConnections();
 }
 
@@ -99,7 +106,8 @@
 ForwardTask::requestClass(const RequestClassKey &key) {
   auto &cls = RequestClasses[key];
   if (!cls)
-    cls = std::make_unique<RequestClass>(Options.HedgeQuantile);
+    cls = std::make_unique<RequestClass>(Options.HedgeQuantile,
+                                         RequestClasses.size());
   return *cls;
 }
 
@@ -143,6 +151,7 @@
       MaxHedgeFraction * static_cast<double>(objective.count())));
   options.HedgeAfter = std::clamp(cls.HedgeLatency.value().value_or(latest),
                                   MinHedgeDelay, latest);
+  decideAdmission(options, cls, elapsed, call.ReturnTime);
   return options;
 }
 
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -1,6 +1,8 @@
 #ifndef GALENAFLOW_FORWARDING_FORWARD_TASK_H
 #define GALENAFLOW_FORWARDING_FORWARD_TASK_H
 
+#include "coordination/admission/request_admission.h"
+#include "coordination/admission/room_estimate.h"
 #include "coordination/caller_elapsed_estimate.h"
 #include "coordination/connect_backoff.h"
 #include "coordination/connection_plan.h"
@@ -129,7 +131,9 @@
   using RequestClassKey = std::tuple<bool, state::Duration, std::uint32_t>;
 
   struct RequestClass {
-    explicit RequestClass(double hedgeQuantile) : HedgeLatency(hedgeQuantile) {}
+    RequestClass(double hedgeQuantile, coordination::admission::WorkClass id)
+        : Id(id), HedgeLatency(hedgeQuantile) {}
+    coordination::admission::WorkClass Id;
     coordination::LatencyQuantile MedianLatency{0.5, 400};
     coordination::LatencyQuantile HedgeLatency;
     coordination::CallerElapsedEstimate ElapsedEstimate;
@@ -214,6 +218,17 @@
   state::Duration expectedLatency(const RequestClassKey &key);
   coordination::ForwardOptions makeOptions(ForwardCall &call,
                                            RequestClass &cls);
+  void decideAdmission(coordination::ForwardOptions &options,
+                       const RequestClass &cls, state::Duration elapsed,
+                       state::Duration returnTime);
+  coordination::admission::PartForecast forecast(const std::string &service,
+                                                 const state::Route &route,
+                                                 const RequestClass &cls,
+                                                 state::TimePoint deadline);
+  std::vector<coordination::admission::ReplicaConnections>
+  connections(const std::string &service);
+  bool hasRoom(const Replica &replica) const;
+  void setMaxWaits();
   void executeActions(ForwardId id, coordination::ForwardActions actions);
   void queueAttempt(ForwardId id, Request &request,
                     const coordination::SendAttempt &action);
@@ -224,6 +239,7 @@
   void dispatch(const std::string &service);
   void scheduleDispatch(const std::string &service);
   void checkWaiting();
+  state::Duration waitCheckInterval() const;
   bool mayDispatch(const std::string &service);
   void endUnfinishable();
   void findUnfinishable(const std::string &service,
@@ -279,6 +295,8 @@
   /// Of replicas that are not in the directory, where they may return.
   std::map<std::string, UnlistedLimit, std::less<>> UnlistedLimits;
   LimitCallback LimitStatedCallback;
+  coordination::admission::RoomEstimate Room;
+  coordination::admission::RequestAdmission Admission;
   state::TimePoint StartedAt;
   state::TimePoint LastFleetGrowthAt; ///< when the count of daemons last grew
   std::map<std::string, ReplicaPtr, std::less<>> Replicas;
@@ -303,6 +321,8 @@
   state::Counter &Rejections;
   state::Counter &FailedAttempts;
   state::Counter &LimitedAttempts;
+  state::Counter &AdmissionRejections;
+  state::Counter &PartsWithoutRoom;
 };
 
 } // namespace galenaflow::forwarding
--- a/src/protocol/delegation_generated.h
+++ b/src/protocol/delegation_generated.h
@@ -117,7 +117,8 @@
     VT_MISSING_SERVICES = 50,
     VT_IS_SUSPECT = 52,
     VT_LOST = 54,
-    VT_IS_ANSWERED = 56
+    VT_IS_ANSWERED = 56,
+    VT_RETRY_AFTER_US = 58
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -200,6 +201,9 @@
   bool is_answered() const {
     return GetField<uint8_t>(VT_IS_ANSWERED, 0) != 0;
   }
+  int64_t retry_after_us() const {
+    return GetField<int64_t>(VT_RETRY_AFTER_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -242,6 +246,7 @@
            VerifyField<uint8_t>(verifier, VT_IS_SUSPECT, 1) &&
            VerifyField<uint32_t>(verifier, VT_LOST, 4) &&
            VerifyField<uint8_t>(verifier, VT_IS_ANSWERED, 1) &&
+           VerifyField<int64_t>(verifier, VT_RETRY_AFTER_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -331,6 +336,9 @@
   void add_is_answered(bool is_answered) {
     fbb_.AddElement<uint8_t>(DelegationMessage::VT_IS_ANSWERED, static_cast<uint8_t>(is_answered), 0);
   }
+  void add_retry_after_us(int64_t retry_after_us) {
+    fbb_.AddElement<int64_t>(DelegationMessage::VT_RETRY_AFTER_US, retry_after_us, 0);
+  }
   explicit DelegationMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -370,8 +378,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> missing_services = 0,
     bool is_suspect = false,
     uint32_t lost = 0,
-    bool is_answered = false) {
+    bool is_answered = false,
+    int64_t retry_after_us = 0) {
   DelegationMessageBuilder builder_(_fbb);
+  builder_.add_retry_after_us(retry_after_us);
   builder_.add_elapsed_us(elapsed_us);
   builder_.add_return_us(return_us);
   builder_.add_left_us(left_us);
@@ -430,7 +440,8 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *missing_services = nullptr,
     bool is_suspect = false,
     uint32_t lost = 0,
-    bool is_answered = false) {
+    bool is_answered = false,
+    int64_t retry_after_us = 0) {
   auto route__ = route ? _fbb.CreateString(route) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
@@ -469,7 +480,8 @@
       missing_services__,
       is_suspect,
       lost,
-      is_answered);
+      is_answered,
+      retry_after_us);
 }
 
 inline const galenaflow::protocol::fb::DelegationMessage *GetDelegationMessage(const void *buf) {
--- a/src/protocol/delegation_messages.cc
+++ b/src/protocol/delegation_messages.cc
@@ -3,6 +3,8 @@
 #include "protocol/delegation_fb.h"
 #include "protocol/flatbuffer_bytes.h"
 
+#include <algorithm>
+
 // Bytes from peers are first checked by the FlatBuffers verifier. Enumerators
 // of the receiver's types are checked where the receiver converts them.
 
@@ -13,6 +15,9 @@
 
 namespace {
 
+/// A longer time of a peer is shortened to this.
+constexpr state::Duration MaxRetryAfter = std::chrono::hours(1);
+
 using Builder = flatbuffers::FlatBufferBuilder;
 
 using TextList = flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
@@ -90,6 +95,7 @@
   message.add_missing_services(services);
   message.add_lost(reply.Lost);
   message.add_is_answered(reply.IsAnswered);
+  message.add_retry_after_us(reply.RetryAfter.count());
   return finish(b, message.Finish());
 }
 
@@ -147,6 +153,8 @@
   reply.MissingServices = toStrings(in->missing_services());
   reply.Lost = in->lost();
   reply.IsAnswered = in->is_answered();
+  reply.RetryAfter = std::clamp(state::Duration(in->retry_after_us()),
+                                state::Duration(0), MaxRetryAfter);
   return reply;
 }
 
--- a/src/protocol/delegation_messages.h
+++ b/src/protocol/delegation_messages.h
@@ -72,6 +72,10 @@
   std::uint32_t Lost = 0;  ///< attempts whose replica ended the connection
   bool IsAnswered = false; ///< whether any replica has answered
 
+  /// Of a request that was rejected: time after which the caller may try again;
+  /// zero: not known.
+  state::Duration RetryAfter{0};
+
   bool operator==(const DelegatedReply &) const = default;
 };
 
