--- a/src/coordination/admission/request_admission.h
+++ b/src/coordination/admission/request_admission.h
@@ -1,33 +1,29 @@
 #ifndef GALENAFLOW_COORDINATION_ADMISSION_REQUEST_ADMISSION_H
 #define GALENAFLOW_COORDINATION_ADMISSION_REQUEST_ADMISSION_H
 
-#include "state/clock.h"
+#include "coordination/admission/room_estimate.h"
 
 #include <cstdint>
+#include <map>
 #include <random>
 #include <span>
 #include <vector>
 
 namespace galenaflow::coordination::admission {
 
-using state::Duration;
-
-/// What is expected for one part of a request.
-struct PartForecast {
-  Duration QueueDelay{0};  ///< until the attempt is sent
-  Duration AttemptTime{0}; ///< from then to the response
-};
-
 struct AdmissionRequest {
-  std::span<const PartForecast> Parts;
+  WorkClass Class = 0;
+  std::span<const RoomForecast> Parts;
   std::size_t MinParts = 1; ///< with fewer the request fails
 
-  /// Time in which a response is worth its full value: until the latency
-  /// objective or, for a caller that has returned, until its deadline.
+  /// Time until the latency objective, in which a response has its full value.
   Duration Useful{0};
 
   Duration Objective{0};
   Duration Remaining{0}; ///< until the caller's deadline
+
+  /// Time since the caller's first attempt; zero: this is the first.
+  Duration Elapsed{0};
 };
 
 struct AdmissionDecision {
@@ -36,9 +32,6 @@
   /// Parts that are left out, since the others suffice and these have no room.
   std::vector<std::uint32_t> LeftOut;
 
-  /// Parts without room.
-  std::size_t Lacking = 0;
-
   /// When not admitted: time after which room is expected.
   Duration RetryAfter{0};
 };
@@ -50,6 +43,30 @@
 
   /// Shortest time to return.
   Duration MinRetryAfter = std::chrono::milliseconds(30);
+
+  /// Factor on the admitted share of new requests when one has met congestion.
+  double Decrease = 0.5;
+
+  /// The share falls once in this time at most: what was decided before shows
+  /// in the replicas' queues about a latency later.
+  Duration DecreaseInterval = std::chrono::milliseconds(150);
+
+  /// The share doubles in this time without congestion.
+  Duration DoublingTime = std::chrono::seconds(3);
+
+  /// Factor on the share, and what is added to it, after a request that has met
+  /// no queue anywhere, which shows that there is room.
+  double IdleFactor = 2;
+  double IdleIncrease = 0.1;
+
+  /// A share never falls below this, so that no class starves and room that
+  /// returns is noticed.
+  double MinShare = 0.03;
+
+  /// Factors on the share for callers that return when they were told to, and
+  /// for those that return before.
+  double ReturnFactor = 2;
+  double EarlyFactor = 0.25;
 };
 
 /// Decides whether a request is begun. For demand above what the replicas can
@@ -57,6 +74,12 @@
 /// arrival, before any part of it uses room that others need, and its caller is
 /// told when to return.
 ///
+/// The queues of the replicas are filled by all daemons, and a daemon learns of
+/// them from its own requests only. It therefore admits a share of the new
+/// requests, which falls quickly while its requests meet long queues or
+/// rejections, and rises slowly otherwise. All daemons then approach equal
+/// shares.
+///
 /// Only queues count: a part that takes long because its replicas are slow
 /// would take as long later.
 class RequestAdmission {
@@ -64,13 +87,33 @@
   RequestAdmission(RequestAdmissionOptions options, std::mt19937_64 random)
       : Options(options), Random(random) {}
 
-  AdmissionDecision decide(const AdmissionRequest &request);
+  AdmissionDecision decide(const AdmissionRequest &request, TimePoint now);
+
+  /// An admitted request has met queues that are too long, or full, at more
+  /// parts than it can do without. Call once for each request.
+  void onCongested(WorkClass id, TimePoint now);
+
+  /// An admitted request has met no queue that is too long.
+  void onIdle(WorkClass id, TimePoint now);
+
+  /// The share of new requests of a class that is admitted.
+  double share(WorkClass id) const;
 
 private:
+  struct ClassState {
+    double Share = 1;
+    double Credit = 0; ///< sum of the shares of requests that were not admitted
+    TimePoint GrownAt = TimePoint::min(); ///< until when growth is included
+    TimePoint DecreasedAt = TimePoint::min();
+  };
+
+  ClassState &grow(WorkClass id, TimePoint now);
+  double factor(const AdmissionRequest &request) const;
   Duration retryAfter(const AdmissionRequest &request, Duration roomAfter);
 
   RequestAdmissionOptions Options;
   std::mt19937_64 Random;
+  std::map<WorkClass, ClassState> Classes;
 };
 
 } // namespace galenaflow::coordination::admission
--- a/src/coordination/admission/room_estimate.cc
+++ b/src/coordination/admission/room_estimate.cc
@@ -3,9 +3,8 @@
 #include <algorithm>
 
 // Load: demand of several times the usual over replicas of which many are slow.
-// Without an estimate each daemon fills every queue, the replicas reject half
-// of all attempts, and a request that needs nearly all shards fails after most
-// of its parts have run.
+// The requests that wait at a replica come from all daemons, so only the
+// replica knows how many there are. It states that in each response.
 //
 // The latency of an attempt consists of its own work and of that ahead of it.
 // Queues are about as long when an attempt arrives as when it ends, so latency
@@ -13,9 +12,9 @@
 // mean of a class over all replicas and the relative speed of each replica, so
 // that a class that is rare at a replica is estimated from the others.
 //
-// A stated queue becomes shorter at the rate of the replica's slots. Others
-// refill it, though, so a replica whose queue is again too long after a hold is
-// held for twice as long.
+// A stated queue becomes shorter at the rate of the replica's slots, and after
+// that time nothing is known about it. A daemon that sends nothing therefore
+// soon expects room again, and tries.
 
 namespace galenaflow::coordination::admission {
 
@@ -30,155 +29,115 @@
 constexpr double MinSpeed = 0.1;
 constexpr double MaxSpeed = 50;
 
-/// Hold of a replica that rejected an attempt before any duration is known.
-constexpr double DefaultWorkUs = 10'000;
+/// A queue that rejects requests has at least this many in each slot's turn.
+constexpr std::uint32_t MinFullQueuePerSlot = 4;
 
 } // namespace
 
-void RoomEstimate::setMaxWait(std::string_view service, Duration wait) {
-  MaxWaits.insert_or_assign(std::string(service), wait);
+void RoomEstimate::onBacklog(std::string_view service, TimePoint now) {
+  ServiceState &it = Services.try_emplace(std::string(service)).first->second;
+  it.NextSince = std::max(it.NextSince, now);
 }
 
-void RoomEstimate::onSent(std::string_view replica) {
-  const auto it = Replicas.find(replica);
-  if (it != Replicas.end())
-    ++it->second.SentSince;
+void RoomEstimate::onSent(std::string_view service, TimePoint now) {
+  const auto found = Services.find(service);
+  if (found == Services.end())
+    return;
+  ServiceState &it = found->second;
+  it.IntervalUs +=
+      Options.SampleWeight * (toUs(now - it.NextSince) - it.IntervalUs);
+  it.NextSince = now;
 }
 
-void RoomEstimate::onResponse(std::string_view service,
-                              std::string_view replica, WorkClass work,
+void RoomEstimate::onResponse(std::string_view replica, WorkClass work,
                               Duration latency, const ServerLoad *load,
                               TimePoint now) {
   ReplicaState &it = Replicas.try_emplace(std::string(replica)).first->second;
-  const double us = toUs(latency);
-  it.LatencyUs = it.LatencyUs == 0 ? us
-                                   : it.LatencyUs + Options.SampleWeight *
-                                                        (us - it.LatencyUs);
-  double own = us;
+  double own = toUs(latency);
   if (load != nullptr)
     own /= 1 + static_cast<double>(load->Waiting) / std::max(1U, load->Slots);
+  const auto add = [own, this](double &mean) {
+    mean = mean == 0 ? own : mean + Options.WorkSampleWeight * (own - mean);
+  };
   double &mean = WorkUs[work];
-  mean = mean == 0 ? own : mean + Options.SampleWeight / 10 * (own - mean);
-  MeanWorkUs = MeanWorkUs == 0 ? own
-                               : MeanWorkUs + Options.SampleWeight / 10 *
-                                                  (own - MeanWorkUs);
+  add(mean);
+  add(MeanWorkUs);
   const double speed =
       std::clamp(own / std::max(1.0, mean), MinSpeed, MaxSpeed);
   it.Speed += Options.SampleWeight * (speed - it.Speed);
-  if (load != nullptr)
-    applyLoad(service, it, *load, now);
-}
-
-void RoomEstimate::onRejected(std::string_view service,
-                              std::string_view replica, const ServerLoad *load,
-                              TimePoint now) {
-  const auto limit = MaxWaits.find(service);
-  if (limit == MaxWaits.end() || limit->second == Duration(0))
-    return;
-  ReplicaState &it = Replicas.try_emplace(std::string(replica)).first->second;
   if (load != nullptr) {
-    it.Waiting = load->Waiting;
-    it.Slots = std::max(1U, load->Slots);
+    it.Load = *load;
     it.LoadAt = now;
-    it.SentSince = 0;
   }
-  const double work = MeanWorkUs == 0 ? DefaultWorkUs : MeanWorkUs * it.Speed;
-  hold(it, std::max(waitUs(it, now), work) - toUs(limit->second) + work, now);
 }
 
-void RoomEstimate::onEnded(std::string_view) {}
-
-void RoomEstimate::applyLoad(std::string_view service, ReplicaState &it,
-                             const ServerLoad &load, TimePoint now) {
-  it.Waiting = load.Waiting;
-  it.Slots = std::max(1U, load.Slots);
+void RoomEstimate::onRejected(std::string_view replica, const ServerLoad *load,
+                              TimePoint now) {
+  ReplicaState &it = Replicas.try_emplace(std::string(replica)).first->second;
+  if (load != nullptr)
+    it.Load = *load;
+  it.Load.Slots = std::max(1U, it.Load.Slots);
+  it.Load.Waiting =
+      std::max(it.Load.Waiting, MinFullQueuePerSlot * it.Load.Slots);
   it.LoadAt = now;
-  it.SentSince = 0;
-  const auto limit = MaxWaits.find(service);
-  if (limit == MaxWaits.end() || limit->second == Duration(0))
-    return;
-  const double excess = waitUs(it, now) - toUs(limit->second);
-  if (load.Waiting == 0 || excess <= 0) {
-    it.HoldFactor = 1;
-    it.HeldUntil = TimePoint::min();
-    return;
-  }
-  hold(it, excess, now);
 }
 
-void RoomEstimate::hold(ReplicaState &it, double excessUs, TimePoint now) {
-  const Duration time = std::min(
-      fromUs(std::max(excessUs, 1000.0) * it.HoldFactor), Options.MaxHold);
-  // Several statements within one hold are no sign that it was too short.
-  if (it.HeldUntil <= now)
-    it.HoldFactor = std::min(2 * it.HoldFactor, Options.MaxHoldFactor);
-  it.HeldUntil = now + time;
+bool RoomEstimate::isFresh(const ReplicaState &it, TimePoint now) const {
+  return it.LoadAt != TimePoint::min() && now - it.LoadAt <= Options.MaxAge;
 }
 
 double RoomEstimate::waitUs(const ReplicaState &it, TimePoint now) const {
-  if (it.LoadAt == TimePoint::min() || now - it.LoadAt > Options.MaxAge)
+  if (!isFresh(it, now))
     return 0;
-  const double perRequest = MeanWorkUs * it.Speed / it.Slots;
-  const double stated = static_cast<double>(it.Waiting) * perRequest;
-  return std::max(0.0, stated - toUs(now - it.LoadAt));
+  const double perRequest = MeanWorkUs * it.Speed / std::max(1U, it.Load.Slots);
+  return std::max(0.0, it.Load.Waiting * perRequest - toUs(now - it.LoadAt));
 }
 
-bool RoomEstimate::mayTake(std::string_view replica, TimePoint now) const {
+Duration RoomEstimate::statedWait(std::string_view replica,
+                                  const ServerLoad &load) const {
   const auto it = Replicas.find(replica);
-  return it == Replicas.end() || it->second.HeldUntil <= now;
+  const double speed = it == Replicas.end() ? 1 : it->second.Speed;
+  return fromUs(load.Waiting * MeanWorkUs * speed / std::max(1U, load.Slots));
 }
 
-Duration RoomEstimate::queueDelay(std::span<const ReplicaConnections> replicas,
-                                  std::uint32_t ahead, TimePoint now) const {
-  double perUs = 0; // attempts that are sent in a microsecond
-  double first = -1;
-  for (const ReplicaConnections &replica : replicas) {
-    const auto found = Replicas.find(replica.Id);
-    const bool isKnown = found != Replicas.end();
-    const double held =
-        isKnown ? std::max(0.0, toUs(found->second.HeldUntil <= now
-                                         ? Duration(0)
-                                         : found->second.HeldUntil - now))
-                : 0;
-    const double latency = isKnown && found->second.LatencyUs > 0
-                               ? found->second.LatencyUs
-                           : MeanWorkUs > 0 ? MeanWorkUs
-                                            : DefaultWorkUs;
-    if (replica.Free != 0 && held == 0 && ahead < replica.Free)
-      return Duration(0);
-    const double next = std::max(
-        held,
-        replica.Free != 0 ? 0.0 : latency / std::max(1U, replica.Total) / 2);
-    first = first < 0 ? next : std::min(first, next);
-    perUs += std::max(1U, replica.Total) / std::max(latency, held);
-  }
-  if (first < 0)
-    return Duration(0);
-  return fromUs(first + (perUs > 0 ? ahead / perUs : 0));
+bool RoomEstimate::isIdle(std::string_view replica, TimePoint now) const {
+  const auto it = Replicas.find(replica);
+  return it == Replicas.end() || !isFresh(it->second, now) ||
+         (it->second.Load.Waiting == 0 &&
+          it->second.Load.Running < it->second.Load.Slots);
 }
 
-Duration RoomEstimate::attemptTime(std::span<const ReplicaConnections> replicas,
-                                   WorkClass work, TimePoint now) const {
+RoomForecast RoomEstimate::forecast(
+    std::string_view service, std::span<const ReplicaConnections> replicas,
+    std::uint32_t ahead, WorkClass work, TimePoint now) const {
   const auto mean = WorkUs.find(work);
-  if (mean == WorkUs.end())
-    return Duration(0);
-  double best = -1;
+  if (mean == WorkUs.end() || replicas.empty())
+    return {};
+  double bestWait = -1;
+  double bestTime = -1;
+  bool isFree = false;
   for (const ReplicaConnections &replica : replicas) {
+    isFree = isFree || ahead < replica.Free;
     const auto found = Replicas.find(replica.Id);
-    const double time =
-        found == Replicas.end()
-            ? mean->second
-            : waitUs(found->second, now) + mean->second * found->second.Speed;
-    best = best < 0 ? time : std::min(best, time);
+    const double wait =
+        found == Replicas.end() ? 0 : waitUs(found->second, now);
+    const double speed = found == Replicas.end() ? 1 : found->second.Speed;
+    const double time = wait + mean->second * speed;
+    bestWait = bestWait < 0 ? wait : std::min(bestWait, wait);
+    bestTime = bestTime < 0 ? time : std::min(bestTime, time);
   }
-  return fromUs(std::max(0.0, best));
-}
-
-std::size_t RoomEstimate::heldReplicas(TimePoint now) const {
-  return static_cast<std::size_t>(
-      std::count_if(Replicas.begin(), Replicas.end(), [now](const auto &it) {
-        return it.second.HeldUntil > now;
-      }));
+  RoomForecast result;
+  result.ReplicaWait = fromUs(bestWait);
+  result.AttemptTime = fromUs(bestTime);
+  const auto it = Services.find(service);
+  if (isFree || it == Services.end())
+    return result;
+  // The one that is next may have waited for longer than usual already.
+  const double head = ahead == 0 ? it->second.IntervalUs
+                                 : std::max(it->second.IntervalUs,
+                                            toUs(now - it->second.NextSince));
+  result.QueueDelay = fromUs(head + it->second.IntervalUs * ahead);
+  return result;
 }
 
 } // namespace galenaflow::coordination::admission
--- a/src/coordination/admission/room_estimate.h
+++ b/src/coordination/admission/room_estimate.h
@@ -19,16 +19,12 @@
 using WorkClass = std::uint64_t;
 
 struct RoomOptions {
-  /// Weight of a new sample in the means of durations.
+  /// Weight of a new sample in the means of one replica or service.
   double SampleWeight = 0.2;
 
-  /// The hold of a replica is doubled while its queue stays too long, since the
-  /// room that becomes free is shared with daemons that are not known here.
-  /// This is the largest factor.
-  double MaxHoldFactor = 16;
-
-  /// Longest hold, so that room that returns is noticed.
-  Duration MaxHold = std::chrono::milliseconds(1000);
+  /// The same for the work of a class, of which each request gives a sample for
+  /// every shard.
+  double WorkSampleWeight = 0.02;
 
   /// Statements of a replica that are older than this are not used.
   Duration MaxAge = std::chrono::seconds(1);
@@ -38,82 +34,76 @@
 struct ReplicaConnections {
   std::string_view Id;
   std::uint32_t Free = 0;
-  std::uint32_t Total = 0;
+};
+
+/// What is expected for an attempt at a service.
+struct RoomForecast {
+  Duration QueueDelay{0};  ///< until the attempt is sent
+  Duration ReplicaWait{0}; ///< from then until its work begins
+  Duration AttemptTime{0}; ///< from when it is sent to the response
 };
 
 /// Estimates how long an attempt waits for a replica of a service: in this
 /// daemon's queue, and at the replica. It is based on the loads that replicas
-/// state, on their rejections, and on the durations of this daemon's attempts.
-///
-/// A replica whose queue is longer than allowed is held: no attempt is sent to
-/// it until the excess has been worked off. Attempts then wait at the daemon,
-/// where urgent ones pass others, and are not rejected by a full replica.
+/// state and on the durations of this daemon's attempts.
 class RoomEstimate {
 public:
   explicit RoomEstimate(RoomOptions options = {}) : Options(options) {}
 
-  /// Sets how long an attempt may wait in the queues of a service's replicas.
-  /// Zero: no limit, and its replicas are never held.
-  void setMaxWait(std::string_view service, Duration wait);
-
   /// Removes the replicas for which `isKnown` is false.
   template <typename Predicate> void retain(const Predicate &isKnown) {
     std::erase_if(Replicas, [&](const auto &it) { return !isKnown(it.first); });
   }
 
-  void onSent(std::string_view replica);
+  /// An attempt waits for a replica of the service while no other does.
+  void onBacklog(std::string_view service, TimePoint now);
 
-  /// An attempt has ended with a response after `latency`. `load` may be null.
-  void onResponse(std::string_view service, std::string_view replica,
-                  WorkClass work, Duration latency, const ServerLoad *load,
-                  TimePoint now);
+  /// An attempt is sent to a replica of the service.
+  void onSent(std::string_view service, TimePoint now);
 
-  /// The replica has rejected an attempt because its queue is full.
-  void onRejected(std::string_view service, std::string_view replica,
+  /// An attempt has ended with a response after `latency`. `load` may be null.
+  void onResponse(std::string_view replica, WorkClass work, Duration latency,
                   const ServerLoad *load, TimePoint now);
 
-  /// An attempt has ended in any other way.
-  void onEnded(std::string_view replica);
-
-  /// Whether an attempt may be sent to the replica now.
-  bool mayTake(std::string_view replica, TimePoint now) const;
+  /// The replica has rejected an attempt because its queue is full.
+  void onRejected(std::string_view replica, const ServerLoad *load,
+                  TimePoint now);
 
-  /// Returns how long the attempt that is behind `ahead` others waits until it
-  /// is sent. Zero when a replica can take it now.
-  Duration queueDelay(std::span<const ReplicaConnections> replicas,
-                      std::uint32_t ahead, TimePoint now) const;
+  /// Returns what is expected for an attempt behind `ahead` others at one of
+  /// these replicas. All times are zero while nothing is known.
+  RoomForecast forecast(std::string_view service,
+                        std::span<const ReplicaConnections> replicas,
+                        std::uint32_t ahead, WorkClass work,
+                        TimePoint now) const;
 
-  /// Returns the duration of an attempt of this class at the best of the
-  /// replicas, once it has been sent. Zero while nothing is known.
-  Duration attemptTime(std::span<const ReplicaConnections> replicas,
-                       WorkClass work, TimePoint now) const;
+  /// Returns how long the requests that wait at the replica, as stated in
+  /// `load`, delay a new one.
+  Duration statedWait(std::string_view replica, const ServerLoad &load) const;
 
-  /// Replicas that are held.
-  std::size_t heldReplicas(TimePoint now) const;
+  /// Whether the replica works on fewer requests than it has slots, as far as
+  /// is known.
+  bool isIdle(std::string_view replica, TimePoint now) const;
 
 private:
   struct ReplicaState {
-    double Speed = 1;     ///< duration of work relative to the class's mean
-    double LatencyUs = 0; ///< mean latency of attempts; zero: not known
-    std::uint32_t Waiting = 0;
-    std::uint32_t Slots = 1;
-    std::uint32_t SentSince = 0; ///< attempts sent since the load was stated
+    double Speed = 1; ///< duration of work relative to the mean of its class
+    ServerLoad Load;
     TimePoint LoadAt = TimePoint::min();
-    TimePoint HeldUntil = TimePoint::min();
-    double HoldFactor = 1;
   };
 
-  double meanWorkUs() const { return MeanWorkUs; }
+  struct ServiceState {
+    TimePoint NextSince = TimePoint::min(); ///< when an attempt became the next
+    double IntervalUs = 0; ///< mean time for which an attempt is the next one
+  };
+
+  bool isFresh(const ReplicaState &it, TimePoint now) const;
   double waitUs(const ReplicaState &it, TimePoint now) const;
-  void applyLoad(std::string_view service, ReplicaState &it,
-                 const ServerLoad &load, TimePoint now);
-  void hold(ReplicaState &it, double excessUs, TimePoint now);
 
   RoomOptions Options;
   StringMap<ReplicaState> Replicas;
-  StringMap<Duration> MaxWaits;
+  StringMap<ServiceState> Services;
   std::map<WorkClass, double> WorkUs; ///< mean duration of work, by class
-  double MeanWorkUs = 0;              ///< over the classes, by use
+  double MeanWorkUs = 0;              ///< over all attempts
 };
 
 } // namespace galenaflow::coordination::admission
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -137,6 +137,13 @@
   virtual bool hasOther(std::string_view service,
                         std::span<const state::ReplicaId> tried) = 0;
 
+  /// Whether the service has a usable replica other than these that is not
+  /// known to be busy.
+  virtual bool hasIdle(std::string_view /*service*/,
+                       std::span<const state::ReplicaId> /*tried*/) {
+    return true;
+  }
+
   /// Whether the request limits of the service's usable replicas allow no
   /// further request now. False when it has no usable replica.
   virtual bool isAtLimit(std::string_view service) = 0;
--- a/src/forwarding/forward_admission.cc
+++ b/src/forwarding/forward_admission.cc
@@ -8,9 +8,10 @@
 
 namespace galenaflow::forwarding {
 
+using coordination::AttemptOutcome;
 using coordination::admission::AdmissionRequest;
-using coordination::admission::PartForecast;
 using coordination::admission::ReplicaConnections;
+using coordination::admission::RoomForecast;
 using state::Duration;
 using state::TimePoint;
 
@@ -29,27 +30,32 @@
 
 } // namespace
 
-bool ForwardTask::hasRoom(const Replica &replica) const {
-  return Room.mayTake(replica.Record.Id, Loop.now());
+bool ForwardTask::hasIdle(std::string_view service,
+                          std::span<const state::ReplicaId> tried) {
+  return Placement.hasOther(
+      service, tried,
+      [this](std::string_view id) { return Room.isIdle(id, Loop.now()); },
+      Loop.now());
 }
 
-void ForwardTask::setMaxWaits() {
-  std::map<std::string_view, Duration> shortest;
-  const auto add = [&shortest](std::string_view service, Duration objective) {
-    const auto [it, isNew] = shortest.try_emplace(service, objective);
-    if (!isNew)
-      it->second = std::min(it->second, objective);
-  };
+void ForwardTask::setUrgentNeeds() {
+  UrgentNeeds.clear();
   for (const state::Route &route : Table->routes()) {
     if (route.LatencyObjective == Duration(0))
       continue;
+    const UrgentNeed need{
+        route.Priority, route.LatencyObjective / MaxWaitDivisor,
+        route.isSharded() ? 1 - route.Shards.MinShardRatio : 0.0};
+    const auto add = [this, &need](const std::string &service) {
+      const auto [it, isNew] = UrgentNeeds.try_emplace(service, need);
+      if (!isNew && need.Priority < it->second.Priority)
+        it->second = need;
+    };
     for (const std::string &service : route.Shards.Services)
-      add(service, route.LatencyObjective);
+      add(service);
     for (const state::WeightedTarget &target : route.Targets)
-      add(target.Service, route.LatencyObjective);
+      add(target.Service);
   }
-  for (const auto &[service, objective] : shortest)
-    Room.setMaxWait(service, objective / MaxWaitDivisor);
 }
 
 std::vector<ReplicaConnections>
@@ -64,16 +70,14 @@
     if (replica->Record.Draining || isCooling || !allowsRequest(*replica))
       continue;
     // One connection may be opened where the plan has none.
-    const auto total = static_cast<std::uint32_t>(
-        std::max<std::size_t>(1, replica->Pool.limit()));
-    const auto busy = static_cast<std::uint32_t>(
-        std::min<std::size_t>(total, replica->Pool.busy()));
-    result.push_back({replica->Record.Id, total - busy, total});
+    const std::size_t total = std::max<std::size_t>(1, replica->Pool.limit());
+    const std::size_t free = total - std::min(total, replica->Pool.busy());
+    result.push_back({replica->Record.Id, static_cast<std::uint32_t>(free)});
   }
   return result;
 }
 
-PartForecast ForwardTask::forecast(const std::string &service,
+RoomForecast ForwardTask::forecast(const std::string &service,
                                    const state::Route &route,
                                    const RequestClass &cls,
                                    TimePoint deadline) {
@@ -88,8 +92,7 @@
       ++ahead;
     }
   }
-  return {Room.queueDelay(replicas, ahead, Loop.now()),
-          Room.attemptTime(replicas, cls.Id, Loop.now())};
+  return Room.forecast(service, replicas, ahead, cls.Id, Loop.now());
 }
 
 void ForwardTask::decideAdmission(coordination::ForwardOptions &options,
@@ -98,7 +101,7 @@
   const state::Route &route = *options.Route;
   if (options.IsSuspect)
     return;
-  std::vector<PartForecast> parts;
+  std::vector<RoomForecast> parts;
   parts.reserve(options.Services.size());
   for (const std::string &service : options.Services)
     parts.push_back(forecast(service, route, cls, options.DeadlineAt));
@@ -112,11 +115,13 @@
           : 1;
   request.Remaining = options.DeadlineAt - Loop.now();
   request.Objective = route.LatencyObjective;
-  const bool hasReturned = elapsed >= MinReturn;
-  request.Useful = hasReturned ? request.Remaining
-                               : route.LatencyObjective - elapsed - returnTime -
-                                     Options.PartialMargin;
-  auto decision = Admission.decide(request);
+  request.Class = cls.Id;
+  request.Elapsed = elapsed;
+  request.Useful = route.LatencyObjective - returnTime - Options.PartialMargin;
+  if (elapsed < MinReturn)
+    request.Useful -= elapsed;
+  request.Useful = std::min(request.Useful, request.Remaining);
+  auto decision = Admission.decide(request, Loop.now());
   if (!decision.IsAdmitted) {
     options.RejectedFor = decision.RetryAfter;
     AdmissionRejections.add();
@@ -126,4 +131,48 @@
   options.LeftOut = std::move(decision.LeftOut);
 }
 
+// A request is congested when it was rejected by, or had to wait too long at,
+// more parts than it can do without. The wait is too long when the most urgent
+// request that uses the service could not meet its objective.
+void ForwardTask::recordCongestion(Request &request, const Attempt &attempt,
+                                   AttemptOutcome outcome,
+                                   const ReplicaResult &result) {
+  const state::Route &route = *request.Execution.options().Route;
+  if (outcome == AttemptOutcome::NotRun && !isMisdirected(result)) {
+    ++request.RejectedAttempts;
+  } else if (result.Load) {
+    const auto need = UrgentNeeds.find(attempt.Target->Record.Service);
+    if (need != UrgentNeeds.end() &&
+        Room.statedWait(attempt.Target->Record.Id, *result.Load) >
+            std::min(need->second.MaxWait,
+                     route.LatencyObjective / MaxWaitDivisor))
+      ++request.DelayedAttempts;
+  }
+  if (!request.HasMetCongestion && isCongested(request)) {
+    request.HasMetCongestion = true;
+    Admission.onCongested(requestClass(request.ClassKey).Id, Loop.now());
+  }
+}
+
+bool ForwardTask::isCongested(const Request &request) const {
+  const auto &options = request.Execution.options();
+  const auto need = UrgentNeeds.find(options.Services.front());
+  if (need == UrgentNeeds.end())
+    return false;
+  const auto n = static_cast<double>(options.Services.size());
+  const double own =
+      options.Route->isSharded() ? 1 - options.Route->Shards.MinShardRatio : 0;
+  return request.RejectedAttempts > own * n ||
+         request.DelayedAttempts > need->second.SpareFraction * n;
+}
+
+// Some replicas always have a queue for a moment, so one part in fifty may.
+bool ForwardTask::isIdle(const Request &request) const {
+  constexpr std::uint32_t partsPerQueue = 50;
+  const auto &options = request.Execution.options();
+  const std::size_t met = request.RejectedAttempts + request.DelayedAttempts;
+  return !options.RejectedFor && request.Execution.counts().IsAnswered &&
+         met <= options.Services.size() / partsPerQueue;
+}
+
 } // namespace galenaflow::forwarding
--- a/src/forwarding/forward_dispatch.cc
+++ b/src/forwarding/forward_dispatch.cc
@@ -39,9 +39,6 @@
 /// How often the replicas of waiting attempts are checked.
 constexpr Duration WaitCheckInterval = std::chrono::milliseconds(50);
 
-/// The same while replicas are held, mostly for some tens of milliseconds.
-constexpr Duration HoldCheckInterval = std::chrono::milliseconds(10);
-
 AttemptOutcome toOutcome(const ReplicaResult &result, bool cancelled) {
   if (std::holds_alternative<coordination::BackendResponse>(result.Outcome))
     return AttemptOutcome::Succeeded;
@@ -53,12 +50,6 @@
              : AttemptOutcome::Failed;
 }
 
-bool isMisdirected(const ReplicaResult &result) {
-  const auto *failure =
-      std::get_if<coordination::AttemptFailure>(&result.Outcome);
-  return failure != nullptr && failure->End == AttemptEnd::Misdirected;
-}
-
 } // namespace
 
 void ForwardTask::endUnfinishable() {
@@ -111,8 +102,11 @@
     Retries.add();
   const auto &options = request.Execution.options();
   const std::string &service = request.Execution.service(action.Part);
-  WaitingAttempts[service].insert({options.Route->Priority, options.DeadlineAt,
-                                   id, action.Number, action.Part});
+  std::set<WaitKey> &queue = WaitingAttempts[service];
+  if (queue.empty())
+    Room.onBacklog(service, Loop.now());
+  queue.insert({options.Route->Priority, options.DeadlineAt, id, action.Number,
+                action.Part});
   scheduleDispatch(service);
 }
 
@@ -159,12 +153,7 @@
     it = queue.upper_bound(key);
   }
   if (!queue.empty() && WaitTimer == 0)
-    WaitTimer = Loop.schedule(waitCheckInterval(), [this] { checkWaiting(); });
-}
-
-Duration ForwardTask::waitCheckInterval() const {
-  return Room.heldReplicas(Loop.now()) == 0 ? WaitCheckInterval
-                                            : HoldCheckInterval;
+    WaitTimer = Loop.schedule(WaitCheckInterval, [this] { checkWaiting(); });
 }
 
 void ForwardTask::checkWaiting() {
@@ -178,7 +167,7 @@
       scheduleDispatch(service);
   }
   if (isAnyWaiting)
-    WaitTimer = Loop.schedule(waitCheckInterval(), [this] { checkWaiting(); });
+    WaitTimer = Loop.schedule(WaitCheckInterval, [this] { checkWaiting(); });
 }
 
 // Costs less than a dispatch of many attempts that all have to wait.
@@ -187,8 +176,7 @@
       service, {},
       [this](std::string_view id) {
         const auto it = Replicas.find(id);
-        if (it == Replicas.end() || !allowsRequest(*it->second) ||
-            !hasRoom(*it->second))
+        if (it == Replicas.end() || !allowsRequest(*it->second))
           return false;
         const Replica &replica = *it->second;
         return replica.Pool.hasFree() || (replica.Pool.limit() == 0 &&
@@ -210,7 +198,7 @@
   const auto canSend = [this](std::string_view id) {
     const auto replica = Replicas.find(id);
     return replica != Replicas.end() && replica->second->Pool.hasFree() &&
-           hasRoom(*replica->second) && allowsRequest(*replica->second);
+           allowsRequest(*replica->second);
   };
   // A replica whose connections are probed first has no free one afterwards.
   while (const auto chosen =
@@ -246,8 +234,7 @@
     const bool wasTried = std::find(tried.begin(), tried.end(),
                                     replica->Record.Id) != tried.end();
     if (wasTried || replica->Record.Draining || replica->Pool.limit() != 0 ||
-        replica->CooldownUntil > Loop.now() || !hasRoom(*replica) ||
-        !allowsRequest(*replica))
+        replica->CooldownUntil > Loop.now() || !allowsRequest(*replica))
       continue;
     replica->Pool.setLimit(1);
     return true;
@@ -286,7 +273,7 @@
     target->Limiter->onSent(limitShare(*target), now);
   }
   Placement.onSent(target->Record.Id, attempt.ExpectedLatency, now);
-  Room.onSent(target->Record.Id);
+  Room.onSent(target->Record.Service, now);
   Attempts.emplace(id, std::move(attempt));
   executeActions(key.Request,
                  request.Execution.onSent(key.Number, target->Record.Id, now));
@@ -328,8 +315,7 @@
     RequestClass &cls = requestClass(attempt.ClassKey);
     cls.MedianLatency.add(now - attempt.SentAt);
     cls.HedgeLatency.add(now - attempt.SentAt);
-    Room.onResponse(attempt.Target->Record.Service, attempt.Target->Record.Id,
-                    cls.Id, now - attempt.SentAt,
+    Room.onResponse(attempt.Target->Record.Id, cls.Id, now - attempt.SentAt,
                     decoded.Load ? &*decoded.Load : nullptr, now);
   } else if (outcome == AttemptOutcome::NotRun) {
     Rejections.add();
@@ -337,7 +323,7 @@
     FailedAttempts.add();
   }
   if (outcome == AttemptOutcome::NotRun && !isMisdirected(decoded))
-    Room.onRejected(attempt.Target->Record.Service, attempt.Target->Record.Id,
+    Room.onRejected(attempt.Target->Record.Id,
                     decoded.Load ? &*decoded.Load : nullptr, now);
   recordLimit(*attempt.Target, decoded);
   if (decoded.Pause)
@@ -355,6 +341,7 @@
     Placement.onLoad(attempt.Target->Record.Id, *decoded.Load, now);
   if (request == Requests.end())
     return;
+  recordCongestion(*request->second, attempt, outcome, decoded);
   request->second->Attempts.erase(attempt.Number);
   auto &execution = request->second->Execution;
   if (auto *response =
--- a/src/forwarding/forward_protocol.cc
+++ b/src/forwarding/forward_protocol.cc
@@ -9,4 +9,11 @@
   return state::fingerprintOf(parts);
 }
 
+bool isMisdirected(const ReplicaResult &result) {
+  const auto *failure =
+      std::get_if<coordination::AttemptFailure>(&result.Outcome);
+  return failure != nullptr &&
+         failure->End == coordination::AttemptEnd::Misdirected;
+}
+
 } // namespace galenaflow::forwarding
--- a/src/forwarding/forward_protocol.h
+++ b/src/forwarding/forward_protocol.h
@@ -45,6 +45,9 @@
   bool IsLeaving = false; ///< whether the replica states that it leaves
 };
 
+/// Whether another replica has answered at the address.
+bool isMisdirected(const ReplicaResult &result);
+
 /// Encodes requests to replicas and decodes their responses.
 class ReplicaProtocol {
 public:
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -75,7 +75,7 @@
     if (isDelegable(route))
       DelegatedServices.insert(route.Shards.Services.begin(),
                                route.Shards.Services.end());
-  setMaxWaits();
+  setUrgentNeeds();
   planConnections();
 }
 
@@ -234,6 +234,8 @@
   Loop.cancel(request->Timer);
   if (!request->Callback)
     return;
+  if (isIdle(*request))
+    Admission.onIdle(requestClass(request->ClassKey).Id, Loop.now());
   ForwardResult result;
   result.Outcome = std::move(action.Result);
   auto *failure = std::get_if<coordination::ForwardFailure>(&result.Outcome);
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -193,6 +193,9 @@
     state::TimePoint ArrivedAt;
     state::TimePoint CallerDeadline;
     transport::TimerId Timer = 0;
+    std::uint32_t RejectedAttempts = 0; ///< by full replicas
+    std::uint32_t DelayedAttempts = 0;  ///< at replicas with long queues
+    bool HasMetCongestion = false;
 
     /// Open attempts that have been sent.
     std::map<coordination::AttemptNumber, AttemptId> Attempts;
@@ -213,6 +216,8 @@
   bool hasOther(std::string_view service,
                 std::span<const state::ReplicaId> tried) override;
   bool isAtLimit(std::string_view service) override;
+  bool hasIdle(std::string_view service,
+               std::span<const state::ReplicaId> tried) override;
 
   RequestClass &requestClass(const RequestClassKey &key);
   state::Duration expectedLatency(const RequestClassKey &key);
@@ -221,14 +226,18 @@
   void decideAdmission(coordination::ForwardOptions &options,
                        const RequestClass &cls, state::Duration elapsed,
                        state::Duration returnTime);
-  coordination::admission::PartForecast forecast(const std::string &service,
+  coordination::admission::RoomForecast forecast(const std::string &service,
                                                  const state::Route &route,
                                                  const RequestClass &cls,
                                                  state::TimePoint deadline);
   std::vector<coordination::admission::ReplicaConnections>
   connections(const std::string &service);
-  bool hasRoom(const Replica &replica) const;
-  void setMaxWaits();
+  void setUrgentNeeds();
+  void recordCongestion(Request &request, const Attempt &attempt,
+                        coordination::AttemptOutcome outcome,
+                        const ReplicaResult &result);
+  bool isCongested(const Request &request) const;
+  bool isIdle(const Request &request) const;
   void executeActions(ForwardId id, coordination::ForwardActions actions);
   void queueAttempt(ForwardId id, Request &request,
                     const coordination::SendAttempt &action);
@@ -239,7 +248,6 @@
   void dispatch(const std::string &service);
   void scheduleDispatch(const std::string &service);
   void checkWaiting();
-  state::Duration waitCheckInterval() const;
   bool mayDispatch(const std::string &service);
   void endUnfinishable();
   void findUnfinishable(const std::string &service,
@@ -297,6 +305,14 @@
   LimitCallback LimitStatedCallback;
   coordination::admission::RoomEstimate Room;
   coordination::admission::RequestAdmission Admission;
+
+  /// What the most urgent route that uses a service needs there.
+  struct UrgentNeed {
+    int Priority = 0;
+    state::Duration MaxWait{0};
+    double SpareFraction = 0; ///< of its parts, which it does not need
+  };
+  std::map<std::string, UrgentNeed, std::less<>> UrgentNeeds;
   state::TimePoint StartedAt;
   state::TimePoint LastFleetGrowthAt; ///< when the count of daemons last grew
   std::map<std::string, ReplicaPtr, std::less<>> Replicas;
