--- a/src/coordination/admission/request_admission.h
+++ b/src/coordination/admission/request_admission.h
@@ -45,14 +45,14 @@
   Duration MinRetryAfter = std::chrono::milliseconds(30);
 
   /// Factor on the admitted share of new requests when one has met congestion.
-  double Decrease = 0.5;
+  double Decrease = 0.35;
 
   /// The share falls once in this time at most: what was decided before shows
   /// in the replicas' queues about a latency later.
-  Duration DecreaseInterval = std::chrono::milliseconds(150);
+  Duration DecreaseInterval = std::chrono::milliseconds(100);
 
   /// The share doubles in this time without congestion.
-  Duration DoublingTime = std::chrono::seconds(3);
+  Duration DoublingTime = std::chrono::seconds(4);
 
   /// Factor on the share, and what is added to it, after a request that has met
   /// no queue anywhere, which shows that there is room.
@@ -61,7 +61,7 @@
 
   /// A share never falls below this, so that no class starves and room that
   /// returns is noticed.
-  double MinShare = 0.03;
+  double MinShare = 0.02;
 
   /// Factors on the share for callers that return when they were told to, and
   /// for those that return before.
--- a/src/coordination/admission/room_estimate.cc
+++ b/src/coordination/admission/room_estimate.cc
@@ -52,6 +52,7 @@
 void RoomEstimate::onResponse(std::string_view replica, WorkClass work,
                               Duration latency, const ServerLoad *load,
                               TimePoint now) {
+  ++Samples;
   ReplicaState &it = Replicas.try_emplace(std::string(replica)).first->second;
   double own = toUs(latency);
   if (load != nullptr)
@@ -95,6 +96,8 @@
 
 Duration RoomEstimate::statedWait(std::string_view replica,
                                   const ServerLoad &load) const {
+  if (Samples < Options.MinSamples)
+    return Duration(0);
   const auto it = Replicas.find(replica);
   const double speed = it == Replicas.end() ? 1 : it->second.Speed;
   return fromUs(load.Waiting * MeanWorkUs * speed / std::max(1U, load.Slots));
@@ -111,7 +114,7 @@
     std::string_view service, std::span<const ReplicaConnections> replicas,
     std::uint32_t ahead, WorkClass work, TimePoint now) const {
   const auto mean = WorkUs.find(work);
-  if (mean == WorkUs.end() || replicas.empty())
+  if (mean == WorkUs.end() || replicas.empty() || Samples < Options.MinSamples)
     return {};
   double bestWait = -1;
   double bestTime = -1;
--- a/src/coordination/admission/room_estimate.h
+++ b/src/coordination/admission/room_estimate.h
@@ -26,6 +26,10 @@
   /// every shard.
   double WorkSampleWeight = 0.02;
 
+  /// Nothing is estimated before this number of responses: the first ones take
+  /// longer, since connections are opened for them.
+  std::size_t MinSamples = 300;
+
   /// Statements of a replica that are older than this are not used.
   Duration MaxAge = std::chrono::seconds(1);
 };
@@ -104,6 +108,7 @@
   StringMap<ServiceState> Services;
   std::map<WorkClass, double> WorkUs; ///< mean duration of work, by class
   double MeanWorkUs = 0;              ///< over all attempts
+  std::size_t Samples = 0;
 };
 
 } // namespace galenaflow::coordination::admission
--- a/src/forwarding/forward_admission.cc
+++ b/src/forwarding/forward_admission.cc
@@ -141,12 +141,14 @@
   if (outcome == AttemptOutcome::NotRun && !isMisdirected(result)) {
     ++request.RejectedAttempts;
   } else if (result.Load) {
+    const Duration wait =
+        Room.statedWait(attempt.Target->Record.Id, *result.Load);
     const auto need = UrgentNeeds.find(attempt.Target->Record.Service);
-    if (need != UrgentNeeds.end() &&
-        Room.statedWait(attempt.Target->Record.Id, *result.Load) >
-            std::min(need->second.MaxWait,
-                     route.LatencyObjective / MaxWaitDivisor))
+    if (need != UrgentNeeds.end() && wait > need->second.MaxWait)
       ++request.DelayedAttempts;
+    if (route.LatencyObjective != Duration(0) &&
+        wait > route.LatencyObjective / MaxWaitDivisor)
+      ++request.LateAttempts;
   }
   if (!request.HasMetCongestion && isCongested(request)) {
     request.HasMetCongestion = true;
@@ -162,13 +164,13 @@
   const auto n = static_cast<double>(options.Services.size());
   const double own =
       options.Route->isSharded() ? 1 - options.Route->Shards.MinShardRatio : 0;
-  return request.RejectedAttempts > own * n ||
+  return request.RejectedAttempts + request.LateAttempts > own * n ||
          request.DelayedAttempts > need->second.SpareFraction * n;
 }
 
-// Some replicas always have a queue for a moment, so one part in fifty may.
+// Some replicas always have a queue for a moment, so one part in twenty may.
 bool ForwardTask::isIdle(const Request &request) const {
-  constexpr std::uint32_t partsPerQueue = 50;
+  constexpr std::uint32_t partsPerQueue = 20;
   const auto &options = request.Execution.options();
   const std::size_t met = request.RejectedAttempts + request.DelayedAttempts;
   return !options.RejectedFor && request.Execution.counts().IsAnswered &&
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -194,7 +194,8 @@
     state::TimePoint CallerDeadline;
     transport::TimerId Timer = 0;
     std::uint32_t RejectedAttempts = 0; ///< by full replicas
-    std::uint32_t DelayedAttempts = 0;  ///< at replicas with long queues
+    std::uint32_t LateAttempts = 0;     ///< with a queue too long for this one
+    std::uint32_t DelayedAttempts = 0;  ///< with one too long for an urgent one
     bool HasMetCongestion = false;
 
     /// Open attempts that have been sent.
