--- a/src/coordination/admission/room_estimate.cc
+++ b/src/coordination/admission/room_estimate.cc
@@ -96,7 +96,7 @@
 
 Duration RoomEstimate::statedWait(std::string_view replica,
                                   const ServerLoad &load) const {
-  if (Samples < Options.MinSamples)
+  if (!isKnown())
     return Duration(0);
   const auto it = Replicas.find(replica);
   const double speed = it == Replicas.end() ? 1 : it->second.Speed;
@@ -114,7 +114,7 @@
     std::string_view service, std::span<const ReplicaConnections> replicas,
     std::uint32_t ahead, WorkClass work, TimePoint now) const {
   const auto mean = WorkUs.find(work);
-  if (mean == WorkUs.end() || replicas.empty() || Samples < Options.MinSamples)
+  if (mean == WorkUs.end() || replicas.empty() || !isKnown())
     return {};
   double bestWait = -1;
   double bestTime = -1;
--- a/src/coordination/admission/room_estimate.h
+++ b/src/coordination/admission/room_estimate.h
@@ -80,6 +80,9 @@
                         std::uint32_t ahead, WorkClass work,
                         TimePoint now) const;
 
+  /// Whether there were enough responses for an estimate.
+  bool isKnown() const { return Samples >= Options.MinSamples; }
+
   /// Returns how long the requests that wait at the replica, as stated in
   /// `load`, delay a new one.
   Duration statedWait(std::string_view replica, const ServerLoad &load) const;
--- a/src/forwarding/forward_admission.cc
+++ b/src/forwarding/forward_admission.cc
@@ -1,5 +1,7 @@
 #include "forwarding/forward_task.h"
 
+#include "state/log.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -150,9 +152,19 @@
         wait > route.LatencyObjective / MaxWaitDivisor)
       ++request.LateAttempts;
   }
-  if (!request.HasMetCongestion && isCongested(request)) {
+  if (!request.HasMetCongestion && Room.isKnown() && isCongested(request)) {
     request.HasMetCongestion = true;
-    Admission.onCongested(requestClass(request.ClassKey).Id, Loop.now());
+    const auto id = requestClass(request.ClassKey).Id;
+    const bool wasOpen = Admission.share(id) >= 1;
+    Admission.onCongested(id, Loop.now());
+    if (wasOpen)
+      state::log::info("admission_limited",
+                       {{"route", route.Name},
+                        {"share", Admission.share(id)},
+                        {"parts", request.Execution.options().Services.size()},
+                        {"rejected", request.RejectedAttempts},
+                        {"late", request.LateAttempts},
+                        {"delayed", request.DelayedAttempts}});
   }
 }
 
