Admit a share of requests while replicas have no room

Callers saw: with demand at four times the usual and 40 % of the replicas slow by 5, 845 of 1,214 requests failed, most with 502 and without a time to return.

Cause: every daemon sent all parts of every request. The replicas of the slow shards rejected half of all attempts, a request failed after most of its parts had run, and its caller came back at once.

Change: a daemon admits a share of the new requests of each class. It halves when a request meets queues that are too long at more parts than it can do without, and grows otherwise. A rejected request has not run and gets 503 with a time to return; an executor's rejection is passed on and not run by the weaker daemon. Hedges go to replicas without a queue while a share is below 1.

Tried and dropped: holding attempts at the daemon, and rejecting by stated queues alone; see docs/design/room.md.

--- a/src/coordination/admission/request_admission.cc
+++ b/src/coordination/admission/request_admission.cc
@@ -22,6 +22,11 @@
 
 } // namespace
 
+bool RequestAdmission::isLimiting() const {
+  return std::any_of(Classes.begin(), Classes.end(),
+                     [](const auto &it) { return it.second.Share < 1; });
+}
+
 double RequestAdmission::share(WorkClass id) const {
   const auto it = Classes.find(id);
   return it == Classes.end() ? 1 : it->second.Share;
@@ -41,17 +46,14 @@
 
 void RequestAdmission::onCongested(WorkClass id, TimePoint now) {
   ClassState &it = grow(id, now);
-  if (it.DecreasedAt != TimePoint::min() &&
-      now - it.DecreasedAt < Options.DecreaseInterval)
-    return;
-  it.DecreasedAt = now;
   it.Share = std::max(Options.MinShare, it.Share * Options.Decrease);
 }
 
-void RequestAdmission::onIdle(WorkClass id, TimePoint now) {
+void RequestAdmission::onEnded(WorkClass id, double pressure, TimePoint now) {
   ClassState &it = grow(id, now);
-  it.Share =
-      std::min(1.0, it.Share * Options.IdleFactor + Options.IdleIncrease);
+  const double room = 1 - std::clamp(pressure, 0.0, 1.0);
+  it.Share = std::min(1.0, it.Share * (1 + (Options.Increase - 1) * room) +
+                               Options.IdleIncrease * room);
 }
 
 double RequestAdmission::factor(const AdmissionRequest &request) const {
--- a/src/coordination/admission/request_admission.h
+++ b/src/coordination/admission/request_admission.h
@@ -45,20 +45,17 @@
   Duration MinRetryAfter = std::chrono::milliseconds(30);
 
   /// Factor on the admitted share of new requests when one has met congestion.
-  double Decrease = 0.35;
-
-  /// The share falls once in this time at most: what was decided before shows
-  /// in the replicas' queues about a latency later.
-  Duration DecreaseInterval = std::chrono::milliseconds(100);
-
-  /// The share doubles in this time without congestion.
-  Duration DoublingTime = std::chrono::seconds(4);
+  double Decrease = 0.5;
 
   /// Factor on the share, and what is added to it, after a request that has met
-  /// no queue anywhere, which shows that there is room.
-  double IdleFactor = 2;
+  /// no queue. With queues the share grows by less, and not at all at the
+  /// limit.
+  double Increase = 1.25;
   double IdleIncrease = 0.1;
 
+  /// The share doubles in this time without congestion.
+  Duration DoublingTime = std::chrono::milliseconds(3000);
+
   /// A share never falls below this, so that no class starves and room that
   /// returns is noticed.
   double MinShare = 0.02;
@@ -93,8 +90,12 @@
   /// parts than it can do without. Call once for each request.
   void onCongested(WorkClass id, TimePoint now);
 
-  /// An admitted request has met no queue that is too long.
-  void onIdle(WorkClass id, TimePoint now);
+  /// An admitted request has ended without congestion. `pressure` is the part
+  /// of the allowed queues that it has met, from 0 to 1.
+  void onEnded(WorkClass id, double pressure, TimePoint now);
+
+  /// Whether some class is not admitted in full.
+  bool isLimiting() const;
 
   /// The share of new requests of a class that is admitted.
   double share(WorkClass id) const;
@@ -104,7 +105,6 @@
     double Share = 1;
     double Credit = 0; ///< sum of the shares of requests that were not admitted
     TimePoint GrownAt = TimePoint::min(); ///< until when growth is included
-    TimePoint DecreasedAt = TimePoint::min();
   };
 
   ClassState &grow(WorkClass id, TimePoint now);
--- a/src/coordination/admission/room_estimate.cc
+++ b/src/coordination/admission/room_estimate.cc
@@ -106,8 +106,7 @@
 bool RoomEstimate::isIdle(std::string_view replica, TimePoint now) const {
   const auto it = Replicas.find(replica);
   return it == Replicas.end() || !isFresh(it->second, now) ||
-         (it->second.Load.Waiting == 0 &&
-          it->second.Load.Running < it->second.Load.Slots);
+         it->second.Load.Waiting == 0;
 }
 
 RoomForecast RoomEstimate::forecast(
--- a/src/coordination/admission/room_estimate.h
+++ b/src/coordination/admission/room_estimate.h
@@ -87,8 +87,7 @@
   /// `load`, delay a new one.
   Duration statedWait(std::string_view replica, const ServerLoad &load) const;
 
-  /// Whether the replica works on fewer requests than it has slots, as far as
-  /// is known.
+  /// Whether no request waits at the replica, as far as is known.
   bool isIdle(std::string_view replica, TimePoint now) const;
 
 private:
--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -401,7 +401,6 @@
   }
   if (!mayRun(part) || !Policy.hasOther(service, part.Tried))
     return;
-  // At a busy replica it would only take the place of another request.
   if (!Policy.hasIdle(service, part.Tried) || !Policy.tryTakeExtra(service)) {
     part.HedgeAt = now + HedgeTokenRetryDelay;
     return;
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -79,7 +79,7 @@
   ServerLimit, ///< the replicas' request limits are used up
   Quarantined, ///< equal requests have ended the replicas that ran them
   Stopping,    ///< this process exits before the request could end
-  NoRoom, ///< more is waiting at the replicas than can be served in time
+  NoRoom,      ///< more is waiting at the replicas than can be served in time
   CallerGone,
 };
 
@@ -137,8 +137,8 @@
   virtual bool hasOther(std::string_view service,
                         std::span<const state::ReplicaId> tried) = 0;
 
-  /// Whether the service has a usable replica other than these that is not
-  /// known to be busy.
+  /// Whether a hedge may be sent to a replica of the service other than these
+  /// without taking the place of other requests.
   virtual bool hasIdle(std::string_view /*service*/,
                        std::span<const state::ReplicaId> /*tried*/) {
     return true;
--- a/src/forwarding/forward_admission.cc
+++ b/src/forwarding/forward_admission.cc
@@ -27,17 +27,28 @@
 /// no shorter time to return is stated.
 constexpr Duration MinReturn = std::chrono::milliseconds(30);
 
+/// A few shards always have long queues where replicas are slow or lost. Demand
+/// exceeds the room of a set of shards only when more of them have.
+constexpr double MinCongestedFraction = 0.08;
+
+/// The same for a service without shards: one full replica says little.
+constexpr double MinCongestedReplicas = 2;
+
 /// Attempts before another one that are counted.
 constexpr std::ptrdiff_t MaxAhead = 1000;
 
 } // namespace
 
+// Hedges to replicas with queues help against single slow replicas. When there
+// is no room they only take the place of other requests.
 bool ForwardTask::hasIdle(std::string_view service,
                           std::span<const state::ReplicaId> tried) {
-  return Placement.hasOther(
-      service, tried,
-      [this](std::string_view id) { return Room.isIdle(id, Loop.now()); },
-      Loop.now());
+  return !Admission.isLimiting() || Placement.hasOther(
+                                        service, tried,
+                                        [this](std::string_view id) {
+                                          return Room.isIdle(id, Loop.now());
+                                        },
+                                        Loop.now());
 }
 
 void ForwardTask::setUrgentNeeds() {
@@ -141,7 +152,9 @@
                                    const ReplicaResult &result) {
   const state::Route &route = *request.Execution.options().Route;
   if (outcome == AttemptOutcome::NotRun && !isMisdirected(result)) {
-    ++request.RejectedAttempts;
+    // Some replicas reject requests although they have room.
+    if (!result.Load || result.Load->Waiting >= result.Load->Slots)
+      ++request.RejectedAttempts;
   } else if (result.Load) {
     const Duration wait =
         Room.statedWait(attempt.Target->Record.Id, *result.Load);
@@ -152,7 +165,7 @@
         wait > route.LatencyObjective / MaxWaitDivisor)
       ++request.LateAttempts;
   }
-  if (!request.HasMetCongestion && Room.isKnown() && isCongested(request)) {
+  if (!request.HasMetCongestion && Room.isKnown() && pressure(request) > 1) {
     request.HasMetCongestion = true;
     const auto id = requestClass(request.ClassKey).Id;
     const bool wasOpen = Admission.share(id) >= 1;
@@ -168,25 +181,31 @@
   }
 }
 
-bool ForwardTask::isCongested(const Request &request) const {
+// Returns the queues that the request has met, relative to what it can do
+// without.
+double ForwardTask::pressure(const Request &request) const {
   const auto &options = request.Execution.options();
   const auto need = UrgentNeeds.find(options.Services.front());
   if (need == UrgentNeeds.end())
-    return false;
+    return 0;
+  const double late = request.RejectedAttempts + request.LateAttempts;
+  if (!options.Route->isSharded())
+    return late / MinCongestedReplicas;
   const auto n = static_cast<double>(options.Services.size());
-  const double own =
-      options.Route->isSharded() ? 1 - options.Route->Shards.MinShardRatio : 0;
-  return request.RejectedAttempts + request.LateAttempts > own * n ||
-         request.DelayedAttempts > need->second.SpareFraction * n;
+  const double spare =
+      std::max(1 - options.Route->Shards.MinShardRatio, MinCongestedFraction);
+  const double urgentSpare =
+      std::max(need->second.SpareFraction, MinCongestedFraction);
+  return std::max(late / (spare * n),
+                  request.DelayedAttempts / (urgentSpare * n));
 }
 
-// Some replicas always have a queue for a moment, so one part in twenty may.
-bool ForwardTask::isIdle(const Request &request) const {
-  constexpr std::uint32_t partsPerQueue = 20;
-  const auto &options = request.Execution.options();
-  const std::size_t met = request.RejectedAttempts + request.DelayedAttempts;
-  return !options.RejectedFor && request.Execution.counts().IsAnswered &&
-         met <= options.Services.size() / partsPerQueue;
+void ForwardTask::recordPressure(const Request &request) {
+  if (request.Execution.options().RejectedFor || request.HasMetCongestion ||
+      !request.Execution.counts().IsAnswered)
+    return;
+  Admission.onEnded(requestClass(request.ClassKey).Id, pressure(request),
+                    Loop.now());
 }
 
 } // namespace galenaflow::forwarding
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -234,8 +234,7 @@
   Loop.cancel(request->Timer);
   if (!request->Callback)
     return;
-  if (isIdle(*request))
-    Admission.onIdle(requestClass(request->ClassKey).Id, Loop.now());
+  recordPressure(*request);
   ForwardResult result;
   result.Outcome = std::move(action.Result);
   auto *failure = std::get_if<coordination::ForwardFailure>(&result.Outcome);
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -237,8 +237,8 @@
   void recordCongestion(Request &request, const Attempt &attempt,
                         coordination::AttemptOutcome outcome,
                         const ReplicaResult &result);
-  bool isCongested(const Request &request) const;
-  bool isIdle(const Request &request) const;
+  double pressure(const Request &request) const;
+  void recordPressure(const Request &request);
   void executeActions(ForwardId id, coordination::ForwardActions actions);
   void queueAttempt(ForwardId id, Request &request,
                     const coordination::SendAttempt &action);
--- a/tests/delegation_task_test.cc
+++ b/tests/delegation_task_test.cc
@@ -386,3 +386,28 @@
   it.Strong->Local.complete(2);
   CHECK(it.waitForResults(1));
 }
+
+// Guards against a weak daemon that runs a request which its executor has
+// rejected since the replicas have no room, and against a lost time to return.
+TEST_CASE("a rejection for want of room is passed on with its time to return") {
+  DaemonPair pair;
+  pair.Strong->Local.CompletesCalls = false;
+  pair.call();
+  REQUIRE(pair.Loop.runUntil([&] { return !pair.Strong->Local.Calls.empty(); },
+                             TestLimit));
+  ForwardResult rejected;
+  coordination::ForwardFailure failure{coordination::ForwardFault::NoRoom,
+                                       coordination::ExecutionState::NotRun,
+                                       {}};
+  failure.RetryAfter = 120ms;
+  rejected.Outcome = failure;
+  pair.Strong->Local.complete(1, std::move(rejected));
+  REQUIRE(pair.Loop.runUntil([&] { return !pair.Results.empty(); }, TestLimit));
+  const auto *result =
+      std::get_if<coordination::ForwardFailure>(&pair.Results[0].Outcome);
+  REQUIRE(result != nullptr);
+  CHECK(result->Fault == coordination::ForwardFault::NoRoom);
+  CHECK(result->Ran == coordination::ExecutionState::NotRun);
+  CHECK(result->RetryAfter == state::Duration(120ms));
+  CHECK(pair.Weak->Local.Calls.empty());
+}
--- a/tests/forward_execution_test.cc
+++ b/tests/forward_execution_test.cc
@@ -29,6 +29,10 @@
     return AtLimit.contains(std::string(service));
   }
   std::set<std::string> AtLimit; ///< services
+  bool hasIdle(std::string_view, std::span<const state::ReplicaId>) override {
+    return IsIdle;
+  }
+  bool IsIdle = true;
 };
 
 struct Fixture {
@@ -635,3 +639,48 @@
     CHECK(it.Policy.Taken <= it.Policy.Tokens);
   }
 }
+
+// Guards against parts that use room which others need, of a request that is
+// rejected all the same.
+TEST_CASE("a request that is rejected for want of room sends nothing") {
+  Fixture test(20);
+  test.Options.RejectedFor = 150ms;
+  test.start();
+  CHECK(test.Attempts.empty());
+  REQUIRE(test.Finished);
+  const auto &failure = std::get<ForwardFailure>(test.Finished->Result);
+  CHECK(failure.Fault == ForwardFault::NoRoom);
+  CHECK(failure.Ran == ExecutionState::NotRun);
+  CHECK(failure.RetryAfter == Duration(150ms));
+}
+
+// Guards against an answer that states another coverage than it has.
+TEST_CASE("parts without room are left out and counted as missing") {
+  Fixture test(20);
+  test.Options.LeftOut = {2, 5};
+  test.start();
+  CHECK(test.Attempts.size() == 18);
+  test.markAllSent();
+  for (AttemptNumber i = 0; i != 18; ++i)
+    test.executeActions(test.Execution->onResponse(
+        i, {200, {}, "0123456789abcdef", "sig" + std::to_string(i)}, test.Now));
+  REQUIRE(test.Finished);
+  CHECK(std::get<MergedAnswer>(test.Finished->Result).Missing == 2);
+}
+
+// Guards against hedges that take the place of other requests when there is no
+// room.
+TEST_CASE("no hedge is sent while only busy replicas are left") {
+  Fixture test;
+  test.Options.HedgeAfter = 20ms;
+  test.Policy.IsIdle = false;
+  test.start();
+  test.markAllSent();
+  test.Now += 25ms;
+  test.executeActions(test.Execution->onTimer(test.Now));
+  CHECK(test.Attempts.size() == 1);
+  test.Policy.IsIdle = true;
+  test.Now += 25ms;
+  test.executeActions(test.Execution->onTimer(test.Now));
+  CHECK(test.Attempts.size() == 2);
+}
