Extract the replica gate

Whether a replica may get a request was decided in ForwardTask, between connections and queues, and could only be tested with sockets.

--- a/src/forwarding/forward_dispatch.cc
+++ b/src/forwarding/forward_dispatch.cc
@@ -281,10 +281,8 @@
   if (attempt.Exchange == 0)
     return false;
   request.Attempts.emplace(key.Number, id);
-  if (target->Limiter) {
+  if (Gate.onSent(target->Record.Id, now))
     LimitedAttempts.add();
-    target->Limiter->onSent(limitShare(*target), now);
-  }
   Placement.onSent(target->Record.Id, attempt.ExpectedLatency, now);
   Room.onSent(target->Record.Id);
   Attempts.emplace(id, std::move(attempt));
--- a/src/forwarding/forward_replicas.cc
+++ b/src/forwarding/forward_replicas.cc
@@ -68,6 +68,7 @@
 void ForwardTask::applyReplicas(
     const coordination::LeavingReplicas::Records &records) {
   Placement.setReplicas(records, Loop.now());
+  Gate.setReplicas(records, Loop.now());
   Room.retain([&records](std::string_view id) { return records.contains(id); });
   for (auto it = Replicas.begin(); it != Replicas.end();) {
     const auto record = records.find(it->first);
@@ -78,7 +79,6 @@
       ++it;
       continue;
     }
-    keepLimit(known);
     // Open attempts keep the replica alive until they have ended.
     Loop.post([removed = std::move(it->second)] {});
     it = Replicas.erase(it);
@@ -99,17 +99,11 @@
         std::make_shared<Replica>(Loop, record, *address, Options.Pool);
     replica->Pool.onFree(
         [this, service = record.Service] { scheduleDispatch(service); });
-    restoreLimit(*replica);
     Replicas.emplace(id, std::move(replica));
   }
   ReplicasByService.clear();
-  for (const auto &[id, replica] : Replicas) {
-    std::vector<ReplicaPtr> &replicas =
-        ReplicasByService[replica->Record.Service];
-    replica->Rank = static_cast<std::uint32_t>(replicas.size());
-    replicas.push_back(replica);
-  }
-  countLimited();
+  for (const auto &[id, replica] : Replicas)
+    ReplicasByService[replica->Record.Service].push_back(replica);
   planConnections();
   for (const auto &[id, replica] : Replicas)
     warm(*replica);
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -36,6 +36,7 @@
                          state::MetricRegistry &metrics)
     : Loop(loop), Protocol(protocol), Options(std::move(options)),
       Placement(Options.DataCentre, std::mt19937_64(Options.Seed)),
+      Gate({Options.AssumedDaemons, Options.Seed}),
       Admission({}, std::mt19937_64(Options.Seed + 1)), StartedAt(loop.now()),
       LastFleetGrowthAt(StartedAt),
       Hedges(metrics.counter("galenaflow_hedges_total",
@@ -70,11 +71,12 @@
 
 void ForwardTask::setRoutes(const state::RouteTablePtr &table) {
   Table = table;
-  DelegatedServices.clear();
+  std::set<std::string, std::less<>> delegated;
   for (const state::Route &route : table->routes())
     if (isDelegable(route))
-      DelegatedServices.insert(route.Shards.Services.begin(),
-                               route.Shards.Services.end());
+      delegated.insert(route.Shards.Services.begin(),
+                       route.Shards.Services.end());
+  Gate.setDelegatedServices(std::move(delegated));
   setMaxWaits();
   planConnections();
 }
@@ -90,8 +92,8 @@
   if (fleet.Daemons > Fleet.Daemons)
     LastFleetGrowthAt = Loop.now();
   Fleet = fleet;
-  if (fleet.Daemons != 0)
-    LastKnownDaemons = fleet.Daemons;
+  Gate.setFleet({fleet.Daemons, true, fleet.Executors, fleet.IsExecutor,
+                 fleet.IsDelegating});
   planConnections();
 }
 
@@ -239,7 +241,8 @@
   auto *failure = std::get_if<coordination::ForwardFailure>(&result.Outcome);
   if (failure != nullptr &&
       failure->Fault == coordination::ForwardFault::ServerLimit)
-    failure->RetryAfter = pauseOf(request->Execution.options().Services);
+    failure->RetryAfter =
+        Gate.pauseOf(request->Execution.options().Services, Loop.now());
   result.Counts = request->Execution.counts();
   result.Elapsed = Loop.now() - request->ArrivedAt;
   result.Remaining = request->CallerDeadline - Loop.now();
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -6,10 +6,10 @@
 #include "coordination/caller_elapsed_estimate.h"
 #include "coordination/connect_backoff.h"
 #include "coordination/connection_plan.h"
+#include "coordination/gate/replica_gate.h"
 #include "coordination/hedge_policy.h"
 #include "coordination/lag_estimate.h"
 #include "coordination/leaving_replicas.h"
-#include "coordination/request_limiter.h"
 #include "coordination/window_budget.h"
 #include "forwarding/forwarder.h"
 #include "state/metrics.h"
@@ -150,22 +150,9 @@
     std::uint64_t SeenRefusals = 0; ///< refused connections at the last check
     state::TimePoint CooldownUntil = state::TimePoint::min();
     coordination::ConnectBackoff Backoff;
-    std::uint32_t Rank = 0; ///< position among the replicas of its service
-    std::optional<coordination::RequestLimiter> Limiter;
-    state::TimePoint PausedUntil = state::TimePoint::min();
   };
   using ReplicaPtr = std::shared_ptr<Replica>;
 
-  /// What a replica that has left the directory accepts.
-  struct UnlistedLimit {
-    std::uint64_t Incarnation = 0;
-    std::optional<coordination::RequestLimiter> Limiter;
-    state::TimePoint PausedUntil = state::TimePoint::min();
-  };
-
-  /// Most replicas in UnlistedLimits.
-  static constexpr std::size_t MaxUnlistedLimits = 10'000;
-
   using AttemptId = std::uint64_t;
 
   struct Attempt {
@@ -256,18 +243,10 @@
                         const ReplicaResult &result) const;
   void recordLimit(const Replica &replica, const ReplicaResult &result);
   void recordLeaving(const Replica &replica);
-  void recordPause(Replica &replica, state::Duration pause);
-  bool isPaused(const Replica &replica) const;
-  std::optional<state::Duration>
-  pauseOf(const std::vector<std::string> &services) const;
+  void recordPause(const Replica &replica, state::Duration pause);
   void applyReplicas(const coordination::LeavingReplicas::Records &records);
   coordination::FleetComposition fleetComposition() const;
-  coordination::LimitShare limitShare(const Replica &replica) const;
-  bool allowsRequest(Replica &replica);
-  void keepLimit(const Replica &replica);
-  void restoreLimit(Replica &replica);
-  void dropEndedPauses();
-  void countLimited();
+  bool allowsRequest(const Replica &replica);
   double fleetExtraShare() const;
   void planConnections();
   void planConnections(std::string_view service,
@@ -282,18 +261,10 @@
   ReplicaProtocol &Protocol;
   ForwardTaskOptions Options;
   coordination::ReplicaPlacement Placement;
+  coordination::gate::ReplicaGate Gate;
   state::RouteTablePtr Table;
   FleetView Fleet;
-  std::uint32_t LastKnownDaemons = 0;
-
-  /// Services of shard sets whose requests are delegated to executors.
-  std::set<std::string, std::less<>> DelegatedServices;
-  std::size_t LimitedReplicas = 0;
   coordination::LeavingReplicas Leaving;
-  state::TimePoint LastPauseEnd = state::TimePoint::min();
-
-  /// Of replicas that are not in the directory, where they may return.
-  std::map<std::string, UnlistedLimit, std::less<>> UnlistedLimits;
   LimitCallback LimitStatedCallback;
   coordination::admission::RoomEstimate Room;
   coordination::admission::RequestAdmission Admission;
