Bound the requests to cold replicas

A cold replica got as many requests as a warm one. The gate now holds the cold state of each replica, from its registration, its responses, a new incarnation, lost connections and the end of an evacuation, and allows a cold one this daemon's share of its rate. ForwardTask uses cold replicas only while no other can be used, and rejects a request at once when all of them are at their allowance. A new cold period is a change of the directory, its countdown is none; relays pass on the time that is left when they reply. The number of daemons is the largest recent one; a daemon that is not counted yet assumes the largest fleet.

replica_directory_test took the begin of a cold time for a heartbeat; it now checks that it is a change and that its countdown is none.

--- a/src/coordination/directory_relay.cc
+++ b/src/coordination/directory_relay.cc
@@ -62,7 +62,8 @@
 }
 
 protocol::DirectoryReply
-DirectoryLog::makeReply(const protocol::DirectoryRequest &request) const {
+DirectoryLog::makeReply(const protocol::DirectoryRequest &request,
+                        TimePoint now) const {
   protocol::DirectoryReply reply;
   reply.Sequence = request.Sequence;
   reply.Log = Id;
@@ -74,11 +75,16 @@
   if (isKnown) {
     const auto missing = static_cast<std::ptrdiff_t>(Last - request.Index);
     reply.Changes.assign(Entries.end() - missing, Entries.end());
-    return reply;
+  } else {
+    reply.IsFull = true;
+    for (const auto &[id, record] : View)
+      reply.Changes.push_back({id, false, record});
   }
-  reply.IsFull = true;
-  for (const auto &[id, record] : View)
-    reply.Changes.push_back({id, false, record});
+  // The records can be much older than the reply.
+  for (state::DirectoryChange &change : reply.Changes)
+    if (change.Record.ColdUntil != TimePoint::min())
+      change.Record.ColdRemaining =
+          std::max(Duration(0), change.Record.ColdUntil - now);
   return reply;
 }
 
--- a/src/coordination/directory_relay.h
+++ b/src/coordination/directory_relay.h
@@ -31,8 +31,8 @@
 
   /// Returns the reply to a request. The owner fills in the revision, the age
   /// and the count of daemons.
-  protocol::DirectoryReply
-  makeReply(const protocol::DirectoryRequest &request) const;
+  protocol::DirectoryReply makeReply(const protocol::DirectoryRequest &request,
+                                     TimePoint now) const;
 
   /// Number of changes kept. A request with an older position gets the whole
   /// view.
--- a/src/forwarding/forward_dispatch.cc
+++ b/src/forwarding/forward_dispatch.cc
@@ -207,16 +207,20 @@
     return true;
   }
   const auto tried = request.Execution.triedReplicas(key.Part);
-  const auto canSend = [this](std::string_view id) {
-    const auto replica = Replicas.find(id);
-    return replica != Replicas.end() && replica->second->Pool.hasFree() &&
-           hasRoom(*replica->second) && allowsRequest(*replica->second);
-  };
-  // A replica whose connections are probed first has no free one afterwards.
-  while (const auto chosen =
-             Placement.choose(service, tried, canSend, Loop.now()))
-    if (send(request, key, Replicas.at(*chosen)))
-      return true;
+  // Cold replicas are only used while no other can be.
+  for (const bool isCold : {false, true}) {
+    const auto canSend = [this, isCold](std::string_view id) {
+      const auto replica = Replicas.find(id);
+      return replica != Replicas.end() && replica->second->Pool.hasFree() &&
+             Gate.isCold(id, Loop.now()) == isCold &&
+             hasRoom(*replica->second) && allowsRequest(*replica->second);
+    };
+    // A replica whose connections are probed first has no free one afterwards.
+    while (const auto chosen =
+               Placement.choose(service, tried, canSend, Loop.now()))
+      if (send(request, key, Replicas.at(*chosen)))
+        return true;
+  }
   if (hasOther(service, tried)) {
     if (allowTemporaryConnection(service, tried))
       scheduleDispatch(service);
@@ -225,6 +229,8 @@
   const AttemptEnd end = Placement.hasOther(service, tried, Loop.now())
                              ? AttemptEnd::AtLimit
                              : AttemptEnd::NotSent;
+  if (end == AttemptEnd::AtLimit && Gate.withholdsCold(service, Loop.now()))
+    WithheldAttempts.add();
   failUnsent(key, request, end);
   return true;
 }
@@ -281,6 +287,8 @@
   if (attempt.Exchange == 0)
     return false;
   request.Attempts.emplace(key.Number, id);
+  if (Gate.isCold(target->Record.Id, now))
+    ColdAttempts.add();
   if (Gate.onSent(target->Record.Id, now))
     LimitedAttempts.add();
   Placement.onSent(target->Record.Id, attempt.ExpectedLatency, now);
@@ -317,6 +325,8 @@
   const Attempt &attempt = node.mapped();
   const TimePoint now = Loop.now();
   const auto request = Requests.find(attempt.Request);
+  const bool hasResponded = result.has_value();
+  recordContact(*attempt.Target, result);
   ReplicaResult decoded = Protocol.decode(*attempt.Message, std::move(result));
   const AttemptOutcome outcome = toOutcome(decoded, attempt.WasCancelled);
   if (outcome != AttemptOutcome::Succeeded &&
@@ -337,6 +347,10 @@
   if (outcome == AttemptOutcome::NotRun && !isMisdirected(decoded))
     Room.onRejected(attempt.Target->Record.Service, attempt.Target->Record.Id,
                     decoded.Load ? &*decoded.Load : nullptr, now);
+  if (hasResponded && !isMisdirected(decoded))
+    Gate.onResponse(attempt.Target->Record.Id,
+                    attempt.Target->Record.Incarnation, decoded.ColdRemaining,
+                    now);
   recordLimit(*attempt.Target, decoded);
   if (decoded.Pause)
     recordPause(*attempt.Target, *decoded.Pause);
@@ -349,6 +363,7 @@
                      {{"replica", attempt.Target->Record.Id},
                       {"address", attempt.Target->Record.Address}});
     Placement.onMisdirected(attempt.Target->Record.Id);
+    Gate.onMisdirected(attempt.Target->Record.Id, attempt.SentAt);
   } else if (decoded.Load)
     Placement.onLoad(attempt.Target->Record.Id, *decoded.Load, now);
   if (request == Requests.end())
--- a/src/forwarding/forward_limits.cc
+++ b/src/forwarding/forward_limits.cc
@@ -10,6 +10,7 @@
 
 namespace galenaflow::forwarding {
 
+using coordination::gate::ColdReason;
 using coordination::gate::LimitChange;
 using state::Duration;
 
@@ -17,6 +18,29 @@
   return Gate.allows(replica.Record.Id, Loop.now());
 }
 
+void ForwardTask::recordContact(const Replica &replica,
+                                const transport::HttpResult &result) {
+  if (!result && result.error().EndedByPeer)
+    Gate.onConnectionLost(replica.Record.Id, replica.Record.Incarnation,
+                          Loop.now());
+}
+
+void ForwardTask::recordColdChanges() {
+  for (const auto &change : Gate.takeColdChanges(Loop.now())) {
+    if (change.Reason == ColdReason::None)
+      state::log::info("replica_warm", {{"replica", change.Replica},
+                                        {"service", change.Service}});
+    else
+      state::log::info(
+          "replica_cold",
+          {{"replica", change.Replica},
+           {"service", change.Service},
+           {"reason", coordination::gate::coldReasonName(change.Reason)},
+           {"remaining_ms", change.Remaining.count() / 1000}});
+  }
+  ColdReplicas.set(static_cast<double>(Gate.coldReplicas(Loop.now())));
+}
+
 void ForwardTask::recordPause(const Replica &replica, Duration pause) {
   if (Gate.onPause(replica.Record.Id, replica.Record.Incarnation, pause,
                    Loop.now()))
@@ -104,7 +128,10 @@
         return tokens > waiting;
       },
       Loop.now());
-  return isUsable && !hasRoom;
+  const bool isAtLimit = isUsable && !hasRoom;
+  if (isAtLimit && Gate.withholdsCold(service, Loop.now()))
+    WithheldAttempts.add();
+  return isAtLimit;
 }
 
 } // namespace galenaflow::forwarding
--- a/src/forwarding/forward_protocol.h
+++ b/src/forwarding/forward_protocol.h
@@ -43,6 +43,9 @@
   std::optional<state::Duration> Pause{};
 
   bool IsLeaving = false; ///< whether the replica states that it leaves
+
+  /// Time for which the replica is still cold, when it states one.
+  std::optional<state::Duration> ColdRemaining{};
 };
 
 /// Encodes requests to replicas and decodes their responses.
--- a/src/forwarding/forward_replicas.cc
+++ b/src/forwarding/forward_replicas.cc
@@ -123,13 +123,16 @@
   replica.Pool.warm(Options.WarmConnections);
 }
 
-void ForwardTask::updateBackoff(Replica &replica) const {
+void ForwardTask::updateBackoff(Replica &replica) {
   const std::uint64_t n = replica.Pool.refusedConnections();
   if (std::exchange(replica.SeenRefusals, n) != n) {
     replica.CooldownUntil = Loop.now() + Options.ReplicaCooldown;
     replica.Backoff.onRefused(Loop.now());
+    Gate.onConnectionLost(replica.Record.Id, replica.Record.Incarnation,
+                          Loop.now());
   } else if (replica.Pool.connected() != 0) {
     replica.Backoff.onConnected();
+    Gate.onConnected(replica.Record.Id, Loop.now());
   }
 }
 
@@ -143,6 +146,7 @@
       if (isRouted)
         warm(*replica);
   }
+  recordColdChanges();
   WarmTimer = Loop.schedule(Options.WarmInterval, [this] { warmAll(); });
 }
 
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -36,7 +36,8 @@
                          state::MetricRegistry &metrics)
     : Loop(loop), Protocol(protocol), Options(std::move(options)),
       Placement(Options.DataCentre, std::mt19937_64(Options.Seed)),
-      Gate({Options.AssumedDaemons, Options.Seed}),
+      Gate({Options.AssumedDaemons, Options.UncountedDaemons, Options.Seed,
+            Options.Cold, loop.now()}),
       Admission({}, std::mt19937_64(Options.Seed + 1)), StartedAt(loop.now()),
       LastFleetGrowthAt(StartedAt),
       Hedges(metrics.counter("galenaflow_hedges_total",
@@ -53,6 +54,14 @@
       LimitedAttempts(
           metrics.counter("galenaflow_limited_attempts_total",
                           "Attempts at replicas with a request limit")),
+      ColdReplicas(metrics.gauge("galenaflow_cold_replicas",
+                                 "Replicas that count as cold")),
+      ColdAttempts(metrics.counter("galenaflow_cold_attempts_total",
+                                   "Attempts sent to cold replicas")),
+      WithheldAttempts(metrics.counter(
+          "galenaflow_cold_withheld_total",
+          "Attempts not sent, since the service has only cold replicas whose "
+          "allowance is used up")),
       AdmissionRejections(metrics.counter(
           "galenaflow_admission_rejections_total",
           "Requests rejected on arrival, since the replicas have no room")),
@@ -76,7 +85,7 @@
     if (isDelegable(route))
       delegated.insert(route.Shards.Services.begin(),
                        route.Shards.Services.end());
-  Gate.setDelegatedServices(std::move(delegated));
+  Gate.setServices(table->services(), std::move(delegated));
   setMaxWaits();
   planConnections();
 }
@@ -93,7 +102,8 @@
     LastFleetGrowthAt = Loop.now();
   Fleet = fleet;
   Gate.setFleet({fleet.Daemons, true, fleet.Executors, fleet.IsExecutor,
-                 fleet.IsDelegating});
+                 fleet.IsDelegating},
+                Loop.now());
   planConnections();
 }
 
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -75,6 +75,11 @@
   /// Time before the deadline at which the final answer is sent.
   state::Duration DeadlineMargin = std::chrono::milliseconds(8);
 
+  coordination::gate::ColdBounds Cold;
+
+  /// See coordination::gate::ReplicaGateOptions.
+  std::uint32_t UncountedDaemons = 12;
+
   transport::BackendPoolOptions Pool;
   std::uint64_t Seed = 1;
 };
@@ -247,13 +252,16 @@
   void applyReplicas(const coordination::LeavingReplicas::Records &records);
   coordination::FleetComposition fleetComposition() const;
   bool allowsRequest(const Replica &replica);
+  void recordContact(const Replica &replica,
+                     const transport::HttpResult &result);
+  void recordColdChanges();
   double fleetExtraShare() const;
   void planConnections();
   void planConnections(std::string_view service,
                        const std::vector<ReplicaPtr> &replicas);
   void warmAll();
   void warm(Replica &replica);
-  void updateBackoff(Replica &replica) const;
+  void updateBackoff(Replica &replica);
   bool allowTemporaryConnection(const std::string &service,
                                 std::span<const state::ReplicaId> tried);
 
@@ -292,6 +300,9 @@
   state::Counter &Rejections;
   state::Counter &FailedAttempts;
   state::Counter &LimitedAttempts;
+  state::Gauge &ColdReplicas;
+  state::Counter &ColdAttempts;
+  state::Counter &WithheldAttempts;
   state::Counter &AdmissionRejections;
   state::Counter &PartsWithoutRoom;
 };
--- a/src/forwarding/relay_task.cc
+++ b/src/forwarding/relay_task.cc
@@ -397,7 +397,7 @@
       View.Table != nullptr && isUsableFor(waiting.Peer.Address);
   DirectoryReply reply;
   if (hasContent)
-    reply = Log.makeReply(waiting.Request);
+    reply = Log.makeReply(waiting.Request, Loop.now());
   reply.Sequence = waiting.Request.Sequence;
   reply.HasContent = hasContent;
   reply.Position = View.Position;
--- a/src/state/replica_directory.cc
+++ b/src/state/replica_directory.cc
@@ -10,11 +10,15 @@
 
 namespace galenaflow::state {
 
-bool ReplicaDirectory::put(const ReplicaRecord &record) {
+bool ReplicaDirectory::put(ReplicaRecord record, TimePoint now) {
+  if (record.ColdRemaining > Duration(0))
+    record.ColdUntil = now + record.ColdRemaining;
   const bool wasInGrace = InGrace.erase(record.Id) != 0;
   const auto [it, added] = Records.try_emplace(record.Id, record);
   const bool changed = added || !it->second.isEquivalentTo(record);
-  it->second = record;
+  if (it->second.Incarnation == record.Incarnation)
+    record.ColdUntil = std::max(record.ColdUntil, it->second.ColdUntil);
+  it->second = std::move(record);
   if (changed || wasInGrace)
     ++ListedVersion;
   return changed;
@@ -44,7 +48,7 @@
   std::set<std::string_view> listed;
   for (const ReplicaRecord &record : records) {
     listed.insert(record.Id);
-    changed |= put(record);
+    changed |= put(record, now);
   }
   std::vector<std::string> missing;
   for (const auto &[id, record] : Records)
@@ -62,7 +66,7 @@
   bool changed = false;
   for (const DirectoryChange &change : changes)
     changed |= change.Removed ? remove(change.Id, afterOutage, now)
-                              : put(change.Record);
+                              : put(change.Record, now);
   return changed;
 }
 
--- a/src/state/replica_directory.h
+++ b/src/state/replica_directory.h
@@ -26,13 +26,30 @@
   /// of the start. Zero when not known.
   std::uint64_t Incarnation = 0;
 
-  /// Whether users of the replica can ignore the difference. ColdRemaining is
-  /// not compared.
+  /// When the cold time ends by the clock of this process; not part of the
+  /// registration. The smallest time while it has not been determined.
+  TimePoint ColdUntil = TimePoint::min();
+
+  /// Registrations of one cold period arrive with different delays, so the ends
+  /// that follow from them differ by up to this time.
+  static constexpr Duration ColdTolerance = std::chrono::seconds(2);
+
+  /// Whether users of the replica can ignore that the record has become
+  /// `other`. The remaining time of a cold period that goes on is ignored; a
+  /// new cold period is not.
   bool isEquivalentTo(const ReplicaRecord &other) const {
-    return Id == other.Id && Service == other.Service &&
-           Address == other.Address && DataCentre == other.DataCentre &&
-           Slots == other.Slots && Draining == other.Draining &&
-           Incarnation == other.Incarnation;
+    return !startsColdPeriod(other) && Id == other.Id &&
+           Service == other.Service && Address == other.Address &&
+           DataCentre == other.DataCentre && Slots == other.Slots &&
+           Draining == other.Draining && Incarnation == other.Incarnation;
+  }
+
+private:
+  bool startsColdPeriod(const ReplicaRecord &other) const {
+    if (other.ColdUntil == TimePoint::min())
+      return false;
+    return ColdUntil == TimePoint::min() ||
+           other.ColdUntil - ColdUntil > ColdTolerance;
   }
 };
 
@@ -99,7 +116,7 @@
   std::uint64_t listedVersion() const { return ListedVersion; }
 
 private:
-  bool put(const ReplicaRecord &record);
+  bool put(ReplicaRecord record, TimePoint now);
   bool remove(std::string_view id, bool afterOutage, TimePoint now);
 
   ReplicaDirectoryOptions Options;
--- a/src/state/route_table.cc
+++ b/src/state/route_table.cc
@@ -35,6 +35,13 @@
       continue;
     it->second.ConnectionLimit =
         std::min(it->second.ConnectionLimit, service.ConnectionLimit);
+    it->second.ColdDuration =
+        std::max(it->second.ColdDuration, service.ColdDuration);
+    // A rate of zero is no limit.
+    if (it->second.ColdRequestRate == 0 ||
+        (service.ColdRequestRate != 0 &&
+         service.ColdRequestRate < it->second.ColdRequestRate))
+      it->second.ColdRequestRate = service.ColdRequestRate;
     Issues.add("/services", "got " + service.Name + " again, expected it once");
   }
   for (Route &route : Routes) {
--- a/src/state/route_table.h
+++ b/src/state/route_table.h
@@ -57,6 +57,13 @@
 struct RoutedService {
   std::string Name;
   std::uint32_t ConnectionLimit = 1; ///< per replica, over all callers
+
+  /// Time for which a replica is cold after its start.
+  Duration ColdDuration{0};
+
+  /// Requests a second that a cold replica tolerates from all daemons together;
+  /// zero: no limit.
+  double ColdRequestRate = 0;
 };
 
 /// Limits on requests and connections of callers.
