Name cold replicas in the log of a rejected request and in explain

A request that is rejected since all replicas are cold was only logged as server_limit. request_withheld states how many replicas are cold, the bound and the number of daemons; galenaflowctl explain spells it out. Tests cover the decoding of cold rates, cold times and bounds.

--- a/src/coordination/gate/replica_gate.cc
+++ b/src/coordination/gate/replica_gate.cc
@@ -419,17 +419,28 @@
                                          Options.Seed, now);
 }
 
-bool ReplicaGate::withholdsCold(std::string_view name, TimePoint now) const {
+std::optional<ColdStatus> ReplicaGate::withheldCold(std::string_view name,
+                                                    TimePoint now) const {
   const auto service = ServiceStates.find(name);
-  return service != ServiceStates.end() &&
-         std::any_of(service->second.Replicas.begin(),
-                     service->second.Replicas.end(),
-                     [this, now](const std::string &id) {
-                       const ReplicaState &it = Replicas.find(id)->second;
-                       return !it.IsDraining && isCold(it, now) &&
-                              !Evacuated.contains(it.DataCentre) &&
-                              !allowsCold(it, now);
-                     });
+  if (service == ServiceStates.end() || service->second.ColdRate <= 0)
+    return std::nullopt;
+  ColdStatus status;
+  bool isWithheld = false;
+  for (const std::string &id : service->second.Replicas) {
+    const ReplicaState &it = Replicas.find(id)->second;
+    if (it.IsDraining || Evacuated.contains(it.DataCentre))
+      continue;
+    ++status.Replicas;
+    if (!isCold(it, now))
+      continue;
+    ++status.Cold;
+    isWithheld |= !allowsCold(it, now);
+  }
+  if (!isWithheld)
+    return std::nullopt;
+  status.MaxArrivals = maxColdArrivals(service->second.ColdRate, Options.Cold);
+  status.Daemons = coldDaemons(now);
+  return status;
 }
 
 std::size_t ReplicaGate::coldReplicas(TimePoint now) const {
--- a/src/coordination/gate/replica_gate.h
+++ b/src/coordination/gate/replica_gate.h
@@ -62,6 +62,14 @@
   Duration Remaining{0}; ///< zero while it has not responded again
 };
 
+/// Why cold replicas of a service get no request.
+struct ColdStatus {
+  std::uint32_t Cold = 0;        ///< replicas that are cold
+  std::uint32_t Replicas = 0;    ///< not draining, not evacuated
+  std::uint32_t MaxArrivals = 0; ///< in a second, over all daemons
+  std::uint32_t Daemons = 0;     ///< that the rate is divided among
+};
+
 /// Decides whether a replica may get a request of this daemon now. Holds what
 /// restricts a replica: the request limit and the pause that it has stated, the
 /// time for which it is cold, and the evacuation of its data centre. For
@@ -156,9 +164,10 @@
   /// Whether the replica counts as cold.
   bool isCold(std::string_view replica, TimePoint now) const;
 
-  /// Whether cold replicas of the service get no request now that would be used
-  /// otherwise.
-  bool withholdsCold(std::string_view service, TimePoint now) const;
+  /// Returns the state of the service's replicas if some of them are cold and
+  /// get no request now.
+  std::optional<ColdStatus> withheldCold(std::string_view service,
+                                         TimePoint now) const;
 
   std::size_t coldReplicas(TimePoint now) const;
 
--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -80,6 +80,13 @@
   if (line.Event == "delegation_silent")
     return "executor " + line.field("executor") + " has not answered for " +
            line.field("elapsed_ms") + " ms";
+  if (line.Event == "request_withheld")
+    return "not sent: " + line.field("cold") + " of " + line.field("replicas") +
+           " replicas of " + line.field("service") +
+           " are cold, and all daemons together may send " +
+           line.field("max_per_second") +
+           " requests a second to each; this daemon's share, of " +
+           line.field("daemons") + " daemons, is used up";
   if (line.Event == "caller_left")
     return "the caller closed its connection";
   return line.Event + " " + formatFields(line);
--- a/src/forwarding/forward_dispatch.cc
+++ b/src/forwarding/forward_dispatch.cc
@@ -229,7 +229,7 @@
   const AttemptEnd end = Placement.hasOther(service, tried, Loop.now())
                              ? AttemptEnd::AtLimit
                              : AttemptEnd::NotSent;
-  if (end == AttemptEnd::AtLimit && Gate.withholdsCold(service, Loop.now()))
+  if (end == AttemptEnd::AtLimit && Gate.withheldCold(service, Loop.now()))
     WithheldAttempts.add();
   failUnsent(key, request, end);
   return true;
--- a/src/forwarding/forward_limits.cc
+++ b/src/forwarding/forward_limits.cc
@@ -41,6 +41,20 @@
   ColdReplicas.set(static_cast<double>(Gate.coldReplicas(Loop.now())));
 }
 
+void ForwardTask::logWithheld(const Request &request) {
+  for (const std::string &service : request.Execution.options().Services)
+    if (const auto status = Gate.withheldCold(service, Loop.now())) {
+      state::log::info("request_withheld",
+                       {{"id", request.Message->RequestId},
+                        {"service", service},
+                        {"cold", status->Cold},
+                        {"replicas", status->Replicas},
+                        {"max_per_second", status->MaxArrivals},
+                        {"daemons", status->Daemons}});
+      return;
+    }
+}
+
 void ForwardTask::recordPause(const Replica &replica, Duration pause) {
   if (Gate.onPause(replica.Record.Id, replica.Record.Incarnation, pause,
                    Loop.now()))
@@ -129,7 +143,7 @@
       },
       Loop.now());
   const bool isAtLimit = isUsable && !hasRoom;
-  if (isAtLimit && Gate.withholdsCold(service, Loop.now()))
+  if (isAtLimit && Gate.withheldCold(service, Loop.now()))
     WithheldAttempts.add();
   return isAtLimit;
 }
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -250,9 +250,11 @@
   result.Outcome = std::move(action.Result);
   auto *failure = std::get_if<coordination::ForwardFailure>(&result.Outcome);
   if (failure != nullptr &&
-      failure->Fault == coordination::ForwardFault::ServerLimit)
+      failure->Fault == coordination::ForwardFault::ServerLimit) {
     failure->RetryAfter =
         Gate.pauseOf(request->Execution.options().Services, Loop.now());
+    logWithheld(*request);
+  }
   result.Counts = request->Execution.counts();
   result.Elapsed = Loop.now() - request->ArrivedAt;
   result.Remaining = request->CallerDeadline - Loop.now();
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -255,6 +255,7 @@
   void recordContact(const Replica &replica,
                      const transport::HttpResult &result);
   void recordColdChanges();
+  void logWithheld(const Request &request);
   double fleetExtraShare() const;
   void planConnections();
   void planConnections(std::string_view service,
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -381,6 +381,38 @@
   }
 }
 
+TEST_CASE("the cold rate of a service is read, and is none by default") {
+  const auto table = decodeRoutes(
+      R"({"version":1,"routes":[],"services":[
+          {"name":"a","max_conns":2,"cold_start_s":8.5,"cold_per_s":6},
+          {"name":"b","max_conns":2},
+          {"name":"c","max_conns":2,"cold_start_s":-1,"cold_per_s":"6"}]})");
+  REQUIRE(table);
+  const auto &services = (*table)->services();
+  CHECK(services.at("a").ColdDuration == std::chrono::milliseconds(8500));
+  CHECK(services.at("a").ColdRequestRate == 6);
+  CHECK(services.at("b").ColdDuration == state::Duration(0));
+  CHECK(services.at("b").ColdRequestRate == 0);
+  CHECK(services.at("c").ColdDuration == state::Duration(0));
+  CHECK(services.at("c").ColdRequestRate == 0);
+  std::vector<std::string> places;
+  for (const auto &it : (*table)->findings().items())
+    places.push_back(it.Place);
+  CHECK(places == std::vector<std::string>{"/services/2/cold_start_s",
+                                           "/services/2/cold_per_s"});
+}
+
+// Guards against a replica that is never used again for one damaged number.
+TEST_CASE("a cold time out of range is ignored") {
+  CHECK(decodeColdTime("3000") == std::chrono::seconds(3));
+  CHECK(decodeColdTime(" 0 ") == state::Duration(0));
+  CHECK(decodeColdTime("3600000") == MaxColdTime);
+  for (const char *bad : {"", "-1", "3600001", "1e300", "nan", "inf", "3s"}) {
+    INFO(bad);
+    CHECK_FALSE(decodeColdTime(bad));
+  }
+}
+
 // Guards against requests to a replica of another service, because another
 // writer's entry stands under its id.
 TEST_CASE("an entry names a replica only with all fields in their types") {
--- a/tests/platform/replica_standin.cc
+++ b/tests/platform/replica_standin.cc
@@ -1,5 +1,6 @@
 #include "platform/replica_standin.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace galenaflow::standin {
@@ -22,8 +23,10 @@
   return R"({"service":")" + Service + R"(","address":")" +
          AdvertisedAddress.toText() +
          R"(","zone":"z1","version":"v1","slots":2,"state":")" + state +
-         R"(","cold_left_ms":0,"seq":1,"born":)" +
-         std::to_string(1'700'000'000'000 + Starts) + "}";
+         R"(","cold_left_ms":)" +
+         std::to_string(coldRemaining().count() / 1000) +
+         R"(,"seq":1,"born":)" + std::to_string(1'700'000'000'000 + Starts) +
+         "}";
 }
 
 void ReplicaStandin::startLimit(double perSecond) {
@@ -41,8 +44,30 @@
     return;
   CrashedAt.push_back(Loop.now());
   Server.shutDown();
-  Loop.schedule(Behaviour.RestartTime,
-                [this] { static_cast<void>(Server.listen(Address)); });
+  Loop.schedule(Behaviour.RestartTime, [this] {
+    if (Behaviour.ColdTime > state::Duration(0))
+      becomeCold(Behaviour.ColdTime);
+    static_cast<void>(Server.listen(Address));
+  });
+}
+
+state::Duration ReplicaStandin::coldRemaining() const {
+  return ColdUntil > Loop.now() ? ColdUntil - Loop.now() : state::Duration(0);
+}
+
+std::size_t ReplicaStandin::mostWhileCold() const {
+  std::size_t most = 0;
+  std::vector<state::TimePoint> times;
+  for (const ReceivedRequest &it : Received)
+    if (it.WhileCold && !it.IsForOther)
+      times.push_back(it.At);
+  std::size_t first = 0;
+  for (std::size_t i = 0; i != times.size(); ++i) {
+    while (times[i] - times[first] >= std::chrono::seconds(1))
+      ++first;
+    most = std::max(most, i - first + 1);
+  }
+  return most;
 }
 
 void ReplicaStandin::askForPause(state::Duration lasting,
@@ -65,13 +90,18 @@
   const bool saysLeaving = Behaviour.SaysLeaving || IsLeaving;
   const bool asksForPause = RejectsUntil > Loop.now();
   Received.push_back({header("X-Request-Id"), Loop.now(), Starts, saysLeaving,
-                      asksForPause ? RequestedPause : state::Duration(0)});
+                      asksForPause ? RequestedPause : state::Duration(0),
+                      header("X-Target-Instance") != Id,
+                      coldRemaining() > state::Duration(0)});
   HttpResponse response;
   response.Headers.add("X-Request-Id", header("X-Request-Id"));
   response.Headers.add("X-Server-Load", "0,0,2,100");
   if (!Limits.empty() && Limits.back().To == state::TimePoint::max())
     response.Headers.add("Server-Limit",
                          std::to_string(Limits.back().PerSecond));
+  if (coldRemaining() > state::Duration(0))
+    response.Headers.add("X-Cold-Remaining-Ms",
+                         std::to_string(coldRemaining().count() / 1000));
   if (saysLeaving)
     response.Headers.add("Server-Leaving", "1");
   if (!Behaviour.KeepAlive.empty())
--- a/tests/platform/replica_standin.h
+++ b/tests/platform/replica_standin.h
@@ -23,6 +23,7 @@
   /// A request with this path ends the replica when it has run for ServiceTime.
   std::string DeadlyPath;
   state::Duration RestartTime = std::chrono::seconds(3); ///< after its end
+  state::Duration ColdTime{0};  ///< time for which it is cold after its end
   std::string RejectRetryAfter; ///< stated with a rejection, if not empty
   bool SaysLeaving = false;     ///< states in all responses that it leaves
   /// Runs the request and sends these bytes instead of the response.
@@ -56,6 +57,8 @@
   std::size_t Start = 0;    ///< number of starts of the replica before it
   bool SaidLeaving = false; ///< whether the response says that it leaves
   state::Duration Pause{0}; ///< that the response asks for
+  bool IsForOther = false;  ///< whether it names another replica
+  bool WhileCold = false;
 };
 
 /// Serves the interface of one replica of the platform and records what it ran.
@@ -104,6 +107,13 @@
   /// ReplicaBehaviour::RestartTime.
   void crash();
 
+  /// Is cold for this time from now on, and states it.
+  void becomeCold(state::Duration lasting) { ColdUntil = Loop.now() + lasting; }
+
+  /// Returns the most requests that it received within a second while it was
+  /// cold.
+  std::size_t mostWhileCold() const;
+
   /// Starts again under the same id, as another incarnation.
   void restart();
 
@@ -125,6 +135,9 @@
   std::set<std::string> DeadlyPaths;
   bool IsLeaving = false;
   std::size_t Starts = 0;
+  state::Duration coldRemaining() const;
+
+  state::TimePoint ColdUntil = state::TimePoint::min();
   state::TimePoint RejectsUntil = state::TimePoint::min();
   state::Duration RequestedPause{0};
 };
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -60,6 +60,20 @@
   CHECK(malformed.error().items().front().Place == "limits.memory_mb");
 }
 
+TEST_CASE("the bounds of cold replicas are read, and have defaults") {
+  const auto unknown = parseSettings(CompleteSettings);
+  REQUIRE(unknown);
+  CHECK(unknown->ColdOverage == Approx(1.5));
+  CHECK(unknown->ColdSlack == Approx(5));
+  std::string text(CompleteSettings);
+  text.insert(text.find("  retry_ratio"),
+              "  cold_overage: 2\n  cold_slack: 3\n");
+  const auto known = parseSettings(text);
+  REQUIRE(known);
+  CHECK(known->ColdOverage == Approx(2));
+  CHECK(known->ColdSlack == Approx(3));
+}
+
 TEST_CASE("every missing or malformed field is reported with its place") {
   const auto settings = parseSettings(R"(
 node_name: [1]
--- a/tests/replica_gate_test.cc
+++ b/tests/replica_gate_test.cc
@@ -380,7 +380,12 @@
   CHECK(gate.It.allows("r1", gate.Now));
   gate.It.onSent("r1", gate.Now);
   CHECK_FALSE(gate.It.allows("r1", gate.Now));
-  CHECK(gate.It.withholdsCold("s", gate.Now));
+  const auto withheld = gate.It.withheldCold("s", gate.Now);
+  REQUIRE(withheld);
+  CHECK(withheld->Cold == 1);
+  CHECK(withheld->Replicas == 2);
+  CHECK(withheld->MaxArrivals == 14);
+  CHECK(withheld->Daemons == 1);
   gate.It.onMisdirected("r1", gate.Now);
   CHECK(gate.It.allows("r1", gate.Now));
 }
