--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -57,6 +57,20 @@
       CHECK(line->Event == "unfinished");
 }
 
+TEST_CASE("a request that cold replicas did not get is explained") {
+  const std::string text =
+      "a 2026-01-01T00:00:00.010Z level=info event=request_withheld id=r "
+      "service=pool cold=2 replicas=3 max_per_second=14 daemons=86\n"
+      "a 2026-01-01T00:00:00.020Z level=info event=request_failed id=r "
+      "reason=server_limit ran=not_run\n";
+  const std::string output = explain(text, "r");
+  INFO(output);
+  CHECK(contains(output, "2 of 3 replicas of pool are cold"));
+  CHECK(contains(output, "14 requests a second to each"));
+  CHECK(contains(output, "of 86 daemons, is used up"));
+  CHECK(contains(output, "failed: server_limit; it did not run"));
+}
+
 TEST_CASE("lines of several daemons are ordered by time") {
   const std::string text =
       "b 2026-01-01T00:00:00.030Z level=info event=request_failed id=r "
