--- a/tests/platform/soak.cc
+++ b/tests/platform/soak.cc
@@ -177,8 +177,11 @@
     shards.push_back(shardName(shard));
     services.push_back({{"name", shardName(shard)}, {"max_conns", 26}});
   }
-  for (const char *name : {"pool", "other"})
-    services.push_back({{"name", name}, {"max_conns", 26}});
+  services.push_back({{"name", "pool"},
+                      {"max_conns", 26},
+                      {"cold_start_s", ColdSeconds},
+                      {"cold_per_s", ColdRate}});
+  services.push_back({{"name", "other"}, {"max_conns", 26}});
   const json routes = {{{"name", "all"},
                         {"host", "h"},
                         {"prefix", "/all/"},
@@ -226,6 +229,7 @@
   sendCalls();
   keepCopies();
   injectLimit();
+  injectColdReturn();
   startDeadly();
   const state::TimePoint end = Loop.now() + Options.FaultTime;
   while (Loop.now() < end) {
@@ -259,6 +263,7 @@
   checkLeaving();
   checkPauses();
   checkDeadly();
+  checkCold();
   checkDelegation();
   if (!Violations.empty())
     for (const Daemon &daemon : Daemons)
@@ -271,7 +276,8 @@
             << " leaving_checks=" << LeavingChecks
             << " pause_checks=" << PauseChecks
             << " deadly_checks=" << DeadlyChecks
-            << " broken=" << Violations.size() << std::endl;
+            << " cold_checks=" << ColdChecks << " broken=" << Violations.size()
+            << std::endl;
   return Violations;
 }
 
@@ -535,7 +541,7 @@
 }
 
 void Soak::injectFault() {
-  switch (randomBelow(10)) {
+  switch (randomBelow(11)) {
   case 0:
     injectDaemonFault(Daemons[randomBelow(Daemons.size())]);
     break;
@@ -560,6 +566,9 @@
   case 7:
     injectPause();
     break;
+  case 8:
+    injectColdReturn();
+    break;
   default:
     injectReplicaFault();
   }
--- a/tests/platform/soak.h
+++ b/tests/platform/soak.h
@@ -56,6 +56,9 @@
     state::TimePoint From;
     state::TimePoint To;
   };
+  /// Of the service "pool".
+  static constexpr int ColdSeconds = 2;
+  static constexpr double ColdRate = 6;
   static constexpr std::size_t StoreTarget = ~std::size_t{0};
 
   struct Call {
@@ -86,6 +89,7 @@
   void checkLeaving();
   void checkPauses();
   void checkDeadly();
+  void checkCold();
   bool hadFault(std::size_t daemon, state::TimePoint from,
                 state::TimePoint to) const;
   bool wasHealthy(const std::string &id, state::TimePoint at) const;
@@ -104,6 +108,8 @@
   void injectLimit();
   void injectLeaving();
   void injectPause();
+  void injectColdReturn();
+  void sendBurst(state::TimePoint until);
   void startDeadly();
   void sendDeadly();
   void injectNetworkFault();
@@ -151,6 +157,8 @@
   std::uint64_t LeavingChecks = 0;
   std::uint64_t PauseChecks = 0;
   std::uint64_t DeadlyChecks = 0;
+  /// Number of requests that were received by cold replicas.
+  std::uint64_t ColdChecks = 0;
   /// Number of runs that were checked to follow the published routes.
   std::uint64_t RouteChecks = 0;
   std::vector<std::string> Violations;
--- a/tests/platform/soak_replicas.cc
+++ b/tests/platform/soak_replicas.cc
@@ -28,6 +28,10 @@
 constexpr Duration DeadlyDelay = 4s;
 constexpr Duration DeadlyPeriod = 300ms;
 
+/// A burst of requests begins this long before a replica returns cold.
+constexpr Duration BurstLead = 500ms;
+constexpr Duration BurstPeriod = 8ms;
+
 } // namespace
 
 /// Whether the daemon had a fault between these times.
@@ -105,6 +109,56 @@
   }
 }
 
+/// A replica of the service with a cold rate starts again and is cold. Its
+/// registration follows 1 to 3 s after it listens.
+void Soak::injectColdReturn() {
+  constexpr std::array<const char *, 3> cold = {"p0", "p1", "p2"};
+  const std::string id = cold[randomBelow(cold.size())];
+  const auto it =
+      std::find_if(Replicas.begin(), Replicas.end(),
+                   [&id](const auto &replica) { return replica->id() == id; });
+  ReplicaStandin &replica = **it;
+  if (!replica.server().isListening())
+    return;
+  const Duration away = replica.behaviour().RestartTime;
+  replica.crash();
+  schedule(away, [&replica] {
+    replica.becomeCold(std::chrono::seconds(ColdSeconds));
+  });
+  schedule(away - BurstLead, [this] {
+    sendBurst(Loop.now() + BurstLead + std::chrono::seconds(ColdSeconds));
+  });
+  schedule(away + Duration(1'000'000 + randomBelow(2'000'000)),
+           [this, &replica] {
+             replica.restart();
+             if (!DrainingSince.contains(replica.id()))
+               Store.put(replica.key(), replica.entry());
+           });
+}
+
+/// Sends requests for the service with a cold rate to all daemons, more than
+/// its cold replicas may get.
+void Soak::sendBurst(state::TimePoint until) {
+  if (!IsSendingCalls || Loop.now() >= until)
+    return;
+  send("/once/", randomBelow(Daemons.size()), false);
+  schedule(BurstPeriod, [this, until] { sendBurst(until); });
+}
+
+/// Checks the bound of requests to cold replicas over all daemons, whatever
+/// faults they have.
+void Soak::checkCold() {
+  for (const auto &replica : Replicas) {
+    ColdChecks += static_cast<std::uint64_t>(
+        std::count_if(replica->received().begin(), replica->received().end(),
+                      [](const ReceivedRequest &it) { return it.WhileCold; }));
+    const std::size_t most = replica->mostWhileCold();
+    if (static_cast<double>(most) > ColdRate * 1.5 + 5)
+      reportViolation(replica->id() + " got " + std::to_string(most) +
+                      " requests in a second while it was cold");
+  }
+}
+
 void Soak::checkPauses() {
   for (const auto &replica : Replicas) {
     const auto &received = replica->received();
