Pass evacuations of data centres to every daemon with the directory

The operator evacuates a data centre by an item in the metadata store. Its items are decoded from pages and changes; DirectoryTask keeps the set, tells its listener before the replicas of the same read, and is ready only when a full read has given it. Each reply of a relay with content has the whole set, so a lost change lasts until the next reply. A reply without the list, from an older version of the program, is not used, and a read of everything no longer accepts a relay that is behind the position of the reader.

An evacuation reaches 6 daemons through relays within the 1.5 s of the test.

--- a/src/coordination/directory_relay.cc
+++ b/src/coordination/directory_relay.cc
@@ -67,6 +67,7 @@
   reply.Sequence = request.Sequence;
   reply.Log = Id;
   reply.Index = Last;
+  reply.Evacuations = Evacuations;
   if (RouteVersion > request.RouteVersion)
     reply.Routes = Routes;
   const bool isKnown = request.Log == Id && request.Index <= Last &&
--- a/src/coordination/directory_relay.h
+++ b/src/coordination/directory_relay.h
@@ -29,6 +29,11 @@
       const std::map<std::string, state::ReplicaRecord, std::less<>> &records);
   void setRoutes(std::uint64_t version, std::string document);
 
+  /// The evacuations are not logged: each reply contains all of them.
+  void setEvacuations(const state::EvacuatedDataCentres &evacuations) {
+    Evacuations = evacuations;
+  }
+
   /// Returns the reply to a request. The owner fills in the revision, the age
   /// and the count of daemons.
   protocol::DirectoryReply
@@ -45,6 +50,7 @@
   std::map<std::string, state::ReplicaRecord, std::less<>> View;
   std::uint64_t RouteVersion = 0;
   std::string Routes;
+  std::optional<state::EvacuatedDataCentres> Evacuations; ///< once read
 };
 
 struct RelaySelectorOptions {
--- a/src/forwarding/directory_task.cc
+++ b/src/forwarding/directory_task.cc
@@ -171,6 +171,7 @@
                       {"after_outage", afterOutage}});
   LastReadFailed = false;
   const state::TimePoint now = Loop.now();
+  applyEvacuations(content);
   bool changed = false;
   if (content.IsFull) {
     std::vector<state::ReplicaRecord> records;
@@ -190,9 +191,39 @@
   tick();
 }
 
+// What an item that was set and removed in one batch leaves is compared, so
+// that it changes nothing.
+void DirectoryTask::applyEvacuations(const DirectoryContent &content) {
+  state::EvacuatedDataCentres next;
+  if (!content.IsFull)
+    next = Evacuations;
+  bool isIgnored = false;
+  for (const state::EvacuationChange &change : content.Evacuations) {
+    if (!change.IsEvacuated)
+      next.erase(change.DataCentre);
+    else if (next.size() < state::MaxEvacuatedDataCentres)
+      next.insert(change.DataCentre);
+    else
+      isIgnored = isIgnored || !next.contains(change.DataCentre);
+  }
+  if (content.IsFull || isIgnored) {
+    if (isIgnored && !AreEvacuationsIgnored)
+      state::log::warning("evacuations_ignored",
+                          {{"limit", state::MaxEvacuatedDataCentres}});
+    AreEvacuationsIgnored = isIgnored;
+  }
+  AreEvacuationsRead = AreEvacuationsRead || content.IsFull;
+  if (next == Evacuations)
+    return;
+  Evacuations = std::move(next);
+  if (Listener.Evacuations)
+    Listener.Evacuations(Evacuations);
+}
+
 void DirectoryTask::reportView() const {
-  Listener.Read(
-      {Table, Document, &Directory, Reader.position(), Reader.age(Loop.now())});
+  Listener.Read({Table, Document, &Directory, Reader.position(),
+                 Reader.age(Loop.now()),
+                 AreEvacuationsRead ? &Evacuations : nullptr});
 }
 
 void DirectoryTask::adoptRoutes(const state::RouteTablePtr &table,
--- a/src/forwarding/directory_task.h
+++ b/src/forwarding/directory_task.h
@@ -2,6 +2,7 @@
 #define GALENAFLOW_FORWARDING_DIRECTORY_TASK_H
 
 #include "coordination/directory_reader.h"
+#include "state/evacuation.h"
 #include "state/metrics.h"
 #include "state/replica_directory.h"
 #include "state/route_table.h"
@@ -25,7 +26,12 @@
 /// The result of one read of the operator's directory.
 struct DirectoryContent {
   std::vector<state::DirectoryChange> Changes;
-  bool IsFull = false;        ///< Changes are all records, not differences
+
+  /// In their order. When IsFull: all data centres that are evacuated.
+  std::vector<state::EvacuationChange> Evacuations;
+
+  /// Changes and Evacuations are the whole content, not differences.
+  bool IsFull = false;
   state::RouteTablePtr Table; ///< null when the read contains no routes
   std::string Document;       ///< the published form of Table
 
@@ -100,6 +106,7 @@
   const state::ReplicaDirectory *Replicas = nullptr;
   state::DirectoryPosition Position;
   state::Duration Age{0};
+  const state::EvacuatedDataCentres *Evacuations = nullptr; ///< null: not read
 };
 
 struct DirectoryListener {
@@ -110,11 +117,17 @@
 
   /// Called after each read, and after changes without a read.
   std::function<void(const DirectoryView &)> Read;
+
+  /// Called when the set has changed, before Routes and Replicas of the same
+  /// read, so that no request is sent to a data centre that is evacuated.
+  std::function<void(const state::EvacuatedDataCentres &)> Evacuations =
+      nullptr;
 };
 
 /// Keeps this process's view of the directory up to date. The version of the
 /// routes never decreases. Published routes that cannot be read are logged and
-/// read again; those in force stay.
+/// read again; those in force stay. Evacuations stay in force until a read
+/// shows their end.
 class DirectoryTask {
 public:
   DirectoryTask(transport::EventLoop &loop, DirectorySource &source,
@@ -140,8 +153,10 @@
   /// Time after which newer routes that are known but not in force are logged.
   static constexpr state::Duration PendingRoutesDelay = std::chrono::seconds(3);
 
-  /// Whether routes and replicas have been read.
-  bool isReady() const { return Table != nullptr && Reader.hasContent(); }
+  /// Whether routes, replicas and evacuations have been read.
+  bool isReady() const {
+    return Table != nullptr && Reader.hasContent() && AreEvacuationsRead;
+  }
 
   /// Age of the view: time since it was read at the source.
   state::Duration age() const { return Reader.age(Loop.now()); }
@@ -151,6 +166,7 @@
   void onRead(coordination::DirectoryRead read, const DirectoryResult &result);
   void onReadFailed(const DirectoryFault &fault);
   void onRoutesRead(const DirectoryResult &result);
+  void applyEvacuations(const DirectoryContent &content);
   void recordPublished(const DirectoryContent &content);
   void apply(const DirectoryContent &content, bool afterOutage);
   void applyRoutes(const state::RouteTablePtr &table, std::string document,
@@ -164,10 +180,13 @@
   DirectorySource &Source;
   coordination::DirectoryReader Reader;
   state::ReplicaDirectory Directory;
+  state::EvacuatedDataCentres Evacuations;
+  bool AreEvacuationsRead = false;
   state::RouteTablePtr Table;
   std::string Document;
   DirectoryListener Listener;
   transport::TimerId Timer = 0;
+  bool AreEvacuationsIgnored = false; ///< more than the limit; logged
   bool LastReadFailed = false;
   std::string LastFault;   ///< reason of the last failed read of the series
   std::string RoutesFault; ///< why published routes cannot be read, or empty
--- a/src/forwarding/relay_task.cc
+++ b/src/forwarding/relay_task.cc
@@ -477,8 +477,13 @@
   const std::string &self = Options.Network.Session.Self.Address;
   if (std::find(reply.Path.begin(), reply.Path.end(), self) != reply.Path.end())
     return "its view came from here";
-  if (after && reply.Position < *after)
+  // A read of everything after a lost history must not go back either.
+  if (reply.Position < after.value_or(View.Position))
     return "its view is behind";
+  // Of a daemon of an older version. What it passes on would be used in data
+  // centres whose evacuation it does not know.
+  if (!reply.Evacuations)
+    return "it states no evacuations";
   return nullptr;
 }
 
@@ -550,6 +555,26 @@
   useReply(request.Relay, std::move(reply), std::move(table), callback);
 }
 
+/// Returns what the reply changes in this daemon's view, or all evacuations
+/// when it is full.
+std::vector<state::EvacuationChange>
+RelayTask::evacuationChanges(const DirectoryReply &reply) const {
+  const state::EvacuatedDataCentres none;
+  const bool isCompared = !reply.IsFull && View.Evacuations != nullptr;
+  const state::EvacuatedDataCentres &known =
+      isCompared ? *View.Evacuations : none;
+  const state::EvacuatedDataCentres &stated =
+      reply.Evacuations ? *reply.Evacuations : known;
+  std::vector<state::EvacuationChange> changes;
+  for (const std::string &name : stated)
+    if (!known.contains(name))
+      changes.push_back({name, true});
+  for (const std::string &name : known)
+    if (!stated.contains(name))
+      changes.push_back({name, false});
+  return changes;
+}
+
 void RelayTask::useReply(const std::string &relay, DirectoryReply reply,
                          state::RouteTablePtr table,
                          const DirectoryCallback &callback) {
@@ -575,6 +600,7 @@
   content.Changes = std::move(reply.Changes);
   content.Position = reply.Position;
   content.IsFull = reply.IsFull;
+  content.Evacuations = evacuationChanges(reply);
   content.Age = reply.Age;
   content.IsLongPoll = true;
   forgetLateReplies();
@@ -592,6 +618,8 @@
     LoggedListVersion = view.Replicas->listedVersion();
     Log.update(view.Replicas->listed());
   }
+  if (view.Evacuations != nullptr)
+    Log.setEvacuations(*view.Evacuations);
   if (!IsReadingFromRelay) {
     const protocol::FleetReport fleet = Fleet.subtreeReport(Loop.now());
     recordDaemonCount(fleet.Daemons.count());
--- a/src/forwarding/relay_task.h
+++ b/src/forwarding/relay_task.h
@@ -206,6 +206,8 @@
   const char *
   findFault(const protocol::DirectoryReply &reply,
             const std::optional<state::DirectoryPosition> &after) const;
+  std::vector<state::EvacuationChange>
+  evacuationChanges(const protocol::DirectoryReply &reply) const;
   bool decodeReplyRoutes(const protocol::DirectoryReply &reply,
                          state::RouteTablePtr &table) const;
   void useLateReply(const LateRequest &request, protocol::DirectoryReply reply);
--- a/src/protocol/directory_generated.h
+++ b/src/protocol/directory_generated.h
@@ -355,7 +355,8 @@
     VT_LIMITS_VERSION = 34,
     VT_EPOCH = 36,
     VT_WANTS_ROUTES = 38,
-    VT_PATH = 40
+    VT_PATH = 40,
+    VT_EVACUATIONS = 42
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -414,6 +415,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *path() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PATH);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *evacuations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_EVACUATIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -445,6 +449,9 @@
            VerifyOffset(verifier, VT_PATH) &&
            verifier.VerifyVector(path()) &&
            verifier.VerifyVectorOfStrings(path()) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyVector(evacuations()) &&
+           verifier.VerifyVectorOfStrings(evacuations()) &&
            verifier.EndTable();
   }
 };
@@ -510,6 +517,9 @@
   void add_path(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path) {
     fbb_.AddOffset(DirectoryMessage::VT_PATH, path);
   }
+  void add_evacuations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuations) {
+    fbb_.AddOffset(DirectoryMessage::VT_EVACUATIONS, evacuations);
+  }
   explicit DirectoryMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -541,7 +551,8 @@
     uint64_t limits_version = 0,
     uint64_t epoch = 0,
     bool wants_routes = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuations = 0) {
   DirectoryMessageBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_limits_version(limits_version);
@@ -551,6 +562,7 @@
   builder_.add_index(index);
   builder_.add_log(log);
   builder_.add_sequence(sequence);
+  builder_.add_evacuations(evacuations);
   builder_.add_path(path);
   builder_.add_limits(limits);
   builder_.add_members(members);
@@ -585,13 +597,15 @@
     uint64_t limits_version = 0,
     uint64_t epoch = 0,
     bool wants_routes = false,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *path = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *path = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *evacuations = nullptr) {
   auto replicas__ = replicas ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryReplica>>(*replicas) : 0;
   auto routes__ = routes ? _fbb.CreateString(routes) : 0;
   auto strongest__ = strongest ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryDaemon>>(*strongest) : 0;
   auto members__ = members ? _fbb.CreateVector<uint32_t>(*members) : 0;
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<galenaflow::protocol::fb::DirectoryLimit>>(*limits) : 0;
   auto path__ = path ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*path) : 0;
+  auto evacuations__ = evacuations ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*evacuations) : 0;
   return galenaflow::protocol::fb::CreateDirectoryMessage(
       _fbb,
       sequence,
@@ -612,7 +626,8 @@
       limits_version,
       epoch,
       wants_routes,
-      path__);
+      path__,
+      evacuations__);
 }
 
 inline const galenaflow::protocol::fb::DirectoryMessage *GetDirectoryMessage(const void *buf) {
--- a/src/protocol/directory_messages.cc
+++ b/src/protocol/directory_messages.cc
@@ -54,6 +54,23 @@
   return daemons;
 }
 
+using NameList = flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
+
+/// Nothing when the list has no valid form. A part of it must not be used,
+/// since a data centre that is missing is no longer evacuated.
+std::optional<state::EvacuatedDataCentres>
+unpackEvacuations(const NameList &list) {
+  if (list.size() > state::MaxEvacuatedDataCentres)
+    return std::nullopt;
+  state::EvacuatedDataCentres names;
+  for (const flatbuffers::String *name : list) {
+    if (name->size() == 0 || name->size() > state::MaxDataCentreNameBytes)
+      return std::nullopt;
+    names.insert(textOf(name));
+  }
+  return names;
+}
+
 using LimitList = flatbuffers::Vector<flatbuffers::Offset<fb::DirectoryLimit>>;
 
 flatbuffers::Offset<LimitList>
@@ -139,6 +156,10 @@
   const auto path = b.CreateVectorOfStrings(reply.Path);
   const auto executors = pack(b, reply.Executors);
   const auto limits = pack(b, reply.Limits);
+  flatbuffers::Offset<NameList> evacuations;
+  if (reply.Evacuations)
+    evacuations = b.CreateVectorOfStrings(std::vector<std::string>(
+        reply.Evacuations->begin(), reply.Evacuations->end()));
   fb::DirectoryMessageBuilder message(b);
   message.add_sequence(reply.Sequence);
   message.add_has_content(reply.HasContent);
@@ -157,6 +178,8 @@
   message.add_strongest(executors);
   message.add_limits_version(reply.LimitsVersion);
   message.add_limits(limits);
+  if (reply.Evacuations)
+    message.add_evacuations(evacuations);
   return finish(b, message.Finish());
 }
 
@@ -218,6 +241,12 @@
   }
   reply.LimitsVersion = in->limits_version();
   reply.Limits = unpack(in->limits());
+  if (in->evacuations() != nullptr) {
+    reply.Evacuations = unpackEvacuations(*in->evacuations());
+    if (!reply.Evacuations)
+      return makeError(ErrorCode::InvalidArgument,
+                       "directory reply has no valid list of evacuations");
+  }
   if (in->replicas() == nullptr)
     return reply;
   if (in->replicas()->size() > MaxDirectoryChanges)
--- a/src/protocol/directory_messages.h
+++ b/src/protocol/directory_messages.h
@@ -4,10 +4,12 @@
 #include "state/daemon_capacity.h"
 #include "state/distinct_count.h"
 #include "state/error.h"
+#include "state/evacuation.h"
 #include "state/replica_directory.h"
 #include "state/request_limit.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,6 +70,11 @@
   std::vector<state::DaemonCapacity> Executors;
   bool IsFull = false;
   std::vector<state::DirectoryChange> Changes;
+
+  /// All data centres that are evacuated, also when the rest are differences: a
+  /// lost change then lasts until the next reply. Nothing from a daemon that
+  /// does not know of evacuations.
+  std::optional<state::EvacuatedDataCentres> Evacuations;
   std::uint64_t RouteVersion = 0; ///< of the replying daemon
   std::string Routes; ///< the published document; empty when it is not newer
 
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -449,6 +449,38 @@
   CHECK_FALSE(decodePage(R"({"items":[]})"));
 }
 
+// Guards against evacuations that are missed because of their value, and names
+// that no replica can have.
+TEST_CASE(
+    "evacuations are decoded by their keys, in the order of the changes") {
+  using state::EvacuationChange;
+  const std::string longName(256, 'z');
+  const auto changes = decodeChanges(
+      R"({"events":[{"key":"op/evacuate/z1","value":"e30=","rev":5},)"
+      R"({"key":"op/evacuate/z2","value":"!!!!","rev":6},)"
+      R"({"key":"op/evacuate/","value":"e30=","rev":7},)"
+      R"({"key":"op/evacuate","value":"e30=","rev":7},)"
+      R"({"key":"op/evacuated/z4","value":"e30=","rev":7},)"
+      R"({"key":"op/evacuate/)" +
+      longName +
+      R"(","value":"e30=","rev":7},)"
+      R"({"key":"op/evacuate/z1","rev":8,"removed":true},)"
+      R"({"key":"op/evacuate/a/b c","rev":9}],"store_revision":20})");
+  REQUIRE(changes);
+  CHECK(changes->Evacuations ==
+        std::vector<EvacuationChange>{
+            {"z1", true}, {"z2", true}, {"z1", false}, {"a/b c", true}});
+  CHECK(changes->Changes.empty());
+  CHECK(changes->Position == state::DirectoryPosition{0, 9});
+  const auto page = decodePage(
+      R"({"items":[{"key":"op/config","value":""},)"
+      R"({"key":"op/evacuate/z1","value":"e30=","rev":3},)"
+      R"({"key":"op/evacuate/z2","value":"","rev":4}],"store_revision":9})");
+  REQUIRE(page);
+  CHECK(page->Evacuations ==
+        std::vector<EvacuationChange>{{"z1", true}, {"z2", true}});
+}
+
 // Guards against a configuration that is passed over in silence.
 TEST_CASE("a configuration that cannot be read is reported with the reason") {
   const std::string good = standin::encodeBase64(Config);
--- a/tests/relay_task_test.cc
+++ b/tests/relay_task_test.cc
@@ -29,6 +29,7 @@
       : Loop(loop), Shared(shared) {}
 
   std::map<std::string, state::ReplicaRecord, std::less<>> Records;
+  state::EvacuatedDataCentres Evacuations;
   std::uint64_t Epoch = 0;
   std::uint64_t Revision = 10;
   std::uint64_t Version = 1;
@@ -81,6 +82,8 @@
       content.IsFull = true;
       for (const auto &[id, record] : Records)
         content.Changes.push_back({id, false, record});
+      for (const std::string &name : Evacuations)
+        content.Evacuations.push_back({name, true});
       if (IsChangeRead)
         addRoutes(content);
       content.Position = {Epoch, Revision};
@@ -176,7 +179,8 @@
                    [this](const DirectoryView &view) {
                      Relay.onView(view);
                      Age = view.Age;
-                   }},
+                   },
+                   [this](const auto &names) { Evacuations = names; }},
                   Metrics) {
     Relay.onRelayAvailable([this] { Directory.requestRead(); });
     Relay.onRouteVersion([this](std::uint64_t version) {
@@ -206,6 +210,7 @@
   state::MetricRegistry Metrics;
   std::uint64_t Version = 0;
   std::map<std::string, state::ReplicaRecord, std::less<>> Records;
+  state::EvacuatedDataCentres Evacuations;
   state::Duration Age{0};
   RelayTask Relay;
   DirectoryTask Directory;
@@ -304,6 +309,7 @@
     Reply->Position = {0, 40};
     Reply->Path = {Address};
     Reply->IsFull = true;
+    Reply->Evacuations.emplace();
     state::ReplicaRecord record;
     record.Id = "c";
     record.Service = "s";
@@ -717,3 +723,107 @@
       [&] { return fleet.Daemons[0]->Relay.daemonCount() == 2; }, TestLimit));
   CHECK(fleet.Daemons[2]->Relay.daemonCount() == 0);
 }
+
+// Guards against evacuations that take effect at some daemons only, or longer
+// than the operator wants.
+TEST_CASE("an evacuation and its end reach every daemon within 1.5 s") {
+  Fleet fleet(6);
+  REQUIRE(fleet.runUntilAll([](const Daemon &it) { return it.Version == 1; }));
+  fleet.run(2500ms);
+  fleet.Source.Evacuations = {"a"};
+  ++fleet.Source.Revision;
+  CHECK(fleet.runUntilAll(
+      [](const Daemon &it) {
+        return it.Evacuations == state::EvacuatedDataCentres{"a"};
+      },
+      1500ms));
+  fleet.Source.Evacuations = {"b"};
+  ++fleet.Source.Revision;
+  CHECK(fleet.runUntilAll(
+      [](const Daemon &it) {
+        return it.Evacuations == state::EvacuatedDataCentres{"b"};
+      },
+      1500ms));
+}
+
+// Guards against a daemon that is ready although it does not know which data
+// centres are evacuated.
+TEST_CASE("a daemon that starts in an outage of the source gets the "
+          "evacuations from a relay") {
+  Fleet fleet(3, 1);
+  fleet.Source.Evacuations = {"a"};
+  REQUIRE(fleet.runUntilAll(
+      [](const Daemon &it) { return it.Evacuations.size() == 1; }));
+  fleet.run(1200ms);
+  fleet.Source.IsUnavailable = true;
+  fleet.Addresses.push_back(support::reserveAddress());
+  fleet.add(3);
+  fleet.start(3, 1);
+  bool wasReadyWithout = false;
+  CHECK(fleet.Loop.runUntil(
+      [&] {
+        const Daemon &it = *fleet.Daemons[3];
+        wasReadyWithout |= it.Directory.isReady() && it.Evacuations.empty();
+        return it.Directory.isReady();
+      },
+      3s));
+  CHECK_FALSE(wasReadyWithout);
+}
+
+// Guards against evacuations that end because a relay of an older version does
+// not know of them.
+TEST_CASE("a reply without evacuations is not used") {
+  transport::EventLoop loop;
+  FakeSource source(loop);
+  source.put("a");
+  source.Evacuations = {"x"};
+  StandInRelay relay(loop);
+  relay.reply(0ms);
+  relay.Reply->Evacuations.reset();
+  Daemon daemon(loop, source, support::reserveAddress(), 1);
+  daemon.Relay.setRelays({relay.Address});
+  daemon.Directory.start();
+  CHECK(loop.runUntil([&] { return relay.Requests.size() >= 2; }, TestLimit));
+  loop.runUntil([] { return false; }, 300ms);
+  CHECK(daemon.Evacuations == state::EvacuatedDataCentres{"x"});
+  CHECK_FALSE(daemon.Records.contains("c"));
+  CHECK(daemon.Records.contains("a"));
+  // The source is read instead.
+  source.Evacuations = {"y"};
+  CHECK(loop.runUntil(
+      [&] { return daemon.Evacuations == state::EvacuatedDataCentres{"y"}; },
+      2s));
+}
+
+// Guards against an older view that brings an ended evacuation back, or ends
+// one, after the daemon has lost the history.
+TEST_CASE("a relay that is behind does not replace the evacuations") {
+  transport::EventLoop loop;
+  FakeSource source(loop);
+  source.put("a");
+  source.Revision = 60;
+  source.Evacuations = {"x"};
+  StandInRelay relay(loop);
+  relay.reply(0ms); // at revision 40, without evacuations
+  Daemon daemon(loop, source, support::reserveAddress(), 1);
+  daemon.Relay.setRelays({relay.Address});
+  daemon.Directory.start();
+  bool wasEnded = false;
+  bool wasSet = false;
+  loop.runUntil(
+      [&] {
+        wasSet |= !daemon.Evacuations.empty();
+        wasEnded |= wasSet && daemon.Evacuations.empty();
+        return relay.Requests.size() >= 3;
+      },
+      TestLimit);
+  CHECK(wasSet);
+  CHECK_FALSE(wasEnded);
+  bool hasEnded = false;
+  daemon.Relay.readAll([&](const DirectoryResult &result) {
+    hasEnded = true;
+    REQUIRE(result);
+    CHECK(result->Position == state::DirectoryPosition{0, 60});
+  });
+  CHECK(loop.runUntil([&] { return hasEnded; }, TestLimit));
+}
