Send no attempt to replicas of evacuated data centres

ForwardTask passes the set to the gate and places the replicas there as draining, so that first attempts, retries, hedges, queued and delegated attempts choose others. Their pools get a limit of zero, and an attempt whose connection is still being set up fails as not sent. A service that has replicas there and no usable ones elsewhere is left out of the answer, or its request is rejected at once with the new fault "evacuated", which explain names. Each change is one log line, and a gauge has the number of evacuated data centres.

--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -113,6 +113,8 @@
     return "stopping";
   case ForwardFault::NoRoom:
     return "no_room";
+  case ForwardFault::Evacuated:
+    return "evacuated";
   case ForwardFault::CallerGone:
     break;
   }
@@ -127,19 +129,30 @@
 }
 
 ForwardActions ForwardExecution::start(TimePoint now) {
-  if (Options.RejectedFor)
+  leaveOutEvacuated();
+  const bool canSucceed = hasEnoughParts(Parts.size() - FailedParts);
+  if (canSucceed && Options.RejectedFor)
     fail(ForwardFault::NoRoom);
-  else
+  else if (canSucceed)
     sendPrimaries();
   tryFinish(now);
   return completeEvent(now);
 }
 
+// First, so that a request that lacks these parts is not told to return when
+// there is room.
+void ForwardExecution::leaveOutEvacuated() {
+  for (std::uint32_t part = 0; part != Parts.size(); ++part)
+    if (Policy.isEvacuated(Options.Services[part]))
+      failPart(part, ForwardFault::Evacuated);
+}
+
 // No attempt is sent unless the request can succeed: a part of a request that
 // fails for want of others would use up the limit of its replica.
 void ForwardExecution::sendPrimaries() {
   for (const std::uint32_t part : Options.LeftOut)
-    failPart(part, ForwardFault::NoRoom);
+    if (!Parts[part].Failed)
+      failPart(part, ForwardFault::NoRoom);
   for (std::uint32_t part = 0; part != Parts.size(); ++part)
     if (!Parts[part].Failed && Policy.isAtLimit(Options.Services[part]))
       failPart(part, ForwardFault::ServerLimit);
@@ -308,7 +321,10 @@
     part.IsRetryHeld = true;
   } else if (part.Open == 0 && !retry(index, failure.End)) {
     ForwardFault fault = ForwardFault::BackendFailed;
-    if (failure.End == AttemptEnd::NotSent)
+    if (failure.End == AttemptEnd::NotSent &&
+        Policy.isEvacuated(Options.Services[index]))
+      fault = ForwardFault::Evacuated;
+    else if (failure.End == AttemptEnd::NotSent)
       fault = part.Tried.empty() ? ForwardFault::NoReplica
                                  : ForwardFault::BackendFailed;
     else if (failure.End == AttemptEnd::Rejected)
@@ -452,6 +468,7 @@
     const bool isRejected = FailedParts == total ||
                             LastFault == ForwardFault::ServerLimit ||
                             LastFault == ForwardFault::NoRoom ||
+                            LastFault == ForwardFault::Evacuated ||
                             LastFault == ForwardFault::Stopping;
     fail(isRejected ? LastFault : ForwardFault::TooFewParts);
     return;
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -79,7 +79,8 @@
   ServerLimit, ///< the replicas' request limits are used up
   Quarantined, ///< equal requests have ended the replicas that ran them
   Stopping,    ///< this process exits before the request could end
-  NoRoom, ///< more is waiting at the replicas than can be served in time
+  NoRoom,      ///< more is waiting at the replicas than can be served in time
+  Evacuated,   ///< all usable replicas are in data centres that are evacuated
   CallerGone,
 };
 
@@ -140,6 +141,10 @@
   /// Whether the request limits of the service's usable replicas allow no
   /// further request now. False when it has no usable replica.
   virtual bool isAtLimit(std::string_view service) = 0;
+
+  /// Whether the service has replicas, and all that could be used are in data
+  /// centres that are evacuated.
+  virtual bool isEvacuated(std::string_view /*service*/) { return false; }
 };
 
 struct ForwardOptions {
@@ -189,7 +194,8 @@
 ///
 /// A request whose services are at their request limits is rejected at once,
 /// before any attempt. A set of shards is served without the parts that are at
-/// their limits if the others make up the minimum.
+/// their limits if the others make up the minimum. The same applies to services
+/// whose replicas are all in data centres that are evacuated.
 ///
 /// Each event returns actions, which the owner executes in order. The owner
 /// calls start() once, reports each sent attempt by onSent() and its end by
@@ -249,6 +255,7 @@
   };
 
   Attempt *openAttempt(AttemptNumber number);
+  void leaveOutEvacuated();
   void sendPrimaries();
   void sendFirstPrimary();
   void sendRemainingPrimaries();
--- a/src/coordination/gate/replica_gate.h
+++ b/src/coordination/gate/replica_gate.h
@@ -56,6 +56,7 @@
 
   /// Replaces the set of evacuated data centres.
   void setEvacuated(DataCentres evacuated, TimePoint now);
+  const DataCentres &evacuated() const { return Evacuated; }
   bool isEvacuated(std::string_view dataCentre) const {
     return Evacuated.contains(dataCentre);
   }
--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -28,14 +28,15 @@
   std::string_view Subject;
   std::vector<std::string_view> Events;
 };
-const std::array<ViewEvents, 4> &viewEvents() {
-  static const std::array<ViewEvents, 4> All = {
+const std::array<ViewEvents, 5> &viewEvents() {
+  static const std::array<ViewEvents, 5> All = {
       ViewEvents{"routes", {"routes_in_force", "configuration_invalid"}},
       ViewEvents{
           "directory",
           {"directory_lost", "directory_regained", "directory_history_lost"}},
       ViewEvents{"relay", {"relay_in_use", "relay_lost"}},
-      ViewEvents{"fleet", {"fleet_counted"}}};
+      ViewEvents{"fleet", {"fleet_counted"}},
+      ViewEvents{"evacuations", {"data_centre_evacuated", "evacuation_ended"}}};
   return All;
 }
 
@@ -100,6 +101,9 @@
   if (line.Event == "caller_left")
     return "the caller disconnected before an answer; it may have run";
   std::string text = "failed: " + line.field("reason") + "; ";
+  if (line.field("reason") == "evacuated")
+    text = "rejected: all usable replicas of a needed service are in evacuated "
+           "data centres; ";
   if (ran == "not_run")
     return text + "it did not run and can be sent again";
   if (ran == "ran")
--- a/src/forwarding/forward_admission.cc
+++ b/src/forwarding/forward_admission.cc
@@ -61,7 +61,7 @@
   for (const ReplicaPtr &replica : replicas->second) {
     const bool isCooling =
         replica->Pool.limit() == 0 && replica->CooldownUntil > Loop.now();
-    if (replica->Record.Draining || isCooling || !allowsRequest(*replica))
+    if (!takesAttempts(*replica) || isCooling || !allowsRequest(*replica))
       continue;
     // One connection may be opened where the plan has none.
     const auto total = static_cast<std::uint32_t>(
--- a/src/forwarding/forward_dispatch.cc
+++ b/src/forwarding/forward_dispatch.cc
@@ -245,7 +245,7 @@
   for (const ReplicaPtr &replica : replicas->second) {
     const bool wasTried = std::find(tried.begin(), tried.end(),
                                     replica->Record.Id) != tried.end();
-    if (wasTried || replica->Record.Draining || replica->Pool.limit() != 0 ||
+    if (wasTried || !takesAttempts(*replica) || replica->Pool.limit() != 0 ||
         replica->CooldownUntil > Loop.now() || !hasRoom(*replica) ||
         !allowsRequest(*replica))
       continue;
@@ -271,11 +271,14 @@
   attempt.ExpectedLatency = expectedLatency(request.ClassKey);
   attempt.Exchange = target->Pool.send(
       Protocol.encode(*request.Message, target->Record.Id, remaining),
-      remaining, [this, id, target](transport::HttpResult result) {
+      remaining,
+      [this, id, target](transport::HttpResult result) {
         onAttemptEnded(id, std::move(result));
         // The pool must not be destroyed inside its own callback.
         Loop.post([target] {});
-      });
+      },
+      // Setting up a connection can take seconds.
+      [this, target] { return !Gate.isEvacuated(target->Record.DataCentre); });
   // The pool probes its connections and calls its onFree() callback when one
   // can be used.
   if (attempt.Exchange == 0)
--- a/src/forwarding/forward_replicas.cc
+++ b/src/forwarding/forward_replicas.cc
@@ -25,6 +25,11 @@
   std::vector<coordination::PlannedReplica> planned;
   std::vector<Replica *> usable;
   for (const ReplicaPtr &replica : replicas) {
+    if (Gate.isEvacuated(replica->Record.DataCentre)) {
+      replica->Pool.setLimit(0);
+      replica->IsWarm = false;
+      continue;
+    }
     if (replica->Record.Draining)
       continue;
     usable.push_back(replica.get());
@@ -46,12 +51,14 @@
     return;
   state::log::info("replica_leaving", {{"replica", replica.Record.Id},
                                        {"service", replica.Record.Service}});
-  Loop.post([this] {
-    coordination::LeavingReplicas::Records records;
-    for (const auto &[id, it] : Replicas)
-      records.emplace(id, it->Record);
-    setReplicas(records);
-  });
+  Loop.post([this] { reapplyReplicas(); });
+}
+
+void ForwardTask::reapplyReplicas() {
+  coordination::LeavingReplicas::Records records;
+  for (const auto &[id, it] : Replicas)
+    records.emplace(id, it->Record);
+  setReplicas(records);
 }
 
 void ForwardTask::setReplicas(
@@ -67,8 +74,8 @@
 
 void ForwardTask::applyReplicas(
     const coordination::LeavingReplicas::Records &records) {
-  Placement.setReplicas(records, Loop.now());
   Gate.setReplicas(records, Loop.now());
+  placeReplicas(records);
   Room.retain([&records](std::string_view id) { return records.contains(id); });
   for (auto it = Replicas.begin(); it != Replicas.end();) {
     const auto record = records.find(it->first);
@@ -104,6 +111,7 @@
   ReplicasByService.clear();
   for (const auto &[id, replica] : Replicas)
     ReplicasByService[replica->Record.Service].push_back(replica);
+  findEvacuatedServices();
   planConnections();
   for (const auto &[id, replica] : Replicas)
     warm(*replica);
@@ -116,7 +124,7 @@
 }
 
 void ForwardTask::warm(Replica &replica) {
-  if (replica.Record.Draining || !replica.IsWarm ||
+  if (!takesAttempts(replica) || !replica.IsWarm ||
       Loop.now() - StartedAt < Options.WarmDelay ||
       !replica.Backoff.mayConnect(Loop.now()))
     return;
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -6,7 +6,7 @@
 
 // Starts requests, executes the actions of their executions and passes on the
 // results. The other parts of this class are in forward_dispatch.cc,
-// forward_limits.cc and forward_replicas.cc.
+// forward_evacuation.cc, forward_limits.cc and forward_replicas.cc.
 
 namespace galenaflow::forwarding {
 
@@ -57,7 +57,10 @@
           "galenaflow_admission_rejections_total",
           "Requests rejected on arrival, since the replicas have no room")),
       PartsWithoutRoom(metrics.counter("galenaflow_parts_without_room_total",
-                                       "Parts left out of admitted requests")) {
+                                       "Parts left out of admitted requests")),
+      EvacuatedCount(metrics.gauge("galenaflow_evacuated_data_centres",
+                                   "Data centres whose replicas get no "
+                                   "requests, as the operator wants it")) {
   warmAll();
 }
 
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -12,6 +12,7 @@
 #include "coordination/leaving_replicas.h"
 #include "coordination/window_budget.h"
 #include "forwarding/forwarder.h"
+#include "state/evacuation.h"
 #include "state/metrics.h"
 #include "transport/backend_pool.h"
 
@@ -104,6 +105,11 @@
   void setReplicas(
       const std::map<std::string, state::ReplicaRecord, std::less<>> &records);
 
+  /// Sets the data centres whose replicas get no attempts from now on. Their
+  /// idle connections are closed at once, those in use when their exchange has
+  /// ended. Call before setReplicas() when both have changed.
+  void setEvacuated(const state::EvacuatedDataCentres &names);
+
   void setFleet(const FleetView &fleet);
 
   /// A replica has stated its request limit to this or another daemon; zero:
@@ -200,6 +206,7 @@
   bool hasOther(std::string_view service,
                 std::span<const state::ReplicaId> tried) override;
   bool isAtLimit(std::string_view service) override;
+  bool isEvacuated(std::string_view service) override;
 
   RequestClass &requestClass(const RequestClassKey &key);
   state::Duration expectedLatency(const RequestClassKey &key);
@@ -244,6 +251,14 @@
   void recordLimit(const Replica &replica, const ReplicaResult &result);
   void recordLeaving(const Replica &replica);
   void recordPause(const Replica &replica, state::Duration pause);
+  bool takesAttempts(const Replica &replica) const {
+    return !replica.Record.Draining &&
+           !Gate.isEvacuated(replica.Record.DataCentre);
+  }
+  void reapplyReplicas();
+  void placeReplicas(const coordination::LeavingReplicas::Records &records);
+  void findEvacuatedServices();
+  void logEvacuations();
   void applyReplicas(const coordination::LeavingReplicas::Records &records);
   coordination::FleetComposition fleetComposition() const;
   bool allowsRequest(const Replica &replica);
@@ -265,6 +280,11 @@
   state::RouteTablePtr Table;
   FleetView Fleet;
   coordination::LeavingReplicas Leaving;
+  state::EvacuatedDataCentres LoggedEvacuated;
+
+  /// Services that have replicas in evacuated data centres and no usable ones
+  /// elsewhere.
+  std::set<std::string, std::less<>> EvacuatedServices;
   LimitCallback LimitStatedCallback;
   coordination::admission::RoomEstimate Room;
   coordination::admission::RequestAdmission Admission;
@@ -294,6 +314,7 @@
   state::Counter &LimitedAttempts;
   state::Counter &AdmissionRejections;
   state::Counter &PartsWithoutRoom;
+  state::Gauge &EvacuatedCount;
 };
 
 } // namespace galenaflow::forwarding
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -158,3 +158,18 @@
     }
   }
 }
+
+// Guards against a rejection that an operator cannot trace to the evacuation.
+TEST_CASE("a request that was rejected for an evacuation names it") {
+  const std::string text = explain(
+      "2026-03-30T21:14:58.000Z level=info event=data_centre_evacuated "
+      "data_centre=x replicas=30 replicas_left=60 services_without=1 "
+      "evacuated=1\n"
+      "2026-03-30T21:14:59.500Z level=info event=request_failed id=a route=r "
+      "version=3 executor=\"\" reason=evacuated ran=not_run elapsed_ms=0 "
+      "left_ms=400 parts=1 missing=s hedges=0 retries=0 rejections=0\n",
+      "a");
+  CHECK(contains(text, "in evacuated data centres; it did not run"));
+  CHECK(contains(text, "evacuations: data_centre_evacuated 1500 ms before, "));
+  CHECK(contains(text, "data_centre=x"));
+}
--- a/tests/forward_execution_test.cc
+++ b/tests/forward_execution_test.cc
@@ -29,6 +29,10 @@
     return AtLimit.contains(std::string(service));
   }
   std::set<std::string> AtLimit; ///< services
+  bool isEvacuated(std::string_view service) override {
+    return Evacuated.contains(std::string(service));
+  }
+  std::set<std::string> Evacuated; ///< services
 };
 
 struct Fixture {
@@ -118,6 +122,45 @@
   CHECK(failure.Ran == ExecutionState::NotRun);
 }
 
+// Guards against a request that waits for replicas in evacuated data centres,
+// and against an answer that tells its caller to return when there is room.
+TEST_CASE("a request whose services are evacuated is rejected before any "
+          "attempt") {
+  const std::size_t shards = GENERATE(0, 4);
+  Fixture it(shards);
+  it.Policy.Evacuated = {"s", "s0", "s1"};
+  if (GENERATE(false, true))
+    it.Options.RejectedFor = 40ms;
+  it.start();
+  CHECK(it.Attempts.empty());
+  REQUIRE(it.Finished);
+  CHECK(it.failure().Fault == ForwardFault::Evacuated);
+  CHECK(it.failure().Ran == ExecutionState::NotRun);
+  CHECK(forwardFaultName(it.failure().Fault) == "evacuated");
+}
+
+TEST_CASE("evacuated shards are left out if the others are enough") {
+  Fixture it(4);
+  it.Policy.Evacuated = {"s2"};
+  it.Options.LeftOut = {2};
+  it.start();
+  CHECK(it.Attempts.size() == 3);
+  CHECK_FALSE(it.Finished);
+}
+
+// Guards against a reason that does not name the evacuation when it begins
+// while the attempt waits.
+TEST_CASE("a waiting request whose services become evacuated is rejected") {
+  Fixture it;
+  it.start();
+  it.Policy.Evacuated = {"s"};
+  it.Policy.Replicas = 0;
+  it.fail(0, AttemptEnd::NotSent);
+  REQUIRE(it.Finished);
+  CHECK(it.failure().Fault == ForwardFault::Evacuated);
+  CHECK(it.failure().Ran == ExecutionState::NotRun);
+}
+
 TEST_CASE("shards at their limits are left out if the others are enough") {
   Fixture it(4);
   it.Policy.AtLimit = {"s2"};
--- a/tests/forward_task_test.cc
+++ b/tests/forward_task_test.cc
@@ -1,6 +1,7 @@
 #include "forwarding/forward_task.h"
 #include "standin/raw_http_server.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace galenaflow;
@@ -30,10 +31,12 @@
   ReplicaResult decode(const ForwardedRequest &,
                        transport::HttpResult result) const override {
     if (!result)
-      return {coordination::AttemptFailure{coordination::AttemptEnd::Unknown,
-                                           {},
-                                           result.error().Cause.Text,
-                                           result.error().EndedByPeer},
+      return {coordination::AttemptFailure{
+                  result.error().MaybeSent ? coordination::AttemptEnd::Unknown
+                                           : coordination::AttemptEnd::NotSent,
+                  {},
+                  result.error().Cause.Text,
+                  result.error().EndedByPeer},
               {}};
     if (result->Status == 503) {
       ReplicaResult rejected{coordination::AttemptFailure{
@@ -81,9 +84,12 @@
   PlainProtocol Protocol;
   std::map<std::string, std::unique_ptr<Replica>, std::less<>> Replicas;
   state::RouteTablePtr Table;
+  std::map<std::string, state::ReplicaRecord, std::less<>> Records;
   std::unique_ptr<ForwardTask> Task;
+  std::vector<ForwardResult> Results;
 
-  explicit Deployment(const std::string &probePath, std::uint64_t seed = 1) {
+  explicit Deployment(const std::string &probePath, std::uint64_t seed = 1,
+                      state::Duration objective = 0ms) {
     ForwardTaskOptions options;
     options.Seed = seed;
     options.AssumedDaemons = 1;
@@ -95,6 +101,7 @@
     one.IsIdempotent = true;
     one.MaxAttempts = 2;
     one.Timeout = 400ms;
+    one.LatencyObjective = objective;
     state::Route all = one;
     all.Name = "all";
     one.Targets.push_back({"pool", 1});
@@ -106,19 +113,46 @@
     Table = std::make_shared<const state::RouteTable>(
         1, std::vector{one, all}, services, state::CallerLimits());
     Task->setRoutes(Table);
-    std::map<std::string, state::ReplicaRecord, std::less<>> records;
     for (const state::RoutedService &service : services)
-      for (const char *copy : {"a", "b"}) {
-        const std::string id = service.Name + copy;
-        auto replica = std::make_unique<Replica>(Loop, service.Name);
-        state::ReplicaRecord record;
-        record.Id = id;
-        record.Service = service.Name;
-        record.Address = replica->Address.toText();
-        records.emplace(id, record);
-        Replicas.emplace(id, std::move(replica));
-      }
-    Task->setReplicas(records);
+      for (const char *copy : {"a", "b"})
+        add(service.Name + copy, service.Name);
+    Task->setReplicas(Records);
+  }
+
+  Replica &add(const std::string &id, const std::string &service,
+               const std::string &dataCentre = "") {
+    auto replica = std::make_unique<Replica>(Loop, service);
+    state::ReplicaRecord &record = Records[id];
+    record.Id = id;
+    record.Service = service;
+    record.Address = replica->Address.toText();
+    record.DataCentre = dataCentre;
+    return *Replicas.emplace(id, std::move(replica)).first->second;
+  }
+
+  /// Places the replicas whose ids end with "a" in the data centre "x", and the
+  /// others in "y".
+  void placeInTwoDataCentres() {
+    for (auto &[id, record] : Records)
+      record.DataCentre = id.ends_with('a') ? "x" : "y";
+    Task->setReplicas(Records);
+  }
+
+  /// Requests that have arrived at the replicas in "x".
+  int requestsInX() {
+    int n = 0;
+    for (const auto &[id, replica] : Replicas)
+      if (Records.at(id).DataCentre == "x")
+        for (const auto &[path, count] : replica->Requests)
+          n += count;
+    return n;
+  }
+  std::size_t connectionsInX() const {
+    std::size_t n = 0;
+    for (const auto &[id, replica] : Replicas)
+      if (Records.at(id).DataCentre == "x")
+        n += replica->Server.openConnections();
+    return n;
   }
 
   void runFor(state::Duration d) {
@@ -128,9 +162,29 @@
   /// Sends `n` requests on the route at the same time. Returns how many get a
   /// complete answer.
   int serve(const std::string &routeName, int n) {
+    Results.clear();
+    start(routeName, n);
+    return finish(n);
+  }
+
+  /// Waits for `n` results. Returns the number of complete answers.
+  int finish(int n) {
+    REQUIRE(Loop.runUntil(
+        [&] { return Results.size() == static_cast<std::size_t>(n); },
+        TestLimit));
+    return static_cast<int>(std::count_if(
+        Results.begin(), Results.end(), [](const ForwardResult &result) {
+          const auto *merged =
+              std::get_if<coordination::MergedAnswer>(&result.Outcome);
+          const auto *single =
+              std::get_if<coordination::BackendResponse>(&result.Outcome);
+          return merged != nullptr ? merged->Missing == 0
+                                   : single != nullptr && single->isSuccess();
+        }));
+  }
+
+  void start(const std::string &routeName, int n) {
     const state::Route &route = Table->routes()[routeName == "one" ? 0 : 1];
-    int ended = 0;
-    int served = 0;
     for (int i = 0; i != n; ++i) {
       ForwardedRequest message;
       message.RequestId = "id-" + std::to_string(i);
@@ -144,20 +198,15 @@
       call.Services = route.isSharded() ? route.Shards.Services
                                         : std::vector<std::string>{"pool"};
       call.Remaining = 400ms;
-      Task->forward(std::move(call), [&](const ForwardResult &result) {
-        ++ended;
-        const auto *merged =
-            std::get_if<coordination::MergedAnswer>(&result.Outcome);
-        const auto *single =
-            std::get_if<coordination::BackendResponse>(&result.Outcome);
-        const bool isServed = merged != nullptr
-                                  ? merged->Missing == 0
-                                  : single != nullptr && single->isSuccess();
-        served += isServed ? 1 : 0;
+      Task->forward(std::move(call), [this](ForwardResult result) {
+        Results.push_back(std::move(result));
       });
     }
-    REQUIRE(Loop.runUntil([&] { return ended == n; }, TestLimit));
-    return served;
+  }
+
+  /// The failure of the only result, or null.
+  const coordination::ForwardFailure *failure() const {
+    return std::get_if<coordination::ForwardFailure>(&Results.at(0).Outcome);
   }
 
   std::uint64_t acceptedConnections() const {
@@ -227,3 +276,170 @@
   CHECK(site.serve("one", 2) == 1);
   CHECK(paused.Requests["/one"] == 2);
 }
+
+// Guards against requests to a data centre that the operator has evacuated, and
+// against connections that stay open there.
+TEST_CASE("an evacuated data centre gets no requests until the evacuation has "
+          "ended") {
+  const std::string route = GENERATE("one", "all");
+  Deployment site("");
+  site.placeInTwoDataCentres();
+  CHECK(site.serve(route, 6) == 6);
+  site.runFor(SettleTime);
+  REQUIRE(site.connectionsInX() != 0);
+  const int before = site.requestsInX();
+  site.Task->setEvacuated({"x"});
+  site.runFor(SettleTime);
+  CHECK(site.connectionsInX() == 0);
+  CHECK(site.serve(route, 6) == 6);
+  // A new view of the directory does not undo it.
+  site.Task->setReplicas(site.Records);
+  CHECK(site.serve(route, 6) == 6);
+  CHECK(site.requestsInX() == before);
+  CHECK(site.Metrics.exposition().find("galenaflow_evacuated_data_centres 1") !=
+        std::string::npos);
+  site.Task->setEvacuated({});
+  for (int i = 0; i != 5; ++i)
+    CHECK(site.serve(route, 6) == 6);
+  CHECK(site.requestsInX() > before);
+}
+
+// Guards against retries that leave the remaining replicas for the evacuated
+// ones.
+TEST_CASE("a rejected request is not retried in an evacuated data centre") {
+  Deployment site("");
+  site.placeInTwoDataCentres();
+  for (const auto &[id, replica] : site.Replicas)
+    replica->Rejects = site.Records.at(id).DataCentre == "y";
+  CHECK(site.serve("one", 1) == 1); // in "x", at once or as a retry
+  const int before = site.requestsInX();
+  site.Task->setEvacuated({"x"});
+  CHECK(site.serve("one", 3) == 0);
+  CHECK(site.requestsInX() == before);
+}
+
+// Guards against hedges to evacuated replicas while the others are slow.
+TEST_CASE("a slow request is not hedged in an evacuated data centre") {
+  constexpr auto objective = 60ms;
+  const bool isEvacuated = GENERATE(false, true);
+  Deployment site("", 1, objective);
+  site.placeInTwoDataCentres();
+  site.serve("one", 20); // earns the budget of a hedge
+  site.runFor(SettleTime);
+  for (const auto &[id, replica] : site.Replicas)
+    replica->HoldsAll = site.Records.at(id).DataCentre == "y";
+  const int before = site.requestsInX();
+  if (isEvacuated)
+    site.Task->setEvacuated({"x"});
+  site.serve("one", 4);
+  CHECK((site.requestsInX() == before) == isEvacuated);
+}
+
+// Guards against attempts that were queued before the evacuation and are sent
+// to it when a connection there becomes free.
+TEST_CASE("queued attempts are not sent to an evacuated data centre") {
+  Deployment site("");
+  site.placeInTwoDataCentres();
+  for (const auto &[id, replica] : site.Replicas)
+    replica->HoldsAll = true;
+  site.start("one", 6);
+  site.runFor(SettleTime);
+  REQUIRE(site.requestsInX() == 1);
+  site.Task->setEvacuated({"x"});
+  for (const auto &[id, replica] : site.Replicas)
+    replica->HoldsAll = false;
+  site.finish(6);
+  site.runFor(SettleTime);
+  CHECK(site.requestsInX() == 1);
+  CHECK(site.connectionsInX() == 0);
+}
+
+// Guards against a request that is written when its connection is set up,
+// although the evacuation has begun meanwhile.
+TEST_CASE("a request whose connection is being set up is sent elsewhere") {
+  for (std::uint64_t seed = 1; seed != 9; ++seed) {
+    Deployment site("", seed);
+    site.placeInTwoDataCentres();
+    site.start("one", 1);
+    // After the dispatch, before the connection is set up.
+    site.Loop.post([&] { site.Task->setEvacuated({"x"}); });
+    CHECK(site.finish(1) == 1);
+    CHECK(site.requestsInX() == 0);
+  }
+}
+
+// Guards against requests that wait for their deadline although no replica may
+// run them.
+TEST_CASE("a request without a replica elsewhere is rejected at once") {
+  Deployment site("");
+  site.placeInTwoDataCentres();
+  SECTION("before it arrives") {
+    site.Task->setEvacuated({"x", "y"});
+    site.start(GENERATE("one", "all"), 1);
+  }
+  SECTION("while it waits") {
+    for (const auto &[id, replica] : site.Replicas)
+      replica->HoldsAll = true;
+    site.start("one", 3);
+    site.runFor(SettleTime);
+    site.Task->setEvacuated({"x", "y"});
+  }
+  const state::TimePoint from = site.Loop.now();
+  REQUIRE(site.Loop.runUntil([&] { return !site.Results.empty(); }, 200ms));
+  CHECK(site.Loop.now() - from < 100ms);
+  REQUIRE(site.failure() != nullptr);
+  CHECK(site.failure()->Fault == coordination::ForwardFault::Evacuated);
+  CHECK(site.failure()->Ran == coordination::ExecutionState::NotRun);
+}
+
+// Guards against a request that waits for a shard that no replica may serve.
+TEST_CASE("a shard without a replica elsewhere is left out of the answer") {
+  Deployment site("");
+  site.placeInTwoDataCentres();
+  site.Records.at("s1b").DataCentre = "x";
+  site.Task->setReplicas(site.Records);
+  site.Task->setEvacuated({"x"});
+  state::Route most = site.Table->routes()[1];
+  most.Shards.MinShardRatio = 0.5;
+  site.Table = std::make_shared<const state::RouteTable>(
+      2, std::vector{site.Table->routes()[0], most},
+      std::vector<state::RoutedService>{
+          {"pool", 1}, {"s0", 1}, {"s1", 1}, {"s2", 1}},
+      state::CallerLimits());
+  site.Task->setRoutes(site.Table);
+  site.start("all", 1);
+  CHECK(site.finish(1) == 0);
+  const auto *merged =
+      std::get_if<coordination::MergedAnswer>(&site.Results.at(0).Outcome);
+  REQUIRE(merged != nullptr);
+  CHECK(merged->Missing == 1);
+  CHECK(site.requestsInX() == 0);
+}
+
+TEST_CASE("the evacuation of a data centre without replicas changes nothing") {
+  Deployment site("");
+  site.placeInTwoDataCentres();
+  CHECK(site.serve("all", 4) == 4);
+  const std::uint64_t accepted = site.acceptedConnections();
+  site.Task->setEvacuated({"nowhere"});
+  CHECK(site.serve("all", 4) == 4);
+  CHECK(site.acceptedConnections() == accepted);
+}
+
+// Guards against a replica that gets requests because it registered after the
+// evacuation had begun.
+TEST_CASE("a replica that registers in an evacuated data centre gets no "
+          "requests and no connection") {
+  Deployment site("");
+  site.placeInTwoDataCentres();
+  site.Task->setEvacuated({"x"});
+  const Replica &late = site.add("poolz", "pool", "x");
+  site.Task->setReplicas(site.Records);
+  CHECK(site.serve("one", 6) == 6);
+  CHECK(site.requestsInX() == 0);
+  CHECK(late.Server.stats().Accepted == 0);
+  site.Task->setEvacuated({});
+  for (int i = 0; i != 5; ++i)
+    CHECK(site.serve("one", 6) == 6);
+  CHECK(late.Server.stats().Accepted != 0);
+}
