--- a/tests/platform/replica_standin.cc
+++ b/tests/platform/replica_standin.cc
@@ -8,8 +8,9 @@
 using transport::HttpResponse;
 
 ReplicaStandin::ReplicaStandin(transport::EventLoop &loop, std::string id,
-                               std::string service)
+                               std::string service, std::string dataCentre)
     : Loop(loop), Id(std::move(id)), Service(std::move(service)),
+      DataCentre(std::move(dataCentre)),
       Server(loop, [this](const HttpRequest &request,
                           const RawConnectionPtr &connection) {
         onRequest(request, connection);
@@ -20,8 +21,8 @@
 
 std::string ReplicaStandin::entry(const std::string &state) const {
   return R"({"service":")" + Service + R"(","address":")" +
-         AdvertisedAddress.toText() +
-         R"(","zone":"z1","version":"v1","slots":2,"state":")" + state +
+         AdvertisedAddress.toText() + R"(","zone":")" + DataCentre +
+         R"(","version":"v1","slots":2,"state":")" + state +
          R"(","cold_left_ms":0,"seq":1,"born":)" +
          std::to_string(1'700'000'000'000 + Starts) + "}";
 }
--- a/tests/platform/replica_standin.h
+++ b/tests/platform/replica_standin.h
@@ -62,7 +62,7 @@
 class ReplicaStandin {
 public:
   ReplicaStandin(transport::EventLoop &loop, std::string id,
-                 std::string service);
+                 std::string service, std::string dataCentre = "z1");
 
   const transport::SocketAddress &address() const { return Address; }
 
@@ -76,6 +76,7 @@
   std::string entry(const std::string &state = "ready") const;
   std::string key() const { return "servers/" + Id; }
   const std::string &id() const { return Id; }
+  const std::string &dataCentre() const { return DataCentre; }
 
   ReplicaBehaviour &behaviour() { return Behaviour; }
   const std::vector<ExecutedRequest> &runs() const { return Runs; }
@@ -114,6 +115,7 @@
   transport::EventLoop &Loop;
   std::string Id;
   std::string Service;
+  std::string DataCentre;
   RawHttpServer Server;
   transport::SocketAddress Address;
   transport::SocketAddress AdvertisedAddress;
--- a/tests/platform/soak.cc
+++ b/tests/platform/soak.cc
@@ -141,16 +141,23 @@
 }
 
 void Soak::startReplicas() {
-  std::vector<std::pair<std::string, std::string>> wanted;
-  for (int shard = 0; shard != ShardCount; ++shard)
-    for (const char *copy : {"a", "b"})
-      wanted.emplace_back(shardName(shard) + copy, shardName(shard));
+  struct Wanted {
+    std::string Id;
+    std::string Service;
+    std::string DataCentre;
+  };
+  std::vector<Wanted> wanted;
+  for (int shard = 0; shard != ShardCount; ++shard) {
+    wanted.push_back({shardName(shard) + "a", shardName(shard), "z1"});
+    wanted.push_back({shardName(shard) + "b", shardName(shard), "z2"});
+  }
   for (const char *id : {"p0", "p1", "p2"})
-    wanted.emplace_back(id, "pool");
+    wanted.push_back({id, "pool", id[1] == '1' ? "z2" : "z1"});
   for (const char *id : {"o0", "o1"})
-    wanted.emplace_back(id, "other");
-  for (const auto &[id, service] : wanted) {
-    Replicas.push_back(std::make_unique<ReplicaStandin>(Loop, id, service));
+    wanted.push_back({id, "other", id[1] == '1' ? "z2" : "z1"});
+  for (const auto &[id, service, dataCentre] : wanted) {
+    Replicas.push_back(
+        std::make_unique<ReplicaStandin>(Loop, id, service, dataCentre));
     ReplicaStandin &replica = *Replicas.back();
     ReplicaRoutes.push_back(openRoute(id, replica.address()));
     replica.advertise(
@@ -227,6 +234,7 @@
   keepCopies();
   injectLimit();
   startDeadly();
+  startEvacuation();
   const state::TimePoint end = Loop.now() + Options.FaultTime;
   while (Loop.now() < end) {
     injectFault();
@@ -259,6 +267,7 @@
   checkLeaving();
   checkPauses();
   checkDeadly();
+  checkEvacuations();
   checkDelegation();
   if (!Violations.empty())
     for (const Daemon &daemon : Daemons)
@@ -271,6 +280,8 @@
             << " leaving_checks=" << LeavingChecks
             << " pause_checks=" << PauseChecks
             << " deadly_checks=" << DeadlyChecks
+            << " evacuations=" << Evacuations.size()
+            << " evacuation_checks=" << EvacuationChecks
             << " broken=" << Violations.size() << std::endl;
   return Violations;
 }
@@ -535,7 +546,7 @@
 }
 
 void Soak::injectFault() {
-  switch (randomBelow(10)) {
+  switch (randomBelow(11)) {
   case 0:
     injectDaemonFault(Daemons[randomBelow(Daemons.size())]);
     break;
@@ -560,6 +571,9 @@
   case 7:
     injectPause();
     break;
+  case 8:
+    injectEvacuation();
+    break;
   default:
     injectReplicaFault();
   }
@@ -639,6 +653,7 @@
   const Duration away(300'000 + randomBelow(1'700'000));
   const Duration rewritten = away + Duration(randomBelow(1'200'000));
   recordFaultPeriod(StoreTarget, rewritten);
+  StoreRestores.push_back(FaultPeriods.back());
   Store.faults().Silent = true;
   schedule(away, [this, copy] {
     Store.faults() = {};
@@ -660,6 +675,7 @@
 
 void Soak::rewriteEntries() {
   publish();
+  rewriteEvacuations();
   for (const auto &replica : Replicas)
     Store.put(replica->key(),
               replica->entry(DrainingSince.contains(replica->id()) ? "draining"
@@ -757,6 +773,8 @@
 
 void Soak::clearFaults() {
   Store.faults() = {};
+  for (const EvacuationPeriod &it : std::vector(Evacuations))
+    endEvacuation(it.DataCentre);
   for (const auto &replica : Replicas) {
     replica->behaviour() = {};
     replica->endLimit();
--- a/tests/platform/soak.h
+++ b/tests/platform/soak.h
@@ -58,6 +58,13 @@
   };
   static constexpr std::size_t StoreTarget = ~std::size_t{0};
 
+  /// From the acknowledgement of an evacuation until its item was removed.
+  struct EvacuationPeriod {
+    std::string DataCentre;
+    state::TimePoint From;
+    state::TimePoint To = state::TimePoint::max();
+  };
+
   struct Call {
     std::string Id;
     std::string Path;
@@ -86,6 +93,9 @@
   void checkLeaving();
   void checkPauses();
   void checkDeadly();
+  void checkEvacuations();
+  state::TimePoint inForceAt(const EvacuationPeriod &period) const;
+  bool isAfterRestore(state::TimePoint at) const;
   bool hadFault(std::size_t daemon, state::TimePoint from,
                 state::TimePoint to) const;
   bool wasHealthy(const std::string &id, state::TimePoint at) const;
@@ -104,6 +114,11 @@
   void injectLimit();
   void injectLeaving();
   void injectPause();
+  void startEvacuation();
+  void injectEvacuation();
+  void evacuate(const std::string &name, state::Duration lasting);
+  void endEvacuation(const std::string &dataCentre);
+  void rewriteEvacuations();
   void startDeadly();
   void sendDeadly();
   void injectNetworkFault();
@@ -151,6 +166,12 @@
   std::uint64_t LeavingChecks = 0;
   std::uint64_t PauseChecks = 0;
   std::uint64_t DeadlyChecks = 0;
+  std::vector<EvacuationPeriod> Evacuations;
+  /// From the begin of an outage until the store has all items again.
+  std::vector<FaultPeriod> StoreRestores;
+  /// Number of requests that were checked not to be in an evacuated data
+  /// centre.
+  std::uint64_t EvacuationChecks = 0;
   /// Number of runs that were checked to follow the published routes.
   std::uint64_t RouteChecks = 0;
   std::vector<std::string> Violations;
