--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -84,7 +84,7 @@
     it.MaxBackoff = 5ms;
     return it;
   }
-  void add(DirectoryResult result) { Source.Answers.push_back(result); }
+  void add(const DirectoryResult &result) { Source.Answers.push_back(result); }
   void run() {
     Task.requestRead();
     Loop.runUntil([this] { return Source.Answers.empty(); }, 5s);
