--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -195,15 +195,16 @@
 // Guards against a reader that misses an evacuation because the change was in a
 // reply that it did not use.
 TEST_CASE("each reply of a log states the whole set once it is known") {
+  const state::TimePoint now{1h};
   coordination::DirectoryLog log(5);
   const protocol::DirectoryRequest full;
-  CHECK_FALSE(log.makeReply(full).Evacuations.has_value());
+  CHECK_FALSE(log.makeReply(full, now).Evacuations.has_value());
   log.setEvacuations({"a"});
-  CHECK(log.makeReply(full).Evacuations == EvacuatedDataCentres{"a"});
+  CHECK(log.makeReply(full, now).Evacuations == EvacuatedDataCentres{"a"});
   protocol::DirectoryRequest next;
   next.Log = 5;
-  next.Index = log.makeReply(full).Index;
-  const auto reply = log.makeReply(next);
+  next.Index = log.makeReply(full, now).Index;
+  const auto reply = log.makeReply(next, now);
   CHECK_FALSE(reply.IsFull);
   CHECK(reply.Evacuations == EvacuatedDataCentres{"a"});
 }
