--- a/tests/platform/soak.h
+++ b/tests/platform/soak.h
@@ -61,6 +61,13 @@
   static constexpr double ColdRate = 6;
   static constexpr std::size_t StoreTarget = ~std::size_t{0};
 
+  /// From the acknowledgement of an evacuation until its item was removed.
+  struct EvacuationPeriod {
+    std::string DataCentre;
+    state::TimePoint From;
+    state::TimePoint To = state::TimePoint::max();
+  };
+
   struct Call {
     std::string Id;
     std::string Path;
@@ -90,6 +97,9 @@
   void checkPauses();
   void checkDeadly();
   void checkCold();
+  void checkEvacuations();
+  state::TimePoint inForceAt(const EvacuationPeriod &period) const;
+  bool isAfterRestore(state::TimePoint at) const;
   bool hadFault(std::size_t daemon, state::TimePoint from,
                 state::TimePoint to) const;
   bool wasHealthy(const std::string &id, state::TimePoint at) const;
@@ -110,6 +120,11 @@
   void injectPause();
   void injectColdReturn();
   void sendBurst(state::TimePoint until);
+  void startEvacuation();
+  void injectEvacuation();
+  void evacuate(const std::string &name, state::Duration lasting);
+  void endEvacuation(const std::string &dataCentre);
+  void rewriteEvacuations();
   void startDeadly();
   void sendDeadly();
   void injectNetworkFault();
@@ -159,6 +174,12 @@
   std::uint64_t DeadlyChecks = 0;
   /// Number of requests that were received by cold replicas.
   std::uint64_t ColdChecks = 0;
+  std::vector<EvacuationPeriod> Evacuations;
+  /// From the begin of an outage until the store has all items again.
+  std::vector<FaultPeriod> StoreRestores;
+  /// Number of requests that were checked not to be in an evacuated data
+  /// centre.
+  std::uint64_t EvacuationChecks = 0;
   /// Number of runs that were checked to follow the published routes.
   std::uint64_t RouteChecks = 0;
   std::vector<std::string> Violations;
