--- a/tests/platform/soak.cc
+++ b/tests/platform/soak.cc
@@ -184,8 +184,11 @@
     shards.push_back(shardName(shard));
     services.push_back({{"name", shardName(shard)}, {"max_conns", 26}});
   }
-  for (const char *name : {"pool", "other"})
-    services.push_back({{"name", name}, {"max_conns", 26}});
+  services.push_back({{"name", "pool"},
+                      {"max_conns", 26},
+                      {"cold_start_s", ColdSeconds},
+                      {"cold_per_s", ColdRate}});
+  services.push_back({{"name", "other"}, {"max_conns", 26}});
   const json routes = {{{"name", "all"},
                         {"host", "h"},
                         {"prefix", "/all/"},
@@ -233,6 +236,7 @@
   sendCalls();
   keepCopies();
   injectLimit();
+  injectColdReturn();
   startDeadly();
   startEvacuation();
   const state::TimePoint end = Loop.now() + Options.FaultTime;
@@ -268,6 +272,7 @@
   checkPauses();
   checkDeadly();
   checkEvacuations();
+  checkCold();
   checkDelegation();
   if (!Violations.empty())
     for (const Daemon &daemon : Daemons)
@@ -282,7 +287,8 @@
             << " deadly_checks=" << DeadlyChecks
             << " evacuations=" << Evacuations.size()
             << " evacuation_checks=" << EvacuationChecks
-            << " broken=" << Violations.size() << std::endl;
+            << " cold_checks=" << ColdChecks << " broken=" << Violations.size()
+            << std::endl;
   return Violations;
 }
 
@@ -546,7 +552,7 @@
 }
 
 void Soak::injectFault() {
-  switch (randomBelow(11)) {
+  switch (randomBelow(12)) {
   case 0:
     injectDaemonFault(Daemons[randomBelow(Daemons.size())]);
     break;
@@ -574,6 +580,9 @@
   case 8:
     injectEvacuation();
     break;
+  case 9:
+    injectColdReturn();
+    break;
   default:
     injectReplicaFault();
   }
--- a/tests/platform/soak.h
+++ b/tests/platform/soak.h
@@ -56,6 +56,9 @@
     state::TimePoint From;
     state::TimePoint To;
   };
+  /// Of the service "pool".
+  static constexpr int ColdSeconds = 2;
+  static constexpr double ColdRate = 6;
   static constexpr std::size_t StoreTarget = ~std::size_t{0};
 
   /// From the acknowledgement of an evacuation until its item was removed.
@@ -96,6 +99,7 @@
   void checkEvacuations();
   state::TimePoint inForceAt(const EvacuationPeriod &period) const;
   bool isAfterRestore(state::TimePoint at) const;
+  void checkCold();
   bool hadFault(std::size_t daemon, state::TimePoint from,
                 state::TimePoint to) const;
   bool wasHealthy(const std::string &id, state::TimePoint at) const;
@@ -119,6 +123,8 @@
   void evacuate(const std::string &name, state::Duration lasting);
   void endEvacuation(const std::string &dataCentre);
   void rewriteEvacuations();
+  void injectColdReturn();
+  void sendBurst(state::TimePoint until);
   void startDeadly();
   void sendDeadly();
   void injectNetworkFault();
@@ -172,6 +178,8 @@
   /// Number of requests that were checked not to be in an evacuated data
   /// centre.
   std::uint64_t EvacuationChecks = 0;
+  /// Number of requests that were received by cold replicas.
+  std::uint64_t ColdChecks = 0;
   /// Number of runs that were checked to follow the published routes.
   std::uint64_t RouteChecks = 0;
   std::vector<std::string> Violations;
