--- a/tests/platform/soak.cc
+++ b/tests/platform/soak.cc
@@ -271,8 +271,8 @@
   checkLeaving();
   checkPauses();
   checkDeadly();
-  checkCold();
   checkEvacuations();
+  checkCold();
   checkDelegation();
   if (!Violations.empty())
     for (const Daemon &daemon : Daemons)
@@ -285,10 +285,10 @@
             << " leaving_checks=" << LeavingChecks
             << " pause_checks=" << PauseChecks
             << " deadly_checks=" << DeadlyChecks
-            << " cold_checks=" << ColdChecks
             << " evacuations=" << Evacuations.size()
             << " evacuation_checks=" << EvacuationChecks
-            << " broken=" << Violations.size() << std::endl;
+            << " cold_checks=" << ColdChecks << " broken=" << Violations.size()
+            << std::endl;
   return Violations;
 }
 
@@ -578,10 +578,10 @@
     injectPause();
     break;
   case 8:
-    injectColdReturn();
+    injectEvacuation();
     break;
   case 9:
-    injectEvacuation();
+    injectColdReturn();
     break;
   default:
     injectReplicaFault();
