Limit the bytes and connections that clients can claim

Cause: h2o reads a caller's socket until it is empty and keeps head and body in the socket's buffer, which it doubles. Nothing limits the sum over all connections, nor the connections by the descriptors of the process.

Change: plain connections are read by ClientConnections in pieces of 64 KB. ClientMemory counts buffers, copies, requests on their way, delegated requests and unread answers against a quarter of the VM's memory. A body whose stated length does not fit gets 503 with Retry-After before it is read; client_memory_policy decides which incomplete bodies, heads and untaken answers give way. Connections are limited to two thirds of the descriptors without 200, above which the longest idle one is closed. galenaflow-platform closes a head that is not complete in header_timeout_ms. HTTP/2 without TLS is closed. A chunked body of exactly the largest size is now served; h2o refused it.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -15,9 +15,11 @@
 #include "transport/http_server.h"
 #include "transport/trace_exporter.h"
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 #include <random>
+#include <sys/resource.h>
 
 // The daemon serves callers once valid lists have been applied and the other
 // daemons have agreed to its share. Until then its health check fails, so that
@@ -116,10 +118,21 @@
   return result;
 }
 
+/// The descriptors that this process may have.
+std::size_t descriptorLimit() {
+  rlimit limit{};
+  return getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+                 limit.rlim_cur != RLIM_INFINITY
+             ? limit.rlim_cur
+             : SIZE_MAX / 2;
+}
+
 transport::HttpServerOptions callerServerOptions(const Options &options) {
   transport::HttpServerOptions result;
   result.MaxBodyBytes = options.MaxBodyBytes;
-  result.MaxConnections = options.MaxConnections;
+  result.MaxConnections = std::min<std::size_t>(
+      options.MaxConnections,
+      transport::ClientMemory::maxConnections(descriptorLimit()));
   result.RequestTimeout = milliseconds(options.IdleTimeoutMs);
   result.CertificateFile = options.TlsCertificate;
   result.KeyFile = options.TlsKey;
@@ -200,6 +213,7 @@
           }),
       Draining(loop, {milliseconds(options.BalancerLagMs), MaxDeadline,
                       milliseconds(500)}) {
+  loop.clientMemory().setLimit(options.clientMemoryBytes());
   Lists.onChange([this](std::string_view key) {
     if (key == protocol::ServicesKey)
       Backends.setTopology(Lists.topology());
--- a/src/daemon/operator_service.cc
+++ b/src/daemon/operator_service.cc
@@ -87,6 +87,7 @@
   HttpResponse response;
   response.Headers.add("content-type", "text/plain; version=0.0.4");
   Loop.receiveLimits().exportTo(Sources.Metrics);
+  Loop.clientMemory().exportTo(Sources.Metrics);
   response.Body = Sources.Metrics.exposition();
   return response;
 }
--- a/src/daemon/options.cc
+++ b/src/daemon/options.cc
@@ -262,6 +262,12 @@
     findings.add("--link_silence_ms", "must be at least twice heartbeat_ms");
   if (options.SuspicionMs < 2 * std::uint64_t{options.ProbePeriodMs})
     findings.add("--suspicion_ms", "must be at least twice probe_period_ms");
+  // A body takes up to three times its size in the three quarters that bodies
+  // may use: the buffer, which is doubled, and the copy for the handler.
+  if (options.clientMemoryBytes() <
+      4 * std::uint64_t{options.MaxBodyBytes} + (std::uint64_t{1} << 20))
+    findings.add("--client_memory_bytes",
+                 "must be at least 4 times max_body_bytes and 1 MB");
 }
 
 std::string defaultText(const Setting &setting) {
@@ -290,6 +296,39 @@
     "validates and exits: 0 when all settings are valid, otherwise 2.\n"
     "`--flagfile=FILE` reads flags from a file.\n";
 
+constexpr const char *PageFooter =
+    "\n## Memory and connections of galenaflow-platform\n\n"
+    "| setting | default | meaning |\n"
+    "| --- | --- | --- |\n"
+    "| `limits.memory_mb` in the settings file | 160 | memory of the VM; a "
+    "quarter of it is the limit of the bytes held for clients |\n"
+    "| `limits.max_fds` in the settings file | (none) | descriptors; two "
+    "thirds "
+    "of them without 200 are the limit of connections of clients, 10,000 "
+    "without the setting |\n"
+    "| `GALENAFLOW_CLIENT_MEMORY_BYTES` | (empty) | bytes that may be held for "
+    "clients, from 2,097,152 |\n\n"
+    "Constants: a quarter of the limit is reserved for requests up to 32 KB "
+    "and for answers; a client without\nprogress for 1 s gives way first; a "
+    "refused client is read on for 1 s or 4 MB, at most 100 at a time. A "
+    "head\nmust be complete within `header_timeout_ms` of the published limits "
+    "(3,000) of its first byte.\n\n"
+    "No client inside the published limits reaches the default. The largest "
+    "request, of 16,384 bytes of head and\n262,144 of body to 90 shards, on a "
+    "VM with 160 MB, in bytes:\n\n"
+    "| part | bytes |\n"
+    "| --- | --- |\n"
+    "| input buffer, doubled | 524,288 |\n"
+    "| copy for the handler | 278,528 |\n"
+    "| 90 requests on their way to replicas | 25,067,520 |\n"
+    "| answer, the largest | 4,194,304 |\n"
+    "| sum | 30,064,640 |\n"
+    "| limit | 41,943,040 |\n\n"
+    "Of this, only the first two are asked for when the request arrives: "
+    "802,816 of the 31,457,280 that bodies may\nuse. For `galenaflowd`, "
+    "`max_body_bytes` of 65,536 takes 196,608, and it rejects settings whose "
+    "limit is less\nthan 4 times `max_body_bytes` and 1 MB.\n";
+
 } // namespace
 
 const std::string &Options::peerAddress() const {
@@ -300,6 +339,12 @@
   return AdvertiseOperator.empty() ? OperatorListen : AdvertiseOperator;
 }
 
+std::uint64_t Options::clientMemoryBytes() const {
+  constexpr std::uint64_t vmFraction = 4;
+  return ClientMemoryBytes != 0 ? ClientMemoryBytes
+                                : (std::uint64_t{MemoryMb} << 20) / vmFraction;
+}
+
 Options loadOptions(const SettingLookup &flags,
                     const SettingLookup &environment, Findings &findings) {
   Options options;
@@ -369,7 +414,7 @@
             "` | " + defaultText(setting) + " | " + setting.Help +
             rangeText(setting) + " |\n";
   }
-  return page;
+  return page + PageFooter;
 }
 
 } // namespace galenaflow::daemon
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -49,6 +49,8 @@
   std::uint32_t MaxBodyBytes = 65'536;
   std::uint32_t MaxAnswerBytes = 16'777'216;
   std::uint32_t RecordMemoryBytes = 33'554'432;
+  std::uint32_t MemoryMb = 160;
+  std::uint32_t ClientMemoryBytes = 0; ///< 0: a quarter of MemoryMb
 
   // Callers.
   std::uint32_t MaxConnections = 4096;
@@ -83,6 +85,9 @@
   /// The addresses at which other processes reach this one.
   const std::string &peerAddress() const;
   const std::string &operatorAddress() const;
+
+  /// ClientMemoryBytes or its default.
+  std::uint64_t clientMemoryBytes() const;
 };
 
 /// Looks up a value by the name of a flag or of an environment variable.
--- a/src/forwarding/entry_service.cc
+++ b/src/forwarding/entry_service.cc
@@ -44,6 +44,7 @@
   Table = table;
   Server.setMaxBodyBytes(table->limits().MaxBodyBytes);
   Server.setRequestTimeout(table->limits().IdleTimeout);
+  Server.setHeadTimeout(table->limits().HeaderTimeout);
 }
 
 std::vector<std::string>
--- a/src/forwarding/executor_task.cc
+++ b/src/forwarding/executor_task.cc
@@ -119,7 +119,9 @@
   const state::Route *route = findRoute(request);
   if (route == nullptr || IsDraining ||
       OpenRequests.size() >= maxOpenRequests() ||
-      request.Remaining <= state::Duration(0) || OpenRequests.contains(key)) {
+      request.Remaining <= state::Duration(0) || OpenRequests.contains(key) ||
+      Loop.clientMemory().missing(request.Body.size(),
+                                  /*mayUseReserve=*/false) != 0) {
     Refused.add();
     DelegatedReply refusal;
     refusal.Sequence = request.Sequence;
@@ -145,6 +147,7 @@
   call.ReturnTime = std::clamp(request.ReturnTime, state::Duration(0),
                                route->LatencyObjective / 2);
   OpenRequest &open = OpenRequests[key];
+  open.Hold = Loop.clientMemory().makeHold(call.Message->Body.size());
   open.Id =
       Forwarding.forward(std::move(call), [this, key](ForwardResult result) {
         onResult(key, std::move(result));
--- /dev/null
+++ b/src/transport/client_memory.h
@@ -0,0 +1,90 @@
+#ifndef GALENAFLOW_TRANSPORT_CLIENT_MEMORY_H
+#define GALENAFLOW_TRANSPORT_CLIENT_MEMORY_H
+
+#include "state/clock.h"
+#include "state/metrics.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <memory>
+#include <string_view>
+
+namespace galenaflow::transport {
+
+/// Why a client was refused or its connection closed.
+enum class ClientRefusal {
+  BodyDoesNotFit,  ///< answered with 503 before the body was read
+  Evicted,         ///< gave way to others with an incomplete request or answer
+  NoProgress,      ///< sent no complete head in the time for it
+  ConnectionLimit, ///< closed for the limit of connections
+};
+constexpr std::size_t ClientRefusalCount = 4;
+
+/// The name of the kind in snake_case, for logs and metrics.
+std::string_view clientRefusalName(ClientRefusal kind);
+
+/// The bytes that this process holds for clients: receive buffers with heads
+/// and bodies, copies of requests on their way, and answers that have not been
+/// taken. Without a limit by default.
+class ClientMemory {
+public:
+  /// A quarter of the limit is reserved for small requests and for answers, so
+  /// that large bodies leave room for ordinary callers.
+  static constexpr std::size_t ReservedFraction = 4;
+
+  /// Share of the memory of a VM that the clients may use. Freed buffers of
+  /// this size leave gaps in the heap, the responses of servers may hold an
+  /// eighth, and the rest is for the program and its directory.
+  static constexpr std::size_t VmFraction = 4;
+
+  /// Descriptors that are reserved for files.
+  static constexpr std::size_t ReservedDescriptors = 200;
+
+  /// The connections of clients that a process with `descriptors` may have: two
+  /// thirds of those that are not reserved. The rest is for replicas and peers.
+  static std::size_t maxConnections(std::size_t descriptors);
+
+  void setLimit(std::size_t bytes) { Limit = bytes; }
+  std::size_t limit() const { return Limit; }
+  std::size_t held() const { return *Held; }
+
+  /// Bytes that are missing before `bytes` more fit; zero if they fit.
+  std::size_t missing(std::size_t bytes, bool mayUseReserve) const;
+
+  void add(std::size_t bytes) { *Held += bytes; }
+  void release(std::size_t bytes) { *Held -= bytes; }
+
+  /// Counts a copy of a request until the object is destroyed. It may outlive
+  /// this one.
+  std::shared_ptr<const void> makeHold(std::size_t bytes);
+
+  /// Counts a refusal and logs its kind, at most once a second.
+  void countRefusal(ClientRefusal kind, std::size_t bytes,
+                    state::TimePoint now);
+  std::uint64_t refusals(ClientRefusal kind) const {
+    return Refusals[static_cast<std::size_t>(kind)];
+  }
+
+  void addConnections(std::ptrdiff_t n) {
+    Connections =
+        static_cast<std::size_t>(static_cast<std::ptrdiff_t>(Connections) + n);
+  }
+
+  void exportTo(state::MetricRegistry &metrics) const;
+
+private:
+  static constexpr state::Duration LogInterval = std::chrono::seconds(1);
+
+  std::size_t Limit = std::numeric_limits<std::size_t>::max() / 2;
+  std::shared_ptr<std::size_t> Held = std::make_shared<std::size_t>(0);
+  std::size_t Connections = 0;
+  std::array<std::uint64_t, ClientRefusalCount> Refusals{};
+  std::array<std::uint64_t, ClientRefusalCount> Logged{};
+  std::array<state::TimePoint, ClientRefusalCount> NextLog{};
+};
+
+} // namespace galenaflow::transport
+
+#endif
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -2,6 +2,7 @@
 #define GALENAFLOW_TRANSPORT_EVENT_LOOP_H
 
 #include "state/clock.h"
+#include "transport/client_memory.h"
 #include "transport/receive_limits.h"
 
 #include <cstdint>
@@ -63,6 +64,9 @@
   /// Limits shared by all connections of the process, which run on this loop.
   ReceiveLimits &receiveLimits() { return Limits; }
 
+  /// The bytes that all servers of the process hold for clients.
+  ClientMemory &clientMemory() { return Clients; }
+
 private:
   struct TaskTimeout;
 
@@ -75,6 +79,7 @@
   std::unique_ptr<TaskTimeout> Tasks; ///< runs timers and posted tasks in h2o
   state::SystemClock System;
   ReceiveLimits Limits;
+  ClientMemory Clients;
   bool Stopped = false;
   TimerId LastTimer = 0;
   std::deque<std::function<void()>> Posted;
--- a/src/transport/h2o_api.h
+++ b/src/transport/h2o_api.h
@@ -22,6 +22,10 @@
   char _hex_count;
   char _state;
 };
+int phr_parse_request(const char *buf, size_t len, const char **method,
+                      size_t *method_len, const char **path, size_t *path_len,
+                      int *minor_version, struct phr_header *headers,
+                      size_t *num_headers, size_t last_len);
 int phr_parse_response(const char *buf, size_t len, int *minor_version,
                        int *status, const char **msg, size_t *msg_len,
                        struct phr_header *headers, size_t *num_headers,
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -101,6 +101,7 @@
   state::Duration IdleTimeout = DefaultIdleTimeout;
   std::string RequestBytes;
   std::shared_ptr<std::string> WriteBuffer; ///< bytes being sent by Sock
+  std::shared_ptr<const void> RequestHold;  ///< counts the request's bytes
   std::string EchoHeader;
   std::string EchoValue;
   HttpResponseParserOptions ParserOptions;
@@ -171,6 +172,7 @@
   if (Sock == nullptr)
     return;
   Loop.closeSocket(Sock, std::exchange(WriteBuffer, nullptr));
+  RequestHold = nullptr;
   Sock = nullptr;
   Writing = false;
 }
@@ -227,6 +229,8 @@
   // before it closed the connection.
   static_cast<void>(err);
   impl->Writing = false;
+  impl->WriteBuffer = nullptr;
+  impl->RequestHold = nullptr;
 }
 
 void HttpConnection::Impl::onRead(h2o_socket_t *sock, const char *) {
@@ -431,6 +435,8 @@
   self.MaybeSent = false;
   self.HasReceived = false;
   self.RequestBytes = encodeRequest(request, self.Authority);
+  self.RequestHold =
+      self.Loop.clientMemory().makeHold(self.RequestBytes.size());
   self.EchoHeader = request.Rules.EchoHeader;
   self.EchoValue = request.Headers.find(self.EchoHeader).value_or("");
   self.ParserOptions = {};
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -1,5 +1,6 @@
 #include "transport/http_server.h"
 
+#include "transport/client_connections.h"
 #include "transport/h2o_api.h"
 
 #include <algorithm>
@@ -46,6 +47,10 @@
 /// Size of a piece of an answer, in bytes.
 constexpr std::size_t WritePieceBytes = std::size_t{256} << 10;
 
+/// h2o refuses a chunked body that has reached its limit before the last chunk
+/// has arrived, so a body of the largest allowed size needs one byte more.
+constexpr std::size_t ChunkedSlack = 1;
+
 struct RoutingHandler {
   h2o_handler_t Super;
   HttpServer::Impl *Server;
@@ -62,7 +67,7 @@
   h2o_accept_ctx_t AcceptContext{};
   SSL_CTX *TlsContext = nullptr;
   h2o_socket_t *Listener = nullptr;
-  std::size_t Connections = 0;
+  ClientConnections Connections;
   std::size_t Requests = 0;
   bool IsShutdownRequested = false;
   /// The responders that have not sent a response.
@@ -79,7 +84,11 @@
 
   Impl(EventLoop &loop, HttpServerOptions options, HttpHandler handler)
       : Loop(loop), Options(std::move(options)), Handler(std::move(handler)),
-        AppliedTimeout(Options.RequestTimeout) {}
+        Connections(loop), AppliedTimeout(Options.RequestTimeout) {
+    Connections.HeadTimeout = Options.HeadTimeout;
+    Connections.MaxBodyBytes = Options.MaxBodyBytes;
+    Connections.MaxConnections = Options.MaxConnections;
+  }
 
   void configure();
   void applyRequestTimeout();
@@ -87,7 +96,6 @@
   void scheduleDisconnectCheck();
   void checkDisconnects();
   static void onAccept(h2o_socket_t *listener, const char *err);
-  static void onSocketClosed(void *data);
   static int onRequest(h2o_handler_t *handler, h2o_req_t *req);
 };
 
@@ -95,8 +103,10 @@
 
 class Responder final : public HttpResponder {
 public:
-  Responder(h2o_req_t *req, HttpServer::Impl *server)
-      : Req(req), Server(server) {
+  Responder(h2o_req_t *req, HttpServer::Impl *server, std::size_t copyBytes)
+      : Req(req), Server(server), CopyBytes(copyBytes),
+        Connection(server->Connections.onRequest(
+            req->conn->callbacks->get_socket(req->conn), copyBytes)) {
     ++Server->Requests;
     Server->OpenResponders.insert(this);
     Server->scheduleDisconnectCheck();
@@ -125,6 +135,8 @@
       return;
     markSent();
     Body = std::move(response.Body);
+    AnswerBytes = Body.size();
+    Server->Connections.onAnswer(*Connection, AnswerBytes);
     Req->res.status = response.Status;
     Req->res.reason = "";
     Req->res.content_length = Body.size();
@@ -183,6 +195,7 @@
     Req = nullptr;
     Body = {};
     Hold = nullptr;
+    Server->Connections.onRequestEnd(Connection, CopyBytes, AnswerBytes);
     if (!Sent && DisconnectCallback)
       Server->Loop.post(std::move(DisconnectCallback));
   }
@@ -195,6 +208,7 @@
 
   void sendPiece() {
     LastProgress = Server->Loop.now();
+    Server->Connections.onAnswerProgress(*Connection);
     const std::size_t n = std::min(WritePieceBytes, Body.size() - Written);
     h2o_iovec_t buf = h2o_iovec_init(Body.data() + Written, n);
     Written += n;
@@ -217,6 +231,9 @@
 
   h2o_req_t *Req;
   HttpServer::Impl *Server;
+  std::size_t CopyBytes;       ///< of the request
+  std::size_t AnswerBytes = 0; ///< counted with the connection
+  ClientConnectionPtr Connection;
   ResponseGenerator Generator{{}, this};
   bool Sent = false;
   std::string Body;
@@ -232,6 +249,15 @@
   responder->~shared_ptr<Responder>();
 }
 
+/// The memory of a copy of the request: texts of its head have an allocation
+/// each.
+std::size_t copyBytes(const HttpRequest &request) {
+  std::size_t n = request.Path.size() + request.Body.size();
+  for (const auto &[name, value] : request.Headers.items())
+    n += sizeof(name) + name.size() + sizeof(value) + value.size();
+  return n;
+}
+
 std::string toString(h2o_iovec_t v) { return {v.base, v.len}; }
 
 HttpRequest copyRequest(h2o_req_t *req) {
@@ -301,7 +327,9 @@
 
 void HttpServer::Impl::configure() {
   h2o_config_init(&Config);
-  Config.max_request_entity_size = Options.MaxBodyBytes;
+  Config.max_request_entity_size = Options.MaxBodyBytes + ChunkedSlack;
+  // Bodies of HTTP/2 without TLS could not be counted.
+  Config.http1.upgrade_to_http2 = 0;
   Config.server_name = h2o_iovec_init(H2O_STRLIT("galenaflow"));
   const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
       Options.RequestTimeout);
@@ -325,18 +353,13 @@
   h2o_socket_t *sock = h2o_evloop_socket_accept(listener);
   if (sock == nullptr)
     return;
-  if (self->Connections >= self->Options.MaxConnections) {
+  if (!self->Connections.makeRoomForConnection()) {
     h2o_socket_close(sock);
     return;
   }
-  ++self->Connections;
-  sock->on_close.cb = &Impl::onSocketClosed;
-  sock->on_close.data = self;
+  self->Connections.add(sock, self->TlsContext != nullptr);
   h2o_accept(&self->AcceptContext, sock);
-}
-
-void HttpServer::Impl::onSocketClosed(void *data) {
-  --static_cast<Impl *>(data)->Connections;
+  self->Connections.startReading(sock);
 }
 
 void HttpServer::Impl::scheduleDisconnectCheck() {
@@ -364,11 +387,18 @@
 
 int HttpServer::Impl::onRequest(h2o_handler_t *handler, h2o_req_t *req) {
   Impl *self = reinterpret_cast<RoutingHandler *>(handler)->Server;
-  auto responder = std::make_shared<Responder>(req, self);
+  if (req->entity.len > self->Options.MaxBodyBytes) {
+    h2o_send_error_generic(req, 413, "Request Entity Too Large",
+                           "request entity is too large",
+                           H2O_SEND_ERROR_HTTP1_CLOSE_CONNECTION);
+    return 0;
+  }
+  HttpRequest request = copyRequest(req);
+  auto responder = std::make_shared<Responder>(req, self, copyBytes(request));
   void *slot = h2o_mem_alloc_shared(
       &req->pool, sizeof(std::shared_ptr<Responder>), &disposeResponder);
   new (slot) std::shared_ptr<Responder>(responder);
-  self->Handler(copyRequest(req), std::move(responder));
+  self->Handler(std::move(request), std::move(responder));
   return 0;
 }
 
@@ -389,7 +419,8 @@
   Self->Loop.cancel(Self->TimeoutTimer);
   if (Self->Listener != nullptr)
     h2o_socket_close(Self->Listener);
-  if (Self->Connections != 0 || Self->IsShutdownRequested) {
+  Self->Connections.stop();
+  if (Self->Connections.size() != 0 || Self->IsShutdownRequested) {
     static_cast<void>(Self.release());
     return;
   }
@@ -444,7 +475,13 @@
 }
 
 void HttpServer::setMaxBodyBytes(std::size_t n) {
-  Self->Config.max_request_entity_size = n;
+  Self->Options.MaxBodyBytes = n;
+  Self->Config.max_request_entity_size = n + ChunkedSlack;
+  Self->Connections.MaxBodyBytes = n;
+}
+
+void HttpServer::setHeadTimeout(state::Duration timeout) {
+  Self->Connections.HeadTimeout = timeout;
 }
 
 void HttpServer::setRequestTimeout(state::Duration timeout) {
@@ -456,7 +493,9 @@
   Self->applyRequestTimeout();
 }
 
-std::size_t HttpServer::openConnections() const { return Self->Connections; }
+std::size_t HttpServer::openConnections() const {
+  return Self->Connections.size();
+}
 
 std::size_t HttpServer::openRequests() const { return Self->Requests; }
 
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -39,9 +39,14 @@
   /// Largest request body in bytes; a larger body is answered with status 413.
   std::size_t MaxBodyBytes = std::size_t{64} * 1024;
 
-  /// Connections above this number are closed when accepted.
+  /// Largest number of open connections. Above it, the one that has been idle
+  /// for the longest time is closed, or the new one if none is idle.
   std::size_t MaxConnections = 10000;
 
+  /// A connection with a part of a request head is closed after this time. No
+  /// limit but RequestTimeout by default.
+  state::Duration HeadTimeout = state::Duration::max();
+
   /// A connection that sends no complete request within this time is closed,
   /// and an HTTP/1.1 connection that takes nothing of an answer for so long.
   /// Answers on HTTP/1.1 connections that stay open state a shorter time in
@@ -56,7 +61,10 @@
   std::string KeyFile;
 };
 
-/// Serves HTTP/1.1 and HTTP/2 with h2o. All requests go to one handler.
+/// Serves HTTP/1.1, and HTTP/2 with TLS, with h2o. All requests go to one
+/// handler. What it holds for clients is counted in EventLoop::clientMemory():
+/// bodies that do not fit are answered with 503 and Retry-After before they are
+/// read, and connections without a complete request give way to others.
 class HttpServer {
 public:
   /// h2o does not read from an HTTP/1.1 connection while a request is open, so
@@ -95,6 +103,9 @@
   /// stated at once and applied when the time of the longer one has passed.
   void setRequestTimeout(state::Duration timeout);
 
+  /// Replaces HttpServerOptions::HeadTimeout for all connections.
+  void setHeadTimeout(state::Duration timeout);
+
   std::size_t openConnections() const;
   std::size_t openRequests() const;
 
