Count connections and delegated copies for clients

Cause: the state that h2o keeps for each connection and the copy of a delegated request, which waits in the queue of a link, were not part of the sum.

Change: each connection counts 4 KB, and connections alone take at most half of the byte limit. A delegated request counts its copy until it has a result.

--- a/src/forwarding/delegation_task.cc
+++ b/src/forwarding/delegation_task.cc
@@ -142,6 +142,7 @@
   }
   Delegated.add();
   open.Executor = *executor;
+  open.CopyHold = Loop.clientMemory().makeHold(open.Call.Message->Body.size());
   Selector.onSent(*executor);
   const Duration objective = open.Call.Route->LatencyObjective;
   const Duration maxWait = endsAt(open) - open.ArrivedAt;
@@ -175,6 +176,7 @@
 void DelegationTask::runLocally(ForwardId id) {
   OpenRequest &open = OpenRequests.at(id);
   open.Executor.clear();
+  open.CopyHold = nullptr;
   Loop.cancel(open.Timer);
   open.Timer = 0;
   open.Call.Remaining = open.DeadlineAt - Loop.now();
--- a/src/forwarding/delegation_task.h
+++ b/src/forwarding/delegation_task.h
@@ -74,6 +74,8 @@
     std::string Executor;        ///< address; empty when executed locally
     bool IsPending = false;      ///< the executor reported it as in progress
     transport::TimerId Timer = 0;
+    /// Counts the copy for the executor, which waits in the link's queue.
+    std::shared_ptr<const void> CopyHold;
   };
 
   bool isLinkedToExecutor() const;
--- a/src/transport/client_connections.cc
+++ b/src/transport/client_connections.cc
@@ -80,8 +80,13 @@
 
 } // namespace
 
+std::size_t ClientConnections::connectionLimit() const {
+  return std::min(MaxConnections,
+                  Loop.clientMemory().limit() / 2 / ConnectionBytes);
+}
+
 bool ClientConnections::makeRoomForConnection() {
-  if (Connections.size() < MaxConnections)
+  if (Connections.size() < connectionLimit())
     return true;
   for (ClientConnection *it : ByProgress) {
     const ClientPhase current = phase(*it);
@@ -97,7 +102,7 @@
     Loop.clientMemory().countRefusal(ClientRefusal::ConnectionLimit,
                                      it->CountedBytes, Loop.now());
     close(*it);
-    return Connections.size() < MaxConnections;
+    return Connections.size() < connectionLimit();
   }
   Loop.clientMemory().countRefusal(ClientRefusal::ConnectionLimit, 0,
                                    Loop.now());
@@ -185,7 +190,7 @@
   if (it.Sock == nullptr || it.IsClosing)
     return;
   const std::size_t bytes = std::max(capacity(it.Sock), it.ReservedBytes) +
-                            it.CopyBytes + it.AnswerBytes +
+                            it.CopyBytes + it.AnswerBytes + ConnectionBytes +
                             (it.IsTls ? TlsBytes : 0);
   Loop.clientMemory().add(bytes);
   Loop.clientMemory().release(std::exchange(it.CountedBytes, bytes));
@@ -285,7 +290,9 @@
   const std::size_t total = framing.HeadBytes + framing.BodyBytes;
   // The buffer, and the copy for the handler.
   const std::size_t reserved = grownCapacity(sock, total) + framing.BodyBytes;
-  if (!makeRoom(connection.get(), reserved - connection->CountedBytes,
+  const std::size_t before =
+      std::max(capacity(sock), connection->ReservedBytes);
+  if (!makeRoom(connection.get(), reserved - before,
                 total > SmallRequestBytes ? ClientDemand::NewBody
                                           : ClientDemand::Small)) {
     refuse(connection);
--- a/src/transport/client_connections.h
+++ b/src/transport/client_connections.h
@@ -44,6 +44,8 @@
   /// A part of a head may wait this long for the rest; no limit by default.
   state::Duration HeadTimeout = state::Duration::max();
   std::size_t MaxBodyBytes = 0;
+  /// Also limited so that connections alone take at most half of the limit of
+  /// EventLoop::clientMemory().
   std::size_t MaxConnections = 0;
 
   explicit ClientConnections(EventLoop &loop) : Loop(loop) {}
@@ -83,12 +85,16 @@
   static constexpr std::size_t MaxLingering = 100;
   /// A request up to this size may use the reserve.
   static constexpr std::size_t SmallRequestBytes = std::size_t{32} << 10;
+  /// Counted for each connection: h2o's state of it, and the first block of the
+  /// memory of a request.
+  static constexpr std::size_t ConnectionBytes = std::size_t{4} << 10;
   /// Counted for a TLS connection in addition: records and the session.
   static constexpr std::size_t TlsBytes = std::size_t{48} << 10;
 
   static void onReadable(st_h2o_socket_t *sock, const char *err);
   static void onClosed(void *data);
 
+  std::size_t connectionLimit() const;
   ClientPhase phase(const ClientConnection &connection) const;
   void intercept(ClientConnection &connection);
   void interceptSoon(const ClientConnectionPtr &connection, int attempts);
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -254,7 +254,7 @@
 std::size_t copyBytes(const HttpRequest &request) {
   std::size_t n = request.Path.size() + request.Body.size();
   for (const auto &[name, value] : request.Headers.items())
-    n += sizeof(name) + name.size() + sizeof(value) + value.size();
+    n += sizeof(std::string) * 2 + name.size() + value.size();
   return n;
 }
 
