--- a/src/transport/client_connections.cc
+++ b/src/transport/client_connections.cc
@@ -439,6 +439,19 @@
   interceptSoon(connection, /*attempts=*/100);
 }
 
+/// Finds out what h2o has read from a TLS connection.
+void ClientConnections::inspectTls(ClientConnection &connection) const {
+  if (!connection.IsTls)
+    return;
+  const ClientPhase current = phase(connection);
+  if (current == ClientPhase::Idle)
+    connection.HeadSince = Loop.now();
+  if (current == ClientPhase::Head)
+    connection.IsHeadAccepted = parseFraming({connection.Sock->input->bytes,
+                                              connection.Sock->input->size})
+                                    .HeadBytes != 0;
+}
+
 void ClientConnections::scheduleSweep() {
   if (SweepTimer == 0)
     SweepTimer = Loop.schedule(SweepInterval, [this] {
@@ -455,6 +468,7 @@
   for (const ClientConnectionPtr &it : all) {
     if (it->Sock == nullptr || it->IsClosing)
       continue;
+    inspectTls(*it);
     const ClientPhase current = phase(*it);
     if (current == ClientPhase::Lingering && now >= it->LingerUntil) {
       close(*it);
@@ -468,8 +482,6 @@
     }
     if (current != ClientPhase::Request && current != ClientPhase::Answer)
       intercept(*it);
-    if (it->IsTls && current == ClientPhase::Idle)
-      it->HeadSince = now;
     count(*it);
   }
   // Answers and copies are counted after the fact.
--- a/src/transport/client_connections.h
+++ b/src/transport/client_connections.h
@@ -111,6 +111,7 @@
   void sendRefusal(const ClientConnection &connection);
   void close(ClientConnection &connection);
   void discard(const ClientConnectionPtr &connection);
+  void inspectTls(ClientConnection &connection) const;
   void scheduleSweep();
   void sweep();
 
--- a/tests/client_memory_test.cc
+++ b/tests/client_memory_test.cc
@@ -3,8 +3,15 @@
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <openssl/pem.h>
+#include <openssl/ssl.h>
+#include <openssl/x509.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace galenaflow::transport;
@@ -312,3 +319,97 @@
   CHECK(clients[3]->waitForClose());
   CHECK(site.refusals(ClientRefusal::NoProgress) == 1);
 }
+
+namespace {
+
+/// A file with a key and a certificate for it, which the destructor removes.
+struct CertificateFile {
+  std::string Path = "/tmp/galenaflow-test-XXXXXX";
+  CertificateFile() {
+    const int fd = mkstemp(Path.data());
+    REQUIRE(fd >= 0);
+    FILE *file = fdopen(fd, "w");
+    EVP_PKEY *key = EVP_EC_gen("P-256");
+    X509 *certificate = X509_new();
+    X509_gmtime_adj(X509_getm_notBefore(certificate), 0);
+    X509_gmtime_adj(X509_getm_notAfter(certificate), 3600);
+    X509_set_pubkey(certificate, key);
+    X509_sign(certificate, key, EVP_sha256());
+    PEM_write_PrivateKey(file, key, nullptr, nullptr, 0, nullptr, nullptr);
+    PEM_write_X509(file, certificate);
+    X509_free(certificate);
+    EVP_PKEY_free(key);
+    static_cast<void>(std::fclose(file));
+  }
+  CertificateFile(const CertificateFile &) = delete;
+  CertificateFile &operator=(const CertificateFile &) = delete;
+  ~CertificateFile() { std::remove(Path.c_str()); }
+};
+
+/// Sends bytes over TLS and returns what comes until `until` or the close.
+std::string callWithTls(SocketAddress address, const std::string &bytes,
+                        const std::string &until) {
+  SSL_CTX *context = SSL_CTX_new(TLS_client_method());
+  SSL *tls = SSL_new(context);
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  const timeval limit{std::chrono::seconds(TestLimit).count(), 0};
+  setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  std::string received;
+  if (connect(fd, address.data(), address.Length) == 0 &&
+      SSL_set_fd(tls, fd) == 1 && SSL_connect(tls) == 1 &&
+      SSL_write(tls, bytes.data(), static_cast<int>(bytes.size())) > 0) {
+    char buf[4096];
+    for (int n = SSL_read(tls, buf, sizeof(buf)); n > 0;
+         n = SSL_read(tls, buf, sizeof(buf))) {
+      received.append(buf, static_cast<std::size_t>(n));
+      if (received.ends_with(until))
+        break;
+    }
+  }
+  SSL_free(tls);
+  close(fd);
+  SSL_CTX_free(context);
+  return received;
+}
+
+} // namespace
+
+// Guards against TLS connections, which h2o reads itself, that are not served,
+// not counted, or counted for ever.
+TEST_CASE("connections with TLS are served and counted, and a slow body gives "
+          "way") {
+  const CertificateFile file;
+  HttpServerOptions options = Site::makeOptions();
+  options.CertificateFile = file.Path;
+  options.KeyFile = file.Path;
+  Site site(std::size_t{1} << 20, options);
+  std::string received;
+  std::atomic<bool> isDone = false;
+  const auto call = [&](const std::string &bytes, const std::string &until) {
+    isDone = false;
+    return std::thread([&, bytes, until] {
+      received = callWithTls(site.Address, bytes, until);
+      isDone = true;
+    });
+  };
+  const auto waitForCall = [&] {
+    return site.Loop.runUntil([&] { return isDone.load(); }, TestLimit);
+  };
+  std::thread served = call(lengthHead() + std::string(BodyBytes, 'a'), "{}");
+  CHECK(waitForCall());
+  served.join();
+  CHECK_THAT(received, Catch::StartsWith("HTTP/1.1 200"));
+  CHECK(site.Handled == std::vector<std::size_t>{BodyBytes});
+  std::thread slow = call(lengthHead() + std::string(BodyBytes - 1, 'a'), "{}");
+  CHECK(site.Loop.runUntil(
+      [&] { return site.Loop.clientMemory().held() > BodyBytes; }, TestLimit));
+  // The sweep sees that the limit is exceeded.
+  site.Loop.clientMemory().setLimit(BodyBytes);
+  CHECK(waitForCall());
+  slow.join();
+  CHECK(received.empty());
+  CHECK(site.refusals(ClientRefusal::Evicted) == 1);
+  CHECK(site.Handled.size() == 1);
+  CHECK(site.Loop.runUntil([&] { return site.Loop.clientMemory().held() == 0; },
+                           TestLimit));
+}
