--- a/tests/options_test.cc
+++ b/tests/options_test.cc
@@ -109,6 +109,18 @@
   CHECK(validate(ephemeralPorts).empty());
 }
 
+// Guards against a limit that refuses every body of legal size.
+TEST_CASE("the memory for callers has room for the largest body") {
+  const KeyFile key("0123456789abcdef");
+  Values flags = validFlags(key);
+  flags["max_body_bytes"] = "16777216";
+  CHECK(reports(validate(flags), "--client_memory_bytes"));
+  flags["memory_mb"] = "512";
+  CHECK(validate(flags).empty());
+  flags["client_memory_bytes"] = "67108864";
+  CHECK(reports(validate(flags), "--client_memory_bytes"));
+}
+
 // Guards against a peer key that can be guessed.
 TEST_CASE("a short peer key is rejected") {
   const KeyFile key("short");
--- a/tests/platform/program_test.cc
+++ b/tests/platform/program_test.cc
@@ -49,7 +49,8 @@
   }
   ~ScopedEnvironment() {
     for (const char *name :
-         {"GALENAFLOW_BOOT", "GALENAFLOW_PEER_KEY", "GALENAFLOW_LOG_LEVEL"})
+         {"GALENAFLOW_BOOT", "GALENAFLOW_PEER_KEY", "GALENAFLOW_LOG_LEVEL",
+          "GALENAFLOW_CLIENT_MEMORY_BYTES"})
       unsetenv(name);
   }
 };
@@ -113,6 +114,10 @@
   SECTION("a short key") {
     setenv("GALENAFLOW_PEER_KEY", directory.write("key", "short").c_str(), 1);
   }
+  SECTION("too little memory for one body") {
+    setenv("GALENAFLOW_CLIENT_MEMORY_BYTES", "1000", 1);
+    place = "GALENAFLOW_CLIENT_MEMORY_BYTES";
+  }
   SECTION("an unknown log level") {
     setenv("GALENAFLOW_LOG_LEVEL", "loud", 1);
     place = "GALENAFLOW_LOG_LEVEL";
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -93,3 +93,16 @@
     static_cast<void>(parseSettings(text));
   });
 }
+
+// Guards against connections of clients that use up the descriptors because the
+// number that the settings state is not read.
+TEST_CASE("the number of descriptors is read, and is unknown when it is not "
+          "stated") {
+  const auto unknown = parseSettings(CompleteSettings);
+  REQUIRE(unknown);
+  CHECK(unknown->MaxDescriptors == 0);
+  const auto known = parseSettings(std::string(CompleteSettings) +
+                                   "limits:\n  max_fds: 4100\n");
+  REQUIRE(known);
+  CHECK(known->MaxDescriptors == 4100);
+}
