Test that relays pass on new cold periods

The countdown of a cold period is not passed on, so a relay's view keeps the time that its first registration stated. The test checks that a later period of the same length is still a change, and that replies state the time that remains.

--- a/src/coordination/gate/replica_gate.cc
+++ b/src/coordination/gate/replica_gate.cc
@@ -61,7 +61,7 @@
 }
 
 void ReplicaGate::setServices(const Services &services,
-                              ServiceNames delegated) {
+                              const ServiceNames &delegated) {
   for (auto &[name, it] : ServiceStates) {
     const auto service = services.find(name);
     const bool isKnown = service != services.end();
--- a/src/coordination/gate/replica_gate.h
+++ b/src/coordination/gate/replica_gate.h
@@ -91,7 +91,7 @@
   /// Sets the services, and those of them whose requests executors run for the
   /// other daemons. Replicas of a service without a cold rate never count as
   /// cold.
-  void setServices(const Services &services, ServiceNames delegated);
+  void setServices(const Services &services, const ServiceNames &delegated);
 
   /// Sets the daemons that share the replicas. While their number is zero, the
   /// last known one is used; for cold replicas the largest recent one.
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -85,7 +85,7 @@
     if (isDelegable(route))
       delegated.insert(route.Shards.Services.begin(),
                        route.Shards.Services.end());
-  Gate.setServices(table->services(), std::move(delegated));
+  Gate.setServices(table->services(), delegated);
   setMaxWaits();
   planConnections();
 }
--- a/tests/platform/program_test.cc
+++ b/tests/platform/program_test.cc
@@ -68,12 +68,11 @@
       .has_value();
 }
 
-/// Daemons as processes, and a service of two replicas that tolerate ColdRate
-/// requests a second for ColdTime after their starts.
+/// Daemons as processes, and a service of two replicas that tolerate 6 requests
+/// a second for ColdTime after their starts.
 class ColdFleet {
 public:
-  static constexpr double ColdRate = 6;
-  static constexpr std::size_t MaxArrivals = 14; ///< 6 * 1.5 + 5
+  static constexpr std::size_t MaxArrivals = 14; ///< 6 a second * 1.5 + 5
   static constexpr auto ColdTime = 4s;
 
   explicit ColdFleet(std::size_t daemons) {
--- a/tests/replica_directory_test.cc
+++ b/tests/replica_directory_test.cc
@@ -1,3 +1,4 @@
+#include "coordination/directory_relay.h"
 #include "state/replica_directory.h"
 
 #include <algorithm>
@@ -70,6 +71,38 @@
   CHECK(directory.records().at("a").ColdUntil == TimePoint::min());
 }
 
+// Guards against daemons behind a relay that do not learn of a new cold period,
+// or that take one for new which has long ended.
+TEST_CASE("a relay passes on new cold periods with the time that remains") {
+  TimePoint now{1h};
+  ReplicaDirectory directory;
+  galenaflow::coordination::DirectoryLog log(7);
+  ReplicaRecord cold = record("a");
+  cold.ColdRemaining = 8s;
+  directory.replaceAll({cold}, false, now);
+  log.update(directory.listed());
+  galenaflow::protocol::DirectoryRequest first;
+  auto reply = log.makeReply(first, now + 3s);
+  REQUIRE(reply.Changes.size() == 1);
+  CHECK(reply.Changes[0].Record.ColdRemaining == 5s);
+  galenaflow::protocol::DirectoryRequest next;
+  next.Log = reply.Log;
+  next.Index = reply.Index;
+  // The countdown is not passed on.
+  cold.ColdRemaining = 4s;
+  directory.apply({update(cold)}, false, now + 4s);
+  log.update(directory.listed());
+  CHECK(log.makeReply(next, now + 4s).Changes.empty());
+  CHECK(log.makeReply(first, now + 1h).Changes[0].Record.ColdRemaining == 0s);
+  // Another period of the same length is.
+  cold.ColdRemaining = 8s;
+  directory.apply({update(cold)}, false, now + 60s);
+  log.update(directory.listed());
+  reply = log.makeReply(next, now + 61s);
+  REQUIRE(reply.Changes.size() == 1);
+  CHECK(reply.Changes[0].Record.ColdRemaining == 7s);
+}
+
 // Guards against work for a replica that has been removed from the directory.
 TEST_CASE("a removal while the source is available takes effect immediately") {
   const TimePoint now{1h};
