Look up the cold state only of replicas that may be cold

Each check of a replica drew a turn and looked up its service, though most replicas have not been cold for long.

--- a/src/coordination/gate/replica_gate.cc
+++ b/src/coordination/gate/replica_gate.cc
@@ -208,18 +208,27 @@
   if (replica.Stated.PausedUntil > now ||
       Evacuated.contains(replica.DataCentre))
     return 0;
-  updateColdShares(now);
-  const bool isDrawn =
-      isCold(replica, now) ||
-      (drawColdTurn(Options.Seed, id, now) >= warmFraction(replica, now) &&
-       hasWarm(replica, now));
-  if (isDrawn && !allowsCold(replica, now))
-    return 0;
+  const bool isRestricted = isRationed(id, replica, now);
+  if (isRestricted) {
+    updateColdShares(now);
+    if (!allowsCold(replica, now))
+      return 0;
+  }
   if (!replica.Stated.Limiter)
-    return isDrawn ? std::optional(1U) : std::nullopt;
+    return isRestricted ? std::optional(1U) : std::nullopt;
   const std::uint32_t limit =
       replica.Stated.Limiter->available(share(replica), now);
-  return isDrawn ? std::min(1U, limit) : limit;
+  return isRestricted ? std::min(1U, limit) : limit;
+}
+
+// Most replicas have not been cold for long; they must cost little here.
+bool ReplicaGate::isRationed(std::string_view id, const ReplicaState &replica,
+                             TimePoint now) const {
+  if (!replica.Stated.IsLost && replica.Stated.ColdUntil <= now - MaxRamp)
+    return false;
+  return isCold(replica, now) ||
+         (drawColdTurn(Options.Seed, id, now) >= warmFraction(replica, now) &&
+          hasWarm(replica, now));
 }
 
 bool ReplicaGate::isAnyRestricted(TimePoint now) const {
@@ -370,9 +379,10 @@
 }
 
 bool ReplicaGate::isCold(const ReplicaState &replica, TimePoint now) const {
+  if (!replica.Stated.IsLost && replica.Stated.ColdUntil <= now)
+    return false;
   const ServiceState *service = serviceOf(replica);
-  return service != nullptr && service->ColdRate > 0 &&
-         (replica.Stated.IsLost || replica.Stated.ColdUntil > now);
+  return service != nullptr && service->ColdRate > 0;
 }
 
 bool ReplicaGate::isCold(std::string_view id, TimePoint now) const {
--- a/src/coordination/gate/replica_gate.h
+++ b/src/coordination/gate/replica_gate.h
@@ -221,6 +221,8 @@
   void makeCold(ReplicaState &replica, TimePoint until, ColdReason reason);
   void endLoss(ReplicaState &replica, TimePoint now);
   bool isCold(const ReplicaState &replica, TimePoint now) const;
+  bool isRationed(std::string_view id, const ReplicaState &replica,
+                  TimePoint now) const;
   double warmFraction(const ReplicaState &replica, TimePoint now) const;
   bool hasWarm(const ReplicaState &replica, TimePoint now) const;
   bool allowsCold(const ReplicaState &replica, TimePoint now) const;
