--- a/tests/http_response_parser_test.cc
+++ b/tests/http_response_parser_test.cc
@@ -261,3 +261,155 @@
     }
   });
 }
+
+namespace {
+
+/// What follows "HTTP/1.1 " in status lines that no response may have. The last
+/// ones are 200 modulo a power of two.
+const std::vector<std::string> InvalidStatuses = {"000 OK",
+                                                  "099 OK",
+                                                  "600 OK",
+                                                  "999 OK",
+                                                  "20 OK",
+                                                  "2000 OK",
+                                                  "-1 OK",
+                                                  "-200 OK",
+                                                  "+200 OK",
+                                                  "0200 OK",
+                                                  "00200 OK",
+                                                  "200x OK",
+                                                  "2x0 OK",
+                                                  "0xc8 OK",
+                                                  "2 00 OK",
+                                                  "abc OK",
+                                                  " OK",
+                                                  "OK",
+                                                  "",
+                                                  " 200 OK",
+                                                  "200.0 OK",
+                                                  "2e2 OK",
+                                                  "4294967496 OK",
+                                                  "18446744073709551816 OK",
+                                                  "65736 OK",
+                                                  "100000000200 OK"};
+
+const std::string NoBody = "\r\nContent-Length: 0\r\n\r\n";
+
+} // namespace
+
+// Guards against a response of a server in trouble that is taken as an answer:
+// a status of 000 was handed on to callers.
+TEST_CASE("a status line without a status from 100 to 599 is an error, also "
+          "after interim responses") {
+  for (const std::string &status : InvalidStatuses)
+    for (const std::string interim :
+         {"", "HTTP/1.1 100 Continue\r\n\r\n",
+          "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"})
+      for (const std::size_t step : {std::size_t{1}, std::size_t{1000}}) {
+        INFO(interim << status << " in steps of " << step);
+        HttpResponseParser parser({});
+        feedInSteps(parser, interim + "HTTP/1.1 " + status + NoBody, step);
+        CHECK(parser.finish() == State::Invalid);
+        CHECK_FALSE(parser.error().empty());
+        CHECK(parser.response().Headers.items().empty());
+      }
+}
+
+TEST_CASE("any reason, or none, may follow the status") {
+  for (const std::string status : {"200 ", "200 OK", "599 -1", "404 20"}) {
+    INFO(status);
+    HttpResponseParser parser({});
+    REQUIRE(parser.feed("HTTP/1.1 " + status + NoBody) == State::Complete);
+    CHECK(parser.response().Status == std::stoi(status));
+  }
+}
+
+// Guards against an interim response, or a change of the protocol that was not
+// asked for, that is taken as the answer.
+TEST_CASE("a 1xx status is never the final one") {
+  HttpResponseParserOptions options;
+  options.AcceptUnframed = GENERATE(false, true);
+  for (const std::string status : {"100", "101", "102", "103", "199"})
+    for (const std::string &rest : std::vector<std::string>{
+             "\r\n\r\n", NoBody,
+             "\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\nabc",
+             "\r\nX-Response-Seal: s\r\nContent-Length: 2\r\n\r\nab"}) {
+      INFO(status << rest);
+      HttpResponseParser parser(options);
+      parser.feed("HTTP/1.1 " + status + " x" + rest);
+      CHECK(parser.finish() == State::Invalid);
+    }
+}
+
+// Guards against the body of a response that has none which is read as the
+// response to the next request on the connection.
+TEST_CASE("204 and 304 have no body, and one that is announced ends "
+          "persistence") {
+  for (const std::string status : {"204", "304"}) {
+    const std::string head = "HTTP/1.1 " + status + " x\r\nX: y\r\n";
+    for (const std::string rest : {"\r\n", "Content-Length: 0\r\n\r\n"}) {
+      HttpResponseParser parser({});
+      REQUIRE(parser.feed(head + rest) == State::Complete);
+      CHECK(parser.isPersistent());
+    }
+    for (const std::string rest :
+         {"Content-Length: 5\r\n\r\n", "Content-Length: 5\r\n\r\nhello",
+          "Transfer-Encoding: chunked\r\n\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+          "\r\nhello"}) {
+      INFO(status << rest);
+      HttpResponseParser parser({});
+      REQUIRE(parser.feed(head + rest) == State::Complete);
+      CHECK(std::to_string(parser.response().Status) == status);
+      CHECK(parser.response().Body.empty());
+      CHECK_FALSE(parser.isPersistent());
+    }
+  }
+}
+
+// Guards against a length or chunk size that is taken modulo a power of two, or
+// with a sign, so that the body of one response becomes the next response.
+TEST_CASE("a length that is no number within the limit is an error") {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::vector<std::string> lengths = {"-1",
+                                            "+1",
+                                            "-0",
+                                            "",
+                                            " ",
+                                            "1 1",
+                                            "1,1",
+                                            "1, 1",
+                                            "0x1",
+                                            "1.0",
+                                            "1e0",
+                                            "18446744073709551616",
+                                            "18446744073709551617",
+                                            "9223372036854775808",
+                                            "4194305",
+                                            "99999999999999999999999999"};
+  for (const std::string &length : lengths) {
+    INFO(length);
+    HttpResponseParser parser({});
+    CHECK(parser.feed(head + "Content-Length: " + length + "\r\n\r\nx") ==
+          State::Invalid);
+  }
+  const std::vector<std::string> sizes = {"-1",
+                                          "+1",
+                                          "",
+                                          "x",
+                                          "0x1",
+                                          "1 1",
+                                          "ffffffffffffffff",
+                                          "8000000000000000",
+                                          "10000000000000001",
+                                          "00000000000000001",
+                                          "400001"};
+  for (const std::string &size : sizes) {
+    INFO(size);
+    HttpResponseParser parser({});
+    parser.feed(head + "Transfer-Encoding: chunked\r\n\r\n");
+    feedUntilEnd(parser, size + "\r\n" + std::string(65536, 'x'),
+                 2 * HttpResponseParserOptions().MaxBodyBytes);
+    CHECK(parser.finish() == State::Invalid);
+  }
+}
