Reject status 101, and close connections whose 204 or 304 announces a body

A 101 was handed on as the answer, although no request asks for another protocol. A 204 or 304 with a length or chunks ended its exchange at the head and kept the connection, so a body that arrived later was read as the response to the next request.

--- a/src/transport/http_response_parser.cc
+++ b/src/transport/http_response_parser.cc
@@ -138,7 +138,12 @@
          ", expected 100 to 599");
     return HeadResult::Invalid;
   }
-  const bool isInterim = status < 200 && status != 101;
+  // No request here asks for another protocol.
+  if (status == 101) {
+    fail("unrequested change of the protocol");
+    return HeadResult::Invalid;
+  }
+  const bool isInterim = status < 200;
   if (isInterim && ++InterimResponses > Options.MaxInterimResponses) {
     failAtLimit(ResponseLimit::InterimResponses, InterimResponses,
                 Options.MaxInterimResponses);
@@ -183,7 +188,11 @@
   if (isChunked && length)
     return fail("both chunked and with a content length");
   const int status = Response.Status;
-  if (Options.IsHead || status == 204 || status == 304)
+  const bool isBodiless = status == 204 || status == 304;
+  // A peer that announces a body may send one, later than its head.
+  if (isBodiless && (isChunked || length.value_or(0) != 0))
+    Persistent = false;
+  if (Options.IsHead || isBodiless)
     return complete(std::exchange(Buffer, {}));
   if (isChunked) {
     BodyFraming = Framing::Chunked;
