Test what callers get when replicas answer with an invalid status line

Each of 12 status lines, unsigned, signed, and signed after an interim response, on connections that have carried responses before: 502 without a signature, a request that is not idempotent runs once and another at most twice, and a merged answer lacks the part. 204 and 304 pass with their status and without a body.

--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -894,6 +894,96 @@
   }
 }
 
+namespace {
+
+/// Status lines without a status from 200 to 599, and those of interim
+/// responses without a final one.
+const std::vector<std::string> InvalidStatusLines = {
+    "HTTP/1.1 000 x", "HTTP/1.1 099 x",  "HTTP/1.1 600 x", "HTTP/1.1 999 x",
+    "HTTP/1.1 20 x",  "HTTP/1.1 2000 x", "HTTP/1.1 -1 x",  "HTTP/1.1  x",
+    "HTTP/1.1 OK x",  "HTTP/1.1 100 x",  "HTTP/1.1 101 x", "HTTP/1.1 103 x"};
+
+/// Makes the replica give an answer with this status line.
+void setAnswer(standin::ReplicaStandin &replica, const std::string &statusLine,
+               bool isSigned, const std::string &before) {
+  replica.behaviour().Answer =
+      before + statusLine + (isSigned ? "\r\nX-Response-Seal: seal" : "") +
+      "\r\nX-Server-Load: 0,0,2,100\r\nContent-Length: 16\r\n\r\n" +
+      "1...............";
+  // Interim responses have no body, and wait for the final response.
+  if (statusLine.find(" 10") != std::string::npos) {
+    replica.behaviour().Answer.resize(replica.behaviour().Answer.size() - 16);
+    replica.behaviour().IsAnswerCut = true;
+  }
+}
+
+} // namespace
+
+// Guards against an answer whose status no replica may give: 000 was handed on
+// to callers. The request was sent, so it may have run.
+TEST_CASE("an invalid status line is a failure after which the request may "
+          "have run") {
+  const std::string statusLine = GENERATE(from_range(InvalidStatusLines));
+  const auto [isSigned, before] = GENERATE(table<bool, std::string>(
+      {{false, ""}, {true, ""}, {true, "HTTP/1.1 103 x\r\nLink: a\r\n\r\n"}}));
+  Site site;
+  site.start();
+  // The connections have carried responses before.
+  REQUIRE(site.call("/once/x", "POST").Status == 200);
+  REQUIRE(site.call("/one/x").Status == 200);
+  REQUIRE(site.call("/all/x").Status == 200);
+  for (const char *id : {"p0", "p1", "s0a", "s0b"})
+    setAnswer(site.replica(id), statusLine, isSigned, before);
+  INFO(before << statusLine << " signed " << isSigned);
+  const auto expectFailure = [](const transport::HttpResponse &answer) {
+    CHECK(answer.Status == 502);
+    CHECK_FALSE(answer.Headers.find("X-Response-Seal"));
+    CHECK_FALSE(answer.Headers.find("X-Part-Seals"));
+    CHECK_FALSE(answer.Headers.find("Retry-After"));
+  };
+  expectFailure(site.call("/once/x", "POST"));
+  CHECK(site.executionCount(site.LastId) == 1);
+  expectFailure(site.call("/one/x"));
+  CHECK(site.executionCount(site.LastId) >= 1);
+  CHECK(site.executionCount(site.LastId) <= 2);
+  const auto partial = site.call("/all/x");
+  CHECK(partial.Status == 200);
+  CHECK(partial.Headers.find("X-Missing-Parts") == "1");
+  CHECK(partial.Headers.find("X-Part-Seals").value_or("").find("seal") ==
+        std::string_view::npos);
+  CHECK(partial.Body.size() == 48);
+  for (const auto &it : site.Replicas)
+    setAnswer(*it, statusLine, isSigned, before);
+  expectFailure(site.call("/all/x"));
+}
+
+// Guards against a 204 or 304 that is answered with another status, and against
+// its body, which is taken for the response to the next request.
+TEST_CASE("204 and 304 are passed on without a body") {
+  const int status = GENERATE(204, 304);
+  const std::string body =
+      GENERATE("", "Content-Length: 0\r\n", "Content-Length: 300\r\n");
+  Site site;
+  site.start();
+  std::string answer = "HTTP/1.1 " + std::to_string(status) +
+                       " x\r\nX-Response-Seal: seal\r\n" + body + "\r\n";
+  if (body.find("300") != std::string::npos) {
+    std::string forged = "HTTP/1.1 200 OK\r\nX-Response-Seal: forged\r\n"
+                         "Content-Length: 3\r\n\r\nabc";
+    forged.resize(300, ' ');
+    answer += forged;
+  }
+  for (const char *id : {"p0", "p1"})
+    site.replica(id).behaviour().Answer = answer;
+  for (int i = 0; i != 4; ++i) {
+    const auto got = site.call("/one/x");
+    CHECK(got.Status == status);
+    CHECK(got.Body.empty());
+    CHECK(got.Headers.find("X-Response-Seal") == "seal");
+    CHECK(site.executionCount(site.LastId) == 1);
+  }
+}
+
 // Guards against an entry of another writer that ends the processes which read
 // it, or keeps them from reading the others.
 TEST_CASE("entries of another writer change nothing for the other replicas") {
--- a/tests/platform/replica_standin.cc
+++ b/tests/platform/replica_standin.cc
@@ -113,6 +113,10 @@
     connection->respondCut(Behaviour.Answer);
     return;
   }
+  if (!Behaviour.Answer.empty()) {
+    connection->respondRaw(Behaviour.Answer);
+    return;
+  }
   if (Behaviour.ResetConnection) {
     connection->reset();
     return;
--- a/tests/standin/raw_http_server.h
+++ b/tests/standin/raw_http_server.h
@@ -32,6 +32,9 @@
   void respondTruncated(const transport::HttpResponse &response,
                         std::size_t bytes);
 
+  /// Sends these bytes and then reads the next request.
+  void respondRaw(std::string bytes) { write(std::move(bytes), false); }
+
   /// Sends these bytes and closes the connection.
   void respondCut(std::string bytes) { write(std::move(bytes), true); }
 
