--- a/tests/backend_task_test.cc
+++ b/tests/backend_task_test.cc
@@ -1,4 +1,5 @@
 #include "daemon/backend_task.h"
+#include "daemon/sub_request_task.h"
 #include "standin/raw_http_server.h"
 
 #include <catch2/catch.hpp>
@@ -15,6 +16,7 @@
 /// response.
 struct Deployment {
   transport::EventLoop Loop;
+  std::string Answer; ///< sent instead of a response, if not empty
   std::vector<std::unique_ptr<standin::RawHttpServer>> Servers;
   std::unique_ptr<BackendTask> Task;
 
@@ -30,9 +32,11 @@
   /// Lists the replica at a new address.
   void moveReplica() {
     Servers.push_back(std::make_unique<standin::RawHttpServer>(
-        Loop, [](const transport::HttpRequest &request,
-                 const standin::RawConnectionPtr &connection) {
-          if (request.Path != "/hold")
+        Loop, [this](const transport::HttpRequest &request,
+                     const standin::RawConnectionPtr &connection) {
+          if (!Answer.empty())
+            connection->respondRaw(Answer);
+          else if (request.Path != "/hold")
             connection->respond(transport::jsonResponse(200, "{}"));
         }));
     const auto address =
@@ -103,3 +107,27 @@
   CHECK(failed >= 1);
   CHECK(site.serve() == 200);
 }
+
+// Guards against a response of a replica in trouble that counts as an answer,
+// or as a proof that a write has not run.
+TEST_CASE("a call that gets an invalid status line may have run") {
+  const std::string status =
+      GENERATE("000", "099", "600", "999", "20", "2000", "-1", "", "OK", "101");
+  const std::string before =
+      GENERATE("", "HTTP/1.1 100 Continue\r\n\r\n",
+               "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+  Deployment site;
+  REQUIRE(site.serve() == 200); // the connection is kept
+  site.Answer = before + "HTTP/1.1 " + status +
+                " x\r\nx-not-run: shed\r\nX-Response-Seal: seal\r\n"
+                "Content-Length: 2\r\n\r\n{}";
+  INFO(site.Answer);
+  std::optional<transport::HttpResult> result;
+  site.call("/", [&](transport::HttpResult r) { result = std::move(r); });
+  REQUIRE(site.Loop.runUntil([&] { return result.has_value(); }, TestLimit));
+  REQUIRE_FALSE(result->has_value());
+  CHECK(result->error().MaybeSent);
+  CHECK(classifyFailure(1, *result).MayHaveRun);
+  site.Answer.clear();
+  CHECK(site.serve() == 200);
+}
