--- a/src/coordination/replica_placement.cc
+++ b/src/coordination/replica_placement.cc
@@ -111,8 +111,8 @@
                      now - replica.LoadAt <= Options.LoadReportTtl;
   if (fresh) {
     relative = std::max(relative, replica.Load.SlowdownFactor);
-    busy = std::max(
-        busy, static_cast<double>(replica.Load.Running + replica.Load.Waiting));
+    busy = std::max(busy, static_cast<double>(replica.Load.Running) +
+                              static_cast<double>(replica.Load.Waiting));
   }
   const double slots = std::max<double>(1, replica.Record.Slots);
   const double queue = std::max(0.0, busy + 1 - slots) / slots;
--- a/src/coordination/request_limiter.cc
+++ b/src/coordination/request_limiter.cc
@@ -75,11 +75,13 @@
 
 RequestLimiter::RequestLimiter(double perSecond, std::uint64_t seed,
                                TimePoint now)
-    : PerSecond(std::max(perSecond, state::MinRequestLimit)), Seed(seed),
-      Tokens(drawTurn(seed, 0, turnAt(now))), RefilledAt(now) {}
+    : PerSecond(std::clamp(perSecond, state::MinRequestLimit,
+                           state::MaxRequestLimit)),
+      Seed(seed), Tokens(drawTurn(seed, 0, turnAt(now))), RefilledAt(now) {}
 
 void RequestLimiter::setLimit(double perSecond) {
-  PerSecond = std::max(perSecond, state::MinRequestLimit);
+  PerSecond =
+      std::clamp(perSecond, state::MinRequestLimit, state::MaxRequestLimit);
 }
 
 bool RequestLimiter::usesBucket(const LimitShare &share) const {
--- a/src/coordination/share_ledger.cc
+++ b/src/coordination/share_ledger.cc
@@ -389,7 +389,7 @@
     lease.Cooldown = Duration{0};
     lease.CooldownUntil = now;
   }
-  lease.Amount = grant.Amount;
+  lease.Amount = std::min(grant.Amount, sent->Wanted);
   lease.MustConfirm = sent->MaxRetained > grant.Amount;
   // Each request that was sent after this one promised to keep at most its
   // MaxRetained.
--- a/src/forwarding/delegation_task.cc
+++ b/src/forwarding/delegation_task.cc
@@ -243,8 +243,9 @@
   const Duration sample = std::clamp(
       Loop.now() - open.ArrivedAt - reply.Elapsed, Duration(0), MaxOverhead);
   Overhead += (sample - Overhead) / OverheadDivisor;
+  const bool hasMissing = reply.MissingParts <= open.Call.Services.size();
   auto result = toForwardResult(std::move(reply));
-  if (!result) {
+  if (!result || !hasMissing) {
     state::log::warning("delegation_malformed", {{"executor", executor}});
     fail(id, ForwardFault::BackendFailed);
     return;
--- a/src/protocol/delegation_messages.cc
+++ b/src/protocol/delegation_messages.cc
@@ -115,8 +115,8 @@
   request.Sequence = in->sequence();
   request.RouteVersion = in->version();
   request.Route = textOf(in->route());
-  request.Remaining = state::Duration(in->left_us());
-  request.ReturnTime = state::Duration(in->return_us());
+  request.Remaining = timeOf(in->left_us());
+  request.ReturnTime = timeOf(in->return_us());
   request.RequestId = textOf(in->request_id());
   request.Method = textOf(in->method());
   request.Path = textOf(in->path());
@@ -139,7 +139,7 @@
   DelegatedReply reply;
   reply.Sequence = in->sequence();
   reply.Outcome = static_cast<DelegationOutcome>(in->outcome());
-  reply.Elapsed = state::Duration(in->elapsed_us());
+  reply.Elapsed = timeOf(in->elapsed_us());
   reply.Signatures = toStrings(in->signatures());
   reply.MissingParts = in->missing();
   reply.Records = textOf(in->records());
--- a/src/protocol/directory_messages.cc
+++ b/src/protocol/directory_messages.cc
@@ -3,6 +3,7 @@
 #include "protocol/directory_fb.h"
 #include "protocol/flatbuffer_bytes.h"
 
+#include <algorithm>
 #include <cmath>
 
 // Bytes from peers are first checked by the FlatBuffers verifier and then
@@ -15,6 +16,10 @@
 
 namespace {
 
+/// CPU of the largest VM, in thousandths of a core. A multiple of a greater one
+/// would overflow.
+constexpr std::uint32_t MaxMillicores = 1'024'000;
+
 std::string finish(flatbuffers::FlatBufferBuilder &b,
                    flatbuffers::Offset<fb::DirectoryMessage> message) {
   b.Finish(message);
@@ -49,7 +54,7 @@
     if (daemons.size() == MaxListedDaemons)
       break;
     daemons.push_back({textOf(daemon->address()), textOf(daemon->data_centre()),
-                       daemon->millicores()});
+                       std::min(daemon->millicores(), MaxMillicores)});
   }
   return daemons;
 }
@@ -79,8 +84,9 @@
       break;
     const double perSecond = limit->per_second();
     if (std::isfinite(perSecond) && perSecond >= 0 && limit->age_us() >= 0)
-      limits.push_back({textOf(limit->replica()), perSecond,
-                        state::Duration(limit->age_us())});
+      limits.push_back({textOf(limit->replica()),
+                        std::min(perSecond, state::MaxRequestLimit),
+                        timeOf(limit->age_us())});
   }
   return limits;
 }
@@ -95,7 +101,7 @@
   change.Record.DataCentre = textOf(in.data_centre());
   change.Record.Slots = std::max(1U, in.slots());
   change.Record.Draining = in.draining();
-  change.Record.ColdRemaining = state::Duration(in.cold_left_us());
+  change.Record.ColdRemaining = timeOf(in.cold_left_us());
   change.Record.Incarnation = in.incarnation();
   return change;
 }
@@ -184,7 +190,8 @@
     request.Fleet.Daemons = state::DistinctCount::fromValues(
         {in->members()->begin(), in->members()->end()});
   }
-  request.Fleet.WeakestMillicores = in->weakest_millicores();
+  request.Fleet.WeakestMillicores =
+      std::min(in->weakest_millicores(), MaxMillicores);
   request.Fleet.Strongest = unpack(in->strongest());
   request.LimitsVersion = in->limits_version();
   request.Limits = unpack(in->limits());
@@ -194,14 +201,15 @@
 state::Result<DirectoryReply> decodeDirectoryReply(std::string_view bytes) {
   const AlignedBytes aligned(bytes);
   const auto *in = aligned.verifiedRoot<fb::DirectoryMessage>();
-  if (in == nullptr)
+  // A view from the future would count as current for as long.
+  if (in == nullptr || in->age_us() < 0)
     return malformed();
   DirectoryReply reply;
   reply.Sequence = in->sequence();
   reply.Log = in->log();
   reply.Index = in->index();
   reply.Position = {in->epoch(), in->revision()};
-  reply.Age = state::Duration(in->age_us());
+  reply.Age = timeOf(in->age_us());
   reply.Daemons = in->daemons();
   reply.Executors = unpack(in->strongest());
   reply.HasContent = in->has_content();
--- a/src/protocol/flatbuffer_bytes.h
+++ b/src/protocol/flatbuffer_bytes.h
@@ -1,6 +1,9 @@
 #ifndef GALENAFLOW_PROTOCOL_FLATBUFFER_BYTES_H
 #define GALENAFLOW_PROTOCOL_FLATBUFFER_BYTES_H
 
+#include "state/clock.h"
+
+#include <algorithm>
 #include <cstdint>
 #include <flatbuffers/flatbuffers.h>
 #include <string>
@@ -34,6 +37,15 @@
   std::size_t Size;
 };
 
+/// Longer times of a peer are shortened to this, so that sums and differences
+/// with them cannot overflow. No time in a message is as long.
+constexpr state::Duration MaxPeerTime = std::chrono::hours(24);
+
+/// Returns a time that a peer states in microseconds, from zero to MaxPeerTime.
+inline state::Duration timeOf(std::int64_t us) {
+  return std::clamp(state::Duration(us), state::Duration(0), MaxPeerTime);
+}
+
 /// Returns an empty string for an absent field.
 inline std::string textOf(const flatbuffers::String *text) {
   return text == nullptr ? std::string() : text->str();
--- a/src/protocol/quarantine_messages.cc
+++ b/src/protocol/quarantine_messages.cc
@@ -39,12 +39,11 @@
                                 std::to_string(MaxListedEvidence));
   for (const fb::QuarantineEvidence *it : *in->evidence())
     if (it->age_us() >= 0)
-      evidence.push_back(
-          {{it->high(), it->low()},
-           it->execution(),
-           it->lost(),
-           state::Duration(it->age_us()),
-           state::Duration(std::max(it->age_us(), it->start_age_us()))});
+      evidence.push_back({{it->high(), it->low()},
+                          it->execution(),
+                          it->lost(),
+                          timeOf(it->age_us()),
+                          timeOf(std::max(it->age_us(), it->start_age_us()))});
   return evidence;
 }
 
--- a/src/protocol/records_messages.cc
+++ b/src/protocol/records_messages.cc
@@ -3,6 +3,8 @@
 #include "protocol/flatbuffer_bytes.h"
 #include "protocol/records_fb.h"
 
+#include <algorithm>
+
 // All messages use one table, of which each type sets some fields. Bytes from
 // peers are first checked by the FlatBuffers verifier and then against the
 // limits.
@@ -14,6 +16,10 @@
 
 namespace {
 
+/// A year. No daemon keeps records for as long, and a greater number is no
+/// signed time.
+constexpr std::uint64_t MaxReachMs = 366ULL * 86'400'000;
+
 bool unpackRecords(const fb::RecordMessage &in, RecordMessage &out) {
   if (in.records() == nullptr)
     return true;
@@ -62,7 +68,7 @@
   out.Sequence = in.sequence();
   out.Query = in.query();
   out.Id = textOf(in.id());
-  out.ReachMs = in.reach_ms();
+  out.ReachMs = std::min(in.reach_ms(), MaxReachMs);
   if (!unpackRecords(in, out) || out.Id.size() > MaxRecordIdBytes)
     return makeError(ErrorCode::InvalidArgument,
                      "record message exceeds a limit");
--- a/src/protocol/writes_messages.cc
+++ b/src/protocol/writes_messages.cc
@@ -217,6 +217,10 @@
       in.verdict() > static_cast<std::uint8_t>(WriteVerdict::Full) ||
       in.state() > static_cast<std::uint8_t>(WriteState::NotHeld))
     return malformed();
+  // Only a success completes a write.
+  if (in.state() == static_cast<std::uint8_t>(WriteState::Completed) &&
+      (in.status() < 200 || in.status() > 299))
+    return malformed();
   WriteMessage out;
   out.Type = static_cast<WriteMessageType>(type);
   out.Key = {in.key()->hi(), in.key()->lo()};
--- a/src/state/request_limit.h
+++ b/src/state/request_limit.h
@@ -12,6 +12,10 @@
 /// tell that the limit has ended.
 constexpr double MinRequestLimit = 0.01;
 
+/// Higher limits are reduced to this, which no replica reaches, so that counts
+/// of requests computed from a limit are in the range of their types.
+constexpr double MaxRequestLimit = 1e6;
+
 /// What a daemon knows about the request limit of a replica.
 struct RequestLimit {
   std::string Replica;
--- a/tests/delegation_task_test.cc
+++ b/tests/delegation_task_test.cc
@@ -185,6 +185,23 @@
   CHECK(it.Strong->Executor.openRequests() == 0);
 }
 
+// Guards against an answer that states more missing parts than the request has.
+TEST_CASE("a reply that lacks more parts than were asked for is a failure") {
+  DaemonPair it;
+  it.Strong->Local.CompletesCalls = false;
+  it.call();
+  REQUIRE(it.waitFor([&] { return it.Strong->Local.OpenCalls.size() == 1; }));
+  ForwardResult wrong;
+  wrong.Outcome = coordination::MergedAnswer{{"sig"}, 4'000'000'000, "records"};
+  it.Strong->Local.complete(1, std::move(wrong));
+  REQUIRE(it.waitForResults(1));
+  const auto *failure =
+      std::get_if<coordination::ForwardFailure>(&it.Results[0].Outcome);
+  REQUIRE(failure != nullptr);
+  CHECK(failure->Fault == coordination::ForwardFault::BackendFailed);
+  CHECK(failure->Ran == coordination::ExecutionState::Unknown);
+}
+
 TEST_CASE("a request that the executor refuses is executed locally with the "
           "time remaining") {
   DaemonPair it;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -2,6 +2,7 @@
 #include "platform/metadata_store.h"
 #include "platform/replica_codec.h"
 #include "platform/store_codec.h"
+#include "state/request_limit.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -555,8 +556,84 @@
     CHECK_FALSE(decodeLoad(bad));
 }
 
+// Guards against figures whose sums or waits overflow.
+TEST_CASE("a load report without bound is reduced, and one that is out of the "
+          "range of numbers is ignored") {
+  const auto load = decodeLoad("4294967295,4294967295,4294967295,4294967295");
+  REQUIRE(load);
+  CHECK(load->Running == 1'000'000);
+  CHECK(load->Waiting == 1'000'000);
+  CHECK(load->Slots == 1'000'000);
+  CHECK(load->SlowdownFactor == Approx(100));
+  CHECK(decodeLoad("1,2,2,0")->SlowdownFactor == Approx(0.01));
+  for (const std::string_view bad :
+       {"4294967296,0,2", "-1,0,2", "0,-1,2", "0,0,-2", "0,0,2,-100", "+1,0,2",
+        "1e3,0,2", "99999999999999999999,0,2"})
+    CHECK_FALSE(decodeLoad(bad));
+}
+
+// Guards against a response that a faulty client passes on as an answer: the
+// signature proves the replica, not that the status is one.
+TEST_CASE("a response without a final status may have run and is never an "
+          "answer") {
+  const ReplicaCodec codec;
+  for (const int status : {-1, 0, 20, 99, 100, 101, 103, 199, 600, 999, 2000})
+    for (const bool isSigned : {false, true}) {
+      INFO(status << " signed " << isSigned);
+      transport::HttpResponse response;
+      response.Status = status;
+      response.Headers.add("X-Server-Load", "1,2,2,100");
+      response.Headers.add("X-Not-Executed", "1");
+      response.Headers.add("Server-Limit", "1");
+      response.Headers.add("Server-Leaving", "1");
+      response.Headers.add("Retry-After", "5");
+      if (isSigned)
+        response.Headers.add("X-Response-Seal", "seal");
+      const auto decoded = codec.decode({}, response);
+      const auto *failure = std::get_if<AttemptFailure>(&decoded.Outcome);
+      REQUIRE(failure != nullptr);
+      CHECK(failure->End == AttemptEnd::Unknown);
+      CHECK_FALSE(failure->Response);
+      CHECK_FALSE(decoded.Load);
+      CHECK_FALSE(decoded.Pause);
+      CHECK_FALSE(decoded.IsLimitKnown);
+      CHECK_FALSE(decoded.IsLeaving);
+    }
+}
+
+// Guards against a deadline that is in the past by an overflow, or a negative
+// one that is taken for a long time.
+TEST_CASE("the deadline of a caller is bounded, and ignored when it is none") {
+  const auto remaining = [](std::string_view text) {
+    transport::HttpRequest request;
+    request.Headers.add("X-Request-Id", "id");
+    request.Headers.add("X-Deadline-Ms", text);
+    return CallerCodec().decode(std::move(request))->Remaining;
+  };
+  using namespace std::chrono_literals;
+  CHECK(remaining("0") == 0ms);
+  CHECK(remaining("400") == 400ms);
+  CHECK(remaining("400.9") == 400ms);
+  CHECK(remaining("9223372036854775807") == 24h);
+  for (const std::string_view bad :
+       {"", "-1", "+1", "x", "1x", "0x10", "9223372036854775808", "1e3",
+        "-9223372036854775808", "nan"})
+    CHECK_FALSE(remaining(bad));
+}
+
+TEST_CASE("the pause that a replica asks for is bounded") {
+  using namespace std::chrono_literals;
+  CHECK(decodeRetryAfter("0.5") == 500ms);
+  CHECK(decodeRetryAfter("1e300") == MaxPause);
+  CHECK(decodeRetryAfter("99999999999999999999") == MaxPause);
+  for (const std::string_view bad :
+       {"", "-1", "inf", "nan", "Wed, 21 Oct 2026 07:28:00 GMT", "1e999"})
+    CHECK_FALSE(decodeRetryAfter(bad));
+}
+
 TEST_CASE("the request limit of a replica is a decimal number") {
   CHECK(decodeLimit("21.7") == Approx(21.7));
+  CHECK(decodeLimit("1e300") == Approx(state::MaxRequestLimit));
   CHECK(decodeLimit(" 3 ") == Approx(3));
   for (const std::string_view bad : {"", "-1", "inf", "nan", "3 a second"})
     CHECK_FALSE(decodeLimit(bad));
--- a/tests/share_ledger_test.cc
+++ b/tests/share_ledger_test.cc
@@ -72,9 +72,16 @@
       Network.send(from.Id, message.To, message.Body, Clock.now());
   }
 
+  /// Overwrites the amounts of all grants when set.
+  std::optional<std::uint64_t> FalseAmount;
+
   void step() {
     Clock.advance(Step);
-    Network.deliver(Clock.now(), [&](const protocol::FleetMessage &message) {
+    Network.deliver(Clock.now(), [&](protocol::FleetMessage message) {
+      if (FalseAmount)
+        for (auto &grant :
+             std::get<protocol::ShareExchange>(message.Body).Grants)
+          grant.Amount = *FalseAmount;
       for (Daemon &it : Daemons)
         if (it.Id == message.To && isActive(it))
           sendMessages(it, it.Ledger->receive(
@@ -438,3 +445,20 @@
   }
   CHECK((peak > 100) == (margin == 0ms));
 }
+
+// Guards against an allowance that exceeds the whole limit, or overflows,
+// because a lender grants more than was asked for.
+TEST_CASE("a grant counts at most as much as was asked for") {
+  Fleet fleet(5);
+  fleet.start(3);
+  fleet.FalseAmount = UINT64_MAX;
+  constexpr std::uint64_t demand = 90;
+  fleet.Daemons[0].Ledger->setDemand("rate", demand);
+  for (int i = 0; i != 400; ++i) {
+    fleet.step();
+    const Daemon &it = fleet.Daemons[0];
+    // Each of two lenders is asked for the demand at most.
+    REQUIRE(it.Ledger->allowance("rate", it.localTime(fleet.Clock.now())) <=
+            it.Ledger->entitlement("rate") + 2 * demand);
+  }
+}
