--- a/src/state/route_table.cc
+++ b/src/state/route_table.cc
@@ -22,6 +22,20 @@
   return key;
 }
 
+/// Leaves `route` only the regions that `other` allows too.
+void restrictRegions(Route &route, const Route &other) {
+  if (!other.isRestricted())
+    return;
+  if (!route.isRestricted())
+    route.AllowedRegions = other.AllowedRegions;
+  std::erase_if(route.AllowedRegions, [&other](const std::string &region) {
+    return std::find(other.AllowedRegions.begin(), other.AllowedRegions.end(),
+                     region) == other.AllowedRegions.end();
+  });
+  route.IsNoRegionAllowed |=
+      other.IsNoRegionAllowed || route.AllowedRegions.empty();
+}
+
 } // namespace
 
 RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes,
@@ -47,6 +61,8 @@
       one->IsIdempotent = route.IsIdempotent && earlier.IsIdempotent;
       one->MaxAttempts = std::min(route.MaxAttempts, earlier.MaxAttempts);
     }
+    restrictRegions(route, earlier);
+    restrictRegions(earlier, route);
     if (!earlier.hasServices())
       it->second = &route;
     Issues.add("/routes",
--- a/src/state/route_table.h
+++ b/src/state/route_table.h
@@ -50,6 +50,17 @@
   std::vector<WeightedTarget> Targets;
   ShardSet Shards;
 
+  /// Regions (groups of data centres) in which requests may be handled. Empty:
+  /// in all of them.
+  std::vector<std::string> AllowedRegions;
+
+  /// Whether no region is allowed: the published list cannot be read, or the
+  /// lists of several routes for the same requests have no region in common.
+  bool IsNoRegionAllowed = false;
+
+  bool isRestricted() const {
+    return IsNoRegionAllowed || !AllowedRegions.empty();
+  }
   bool isSharded() const { return !Shards.Services.empty(); }
   bool hasServices() const { return isSharded() || !Targets.empty(); }
 };
@@ -72,8 +83,8 @@
 public:
   /// Of several routes with the same host and prefix, the first that has
   /// services is used, with the strictest of their types and limits on
-  /// attempts. Of several services with the same name, the smallest limit is
-  /// used. Both are added to `findings`.
+  /// attempts, and with the regions that both allow. Of several services with
+  /// the same name, the smallest limit is used. Both are added to `findings`.
   RouteTable(std::uint64_t version, std::vector<Route> routes,
              std::vector<RoutedService> services, CallerLimits limits,
              Findings findings = {});
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -545,6 +545,43 @@
   });
 }
 
+TEST_CASE("the regions of a route are read, and an absent or empty list allows "
+          "all") {
+  const std::string from = R"("service":"s1"})";
+  const auto changed = [&from](const std::string &regions) {
+    return changedRoute("/b/x", from,
+                        R"("service":"s1","allowed_regions":)" + regions + "}");
+  };
+  using Regions = std::vector<std::string>;
+  CHECK(changed(R"(["eu","us"])").AllowedRegions == Regions{"eu", "us"});
+  CHECK(changed(R"(["eu"])").isRestricted());
+  CHECK_FALSE(changed(R"(["eu"])").IsNoRegionAllowed);
+  for (const char *all : {"[]", "null"})
+    CHECK_FALSE(changed(all).isRestricted());
+  CHECK_FALSE(changedRoute("/b/x", from, from).isRestricted());
+}
+
+// Guards against a request that leaves its regions because their list has an
+// unknown form.
+TEST_CASE("a list of regions that cannot be read allows none") {
+  const std::string from = R"("service":"s1"})";
+  for (const std::string regions :
+       {R"("eu")", R"({"eu":true})", "1", "true", "false", R"(["eu",1])",
+        R"([""])", R"([null])", R"([["eu"]])", "[\"e\xff\"]"}) {
+    INFO(regions);
+    const auto table = changedTable(
+        from, R"("service":"s1","allowed_regions":)" + regions + "}");
+    const state::Route *route = table->match("h", "/b/x");
+    REQUIRE(route != nullptr);
+    CHECK(route->IsNoRegionAllowed);
+    CHECK(route->isRestricted());
+    CHECK(route->AllowedRegions.empty());
+    CHECK(route->hasServices());
+    REQUIRE(table->findings().items().size() == 1);
+    CHECK(table->findings().items()[0].Place == "/routes/1/allowed_regions");
+  }
+}
+
 TEST_CASE("the load report of a replica has three or four numbers") {
   const auto load = decodeLoad("3, 0,8,250");
   REQUIRE(load);
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -60,6 +60,23 @@
   CHECK(malformed.error().items().front().Place == "limits.memory_mb");
 }
 
+TEST_CASE("regions are read, and are unknown when they are not stated") {
+  const auto none = parseSettings(CompleteSettings);
+  REQUIRE(none);
+  CHECK(none->Region.empty());
+  CHECK(none->Regions.empty());
+  const auto some =
+      parseSettings(std::string(CompleteSettings) +
+                    "region: eu\nzones: {z1: eu, z2: eu, z3: us}\n");
+  REQUIRE(some);
+  CHECK(some->Region == "eu");
+  CHECK(some->Regions.size() == 3);
+  CHECK(some->Regions.find("z3")->second == "us");
+  for (const char *text : {"zones: [z1]\n", "zones: eu\n",
+                           "zones: {z1: [eu]}\n", "region: [eu]\n"})
+    CHECK_FALSE(parseSettings(std::string(CompleteSettings) + text));
+}
+
 TEST_CASE("every missing or malformed field is reported with its place") {
   const auto settings = parseSettings(R"(
 node_name: [1]
--- a/tests/route_table_test.cc
+++ b/tests/route_table_test.cc
@@ -95,3 +95,21 @@
               matchByScan(table, "h", requestPath));
   });
 }
+
+// Guards against requests that leave the regions of one of two routes for them.
+TEST_CASE("of two routes for the same requests, both lists of regions apply") {
+  using Regions = std::vector<std::string>;
+  const auto merged = [](const Regions &a, const Regions &b) {
+    Route first = route("h", "/x/");
+    Route second = route("h", "/x/");
+    first.AllowedRegions = a;
+    second.AllowedRegions = b;
+    return *RouteTable(1, {first, second}, {}, {}).match("h", "/x/");
+  };
+  CHECK_FALSE(merged({}, {}).isRestricted());
+  CHECK(merged({"eu"}, {}).AllowedRegions == Regions{"eu"});
+  CHECK(merged({}, {"eu"}).AllowedRegions == Regions{"eu"});
+  CHECK(merged({"eu", "us"}, {"us", "asia"}).AllowedRegions == Regions{"us"});
+  CHECK_FALSE(merged({"eu", "us"}, {"us"}).IsNoRegionAllowed);
+  CHECK(merged({"eu"}, {"us"}).IsNoRegionAllowed);
+}
