Keep requests in the regions that their route allows

ForwardTask treats replicas in other regions as tried wherever it chooses a replica, hedges, retries or looks at limits, and determines them anew each time. DelegationTask chooses among executors in allowed regions or in its own.

--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -69,6 +69,10 @@
 /// Each request of the service adds to the budget.
 constexpr Duration HedgeTokenRetryDelay = std::chrono::milliseconds(10);
 
+/// Only another configuration or replica allows a request that no region does.
+/// Both take about a second to come into force.
+constexpr Duration RegionRetryDelay = std::chrono::seconds(1);
+
 } // namespace
 
 std::string_view attemptEndName(AttemptEnd end) {
@@ -113,6 +117,8 @@
     return "stopping";
   case ForwardFault::NoRoom:
     return "no_room";
+  case ForwardFault::RegionNotAllowed:
+    return "region_not_allowed";
   case ForwardFault::CallerGone:
     break;
   }
@@ -127,7 +133,10 @@
 }
 
 ForwardActions ForwardExecution::start(TimePoint now) {
-  if (Options.RejectedFor)
+  for (const std::uint32_t part : Options.Forbidden)
+    failPart(part, ForwardFault::RegionNotAllowed);
+  const bool canSucceed = hasEnoughParts(Parts.size() - FailedParts);
+  if (Options.RejectedFor && canSucceed)
     fail(ForwardFault::NoRoom);
   else
     sendPrimaries();
@@ -138,8 +147,11 @@
 // No attempt is sent unless the request can succeed: a part of a request that
 // fails for want of others would use up the limit of its replica.
 void ForwardExecution::sendPrimaries() {
+  if (!hasEnoughParts(Parts.size() - FailedParts))
+    return;
   for (const std::uint32_t part : Options.LeftOut)
-    failPart(part, ForwardFault::NoRoom);
+    if (!Parts[part].Failed)
+      failPart(part, ForwardFault::NoRoom);
   for (std::uint32_t part = 0; part != Parts.size(); ++part)
     if (!Parts[part].Failed && Policy.isAtLimit(Options.Services[part]))
       failPart(part, ForwardFault::ServerLimit);
@@ -452,6 +464,7 @@
     const bool isRejected = FailedParts == total ||
                             LastFault == ForwardFault::ServerLimit ||
                             LastFault == ForwardFault::NoRoom ||
+                            LastFault == ForwardFault::RegionNotAllowed ||
                             LastFault == ForwardFault::Stopping;
     fail(isRejected ? LastFault : ForwardFault::TooFewParts);
     return;
@@ -515,6 +528,8 @@
   failure.Response = std::move(LastFailure);
   if (fault == ForwardFault::NoRoom)
     failure.RetryAfter = Options.RejectedFor;
+  if (fault == ForwardFault::RegionNotAllowed)
+    failure.RetryAfter = RegionRetryDelay;
   Pending.emplace_back(FinishForward{std::move(failure)});
 }
 
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -79,7 +79,8 @@
   ServerLimit, ///< the replicas' request limits are used up
   Quarantined, ///< equal requests have ended the replicas that ran them
   Stopping,    ///< this process exits before the request could end
-  NoRoom, ///< more is waiting at the replicas than can be served in time
+  NoRoom,      ///< more is waiting at the replicas than can be served in time
+  RegionNotAllowed, ///< no replica is in a region that the route allows
   CallerGone,
 };
 
@@ -169,6 +170,10 @@
   /// Parts that are not sent, since they have no room.
   std::vector<std::uint32_t> LeftOut;
 
+  /// Parts that are not sent, since their replicas are in regions that the
+  /// route does not allow.
+  std::vector<std::uint32_t> Forbidden;
+
   /// Set when the request is rejected for want of room: the time after which
   /// its caller may try again.
   std::optional<Duration> RejectedFor;
--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -80,6 +80,12 @@
   if (line.Event == "delegation_silent")
     return "executor " + line.field("executor") + " has not answered for " +
            line.field("elapsed_ms") + " ms";
+  if (line.Event == "region_not_allowed")
+    return "its route allows the regions " + line.field("allowed") + "; " +
+           line.field("forbidden") + " of " + line.field("parts") +
+           " services have no replica there, such as " + line.field("service") +
+           "; this daemon is in region " +
+           (line.field("region").empty() ? "unknown" : line.field("region"));
   if (line.Event == "caller_left")
     return "the caller closed its connection";
   return line.Event + " " + formatFields(line);
@@ -100,6 +106,9 @@
   if (line.Event == "caller_left")
     return "the caller disconnected before an answer; it may have run";
   std::string text = "failed: " + line.field("reason") + "; ";
+  if (line.field("reason") == "region_not_allowed")
+    return text + "it did not run, and is rejected until the route's regions "
+                  "or the replicas change";
   if (ran == "not_run")
     return text + "it did not run and can be sent again";
   if (ran == "ran")
--- a/src/forwarding/delegation_task.cc
+++ b/src/forwarding/delegation_task.cc
@@ -93,6 +93,9 @@
     const std::vector<state::DaemonCapacity> &executors) {
   recordLinked();
   Selector.setExecutors(executors);
+  ExecutorDataCentres.clear();
+  for (const state::DaemonCapacity &it : executors)
+    ExecutorDataCentres.emplace(it.Address, it.DataCentre);
   Links.setExtraLinks(Selector.linkTargets());
 }
 
@@ -117,17 +120,27 @@
 
 std::optional<std::string>
 DelegationTask::chooseExecutor(const ForwardCall &call) {
-  if (!isDelegable(*call.Route) ||
+  if (!isDelegable(*call.Route) || call.Route->IsNoRegionAllowed ||
       call.Message->Body.size() > Options.MaxBodyBytes ||
       call.Remaining <= 2 * Overhead)
     return std::nullopt;
   return Selector.choose(
-      [this](const std::string &address) {
-        return LinkedPeers.contains(address);
+      [this, &call](const std::string &address) {
+        return LinkedPeers.contains(address) && mayDelegate(call, address);
       },
       Loop.now());
 }
 
+// An executor that is not listed any more has no known data centre.
+bool DelegationTask::mayDelegate(const ForwardCall &call,
+                                 const std::string &executor) const {
+  if (!call.Route->isRestricted())
+    return true;
+  const auto it = ExecutorDataCentres.find(executor);
+  return it != ExecutorDataCentres.end() &&
+         Options.Regions.allowsDaemon(*call.Route, it->second);
+}
+
 ForwardId DelegationTask::forward(ForwardCall call, ForwardCallback callback) {
   const ForwardId id = ++LastId;
   OpenRequest &open = OpenRequests[id];
--- a/src/forwarding/delegation_task.h
+++ b/src/forwarding/delegation_task.h
@@ -2,6 +2,7 @@
 #define GALENAFLOW_FORWARDING_DELEGATION_TASK_H
 
 #include "coordination/executor_selector.h"
+#include "coordination/gate/region_policy.h"
 #include "forwarding/forwarder.h"
 #include "forwarding/relay_task.h"
 #include "protocol/delegation_messages.h"
@@ -14,6 +15,8 @@
   coordination::ExecutorSelectorOptions Selector;
   state::DaemonCapacity Self;
 
+  coordination::gate::RegionPolicy Regions;
+
   /// Requests with larger bodies are executed locally, so that they do not
   /// delay other messages of the link.
   std::size_t MaxBodyBytes = std::size_t{64} << 10;
@@ -79,6 +82,7 @@
   bool isLinkedToExecutor() const;
   void recordLinked();
   std::optional<std::string> chooseExecutor(const ForwardCall &call);
+  bool mayDelegate(const ForwardCall &call, const std::string &executor) const;
   bool delegate(const std::string &executor, ForwardId id,
                 const OpenRequest &open);
   void runLocally(ForwardId id);
@@ -95,6 +99,9 @@
   DelegationTaskOptions Options;
   coordination::ExecutorSelector Selector;
   std::unordered_map<std::string, transport::PeerIdentity> LinkedPeers;
+
+  /// Data centres of the executors, by address.
+  std::unordered_map<std::string, std::string> ExecutorDataCentres;
   std::unordered_map<ForwardId, OpenRequest> OpenRequests;
   ForwardId LastId = 0;
   state::TimePoint ExitAt = state::TimePoint::max();
--- a/src/forwarding/forward_dispatch.cc
+++ b/src/forwarding/forward_dispatch.cc
@@ -206,7 +206,10 @@
     failUnsent(key, request, AttemptEnd::Stopping);
     return true;
   }
-  const auto tried = request.Execution.triedReplicas(key.Part);
+  std::vector<state::ReplicaId> both;
+  const auto tried =
+      withForbidden(*request.Execution.options().Route, service,
+                    request.Execution.triedReplicas(key.Part), both);
   const auto canSend = [this](std::string_view id) {
     const auto replica = Replicas.find(id);
     return replica != Replicas.end() && replica->second->Pool.hasFree() &&
--- a/src/forwarding/forward_limits.cc
+++ b/src/forwarding/forward_limits.cc
@@ -171,6 +171,11 @@
 
 // Attempts that wait for a connection have not used their tokens yet.
 bool ForwardTask::isAtLimit(std::string_view service) {
+  return isAtLimit(service, {});
+}
+
+bool ForwardTask::isAtLimit(std::string_view service,
+                            std::span<const state::ReplicaId> excluded) {
   if (LimitedReplicas == 0 && LastPauseEnd <= Loop.now())
     return false;
   const auto queue = WaitingAttempts.find(service);
@@ -179,7 +184,7 @@
   std::size_t tokens = 0;
   bool isUsable = false;
   const bool hasRoom = Placement.hasOther(
-      service, {},
+      service, excluded,
       [&](std::string_view id) {
         isUsable = true;
         const auto it = Replicas.find(id);
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -6,7 +6,7 @@
 
 // Starts requests, executes the actions of their executions and passes on the
 // results. The other parts of this class are in forward_dispatch.cc,
-// forward_limits.cc and forward_replicas.cc.
+// forward_limits.cc, forward_regions.cc and forward_replicas.cc.
 
 namespace galenaflow::forwarding {
 
@@ -56,7 +56,10 @@
           "galenaflow_admission_rejections_total",
           "Requests rejected on arrival, since the replicas have no room")),
       PartsWithoutRoom(metrics.counter("galenaflow_parts_without_room_total",
-                                       "Parts left out of admitted requests")) {
+                                       "Parts left out of admitted requests")),
+      ForbiddenParts(metrics.counter(
+          "galenaflow_forbidden_parts_total",
+          "Parts not sent, since no replica is in an allowed region")) {
   warmAll();
 }
 
@@ -163,12 +166,18 @@
     Budgets.try_emplace(service, Options.ExtraBudget, StartedAt)
         .first->second.onRequest(Loop.now());
   const ForwardId id = ++LastRequest;
-  coordination::ForwardPolicy &policy = *this;
+  auto ownPolicy = restrictedPolicy(route);
+  coordination::ForwardPolicy &policy =
+      ownPolicy ? *ownPolicy
+                : static_cast<coordination::ForwardPolicy &>(*this);
   const TimePoint deadline = Loop.now() + call.Remaining;
   auto message = std::move(call.Message);
-  auto created = std::make_unique<Request>(
-      std::move(message), makeOptions(call, requestClass(key)), policy);
+  auto options = makeOptions(call, requestClass(key));
+  findForbidden(*message, options);
+  auto created =
+      std::make_unique<Request>(std::move(message), std::move(options), policy);
   Request &request = *created;
+  request.OwnPolicy = std::move(ownPolicy);
   request.ClassKey = key;
   request.Callback = std::move(callback);
   request.ArrivedAt = Loop.now();
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -6,6 +6,7 @@
 #include "coordination/caller_elapsed_estimate.h"
 #include "coordination/connect_backoff.h"
 #include "coordination/connection_plan.h"
+#include "coordination/gate/region_policy.h"
 #include "coordination/hedge_policy.h"
 #include "coordination/lag_estimate.h"
 #include "coordination/leaving_replicas.h"
@@ -62,6 +63,8 @@
   /// number of daemons is not known.
   double FleetExtraAttempts = 0;
 
+  coordination::gate::RegionPolicy Regions;
+
   /// Quantile of attempt latencies after which a hedge is sent to another
   /// replica.
   double HedgeQuantile = 0.9;
@@ -187,6 +190,7 @@
             coordination::ForwardPolicy &policy)
         : Message(std::move(message)), Execution(std::move(options), policy) {}
     std::shared_ptr<const ForwardedRequest> Message;
+    std::unique_ptr<coordination::ForwardPolicy> OwnPolicy; ///< or null
     coordination::ForwardExecution Execution;
     RequestClassKey ClassKey;
     ForwardCallback Callback;
@@ -213,6 +217,22 @@
   bool hasOther(std::string_view service,
                 std::span<const state::ReplicaId> tried) override;
   bool isAtLimit(std::string_view service) override;
+  bool isAtLimit(std::string_view service,
+                 std::span<const state::ReplicaId> excluded);
+
+  class RestrictedPolicy;
+  std::unique_ptr<coordination::ForwardPolicy>
+  restrictedPolicy(const state::Route &route);
+
+  /// Returns `tried` and the replicas of the service that the route forbids.
+  /// `both` is used only when the route is restricted.
+  std::span<const state::ReplicaId>
+  withForbidden(const state::Route &route, std::string_view service,
+                std::span<const state::ReplicaId> tried,
+                std::vector<state::ReplicaId> &both) const;
+  bool isForbidden(const state::Route &route, std::string_view service) const;
+  void findForbidden(const ForwardedRequest &message,
+                     coordination::ForwardOptions &options) const;
 
   RequestClass &requestClass(const RequestClassKey &key);
   state::Duration expectedLatency(const RequestClassKey &key);
@@ -323,6 +343,7 @@
   state::Counter &LimitedAttempts;
   state::Counter &AdmissionRejections;
   state::Counter &PartsWithoutRoom;
+  state::Counter &ForbiddenParts;
 };
 
 } // namespace galenaflow::forwarding
--- a/tests/backend_task_test.cc
+++ b/tests/backend_task_test.cc
@@ -119,7 +119,7 @@
   Deployment site;
   REQUIRE(site.serve() == 200); // the connection is kept
   site.Answer = before + "HTTP/1.1 " + status +
-                " x\r\nx-not-run: shed\r\nX-Response-Seal: seal\r\n"
+                " x\r\nx-not-run: shed\r\nX-Signature: seal\r\n"
                 "Content-Length: 2\r\n\r\n{}";
   INFO(site.Answer);
   std::optional<transport::HttpResult> result;
--- a/tests/delegation_task_test.cc
+++ b/tests/delegation_task_test.cc
@@ -83,11 +83,13 @@
 
 struct Daemon {
   Daemon(transport::EventLoop &loop, const std::string &address,
-         std::uint32_t millicores, double pendingNoticeFraction)
+         std::uint32_t millicores, double pendingNoticeFraction,
+         coordination::gate::RegionPolicy regions = {})
       : Relay(loop, Source, relayOptions(address, millicores), Metrics),
         Local(loop), Executor(loop, Relay, Local,
                               {12, millicores, pendingNoticeFraction}, Metrics),
-        Delegation(loop, Relay, Local, delegationOptions(address, millicores),
+        Delegation(loop, Relay, Local,
+                   delegationOptions(address, millicores, std::move(regions)),
                    Metrics) {
     Relay.addListener(Executor);
     Relay.addListener(Delegation);
@@ -102,9 +104,11 @@
     options.Millicores = millicores;
     return options;
   }
-  static DelegationTaskOptions delegationOptions(const std::string &address,
-                                                 std::uint32_t millicores) {
+  static DelegationTaskOptions
+  delegationOptions(const std::string &address, std::uint32_t millicores,
+                    coordination::gate::RegionPolicy regions) {
     DelegationTaskOptions options;
+    options.Regions = std::move(regions);
     options.Self = {address, "dc", millicores};
     return options;
   }
@@ -120,16 +124,18 @@
 struct DaemonPair {
   transport::EventLoop Loop;
   std::string StrongAddress = support::reserveAddress();
-  std::unique_ptr<Daemon> Weak =
-      std::make_unique<Daemon>(Loop, support::reserveAddress(), 120, 0.7);
+  std::unique_ptr<Daemon> Weak;
   std::unique_ptr<Daemon> Strong;
   state::RouteTablePtr Table = makeTable(5);
   std::vector<ForwardResult> Results;
 
   /// The strong daemon reports a request as in progress after
   /// `pendingNoticeFraction` of the latency objective.
-  explicit DaemonPair(double pendingNoticeFraction = 0.7)
-      : Strong(std::make_unique<Daemon>(Loop, StrongAddress, 500,
+  explicit DaemonPair(double pendingNoticeFraction = 0.7,
+                      coordination::gate::RegionPolicy regions = {})
+      : Weak(std::make_unique<Daemon>(Loop, support::reserveAddress(), 120, 0.7,
+                                      std::move(regions))),
+        Strong(std::make_unique<Daemon>(Loop, StrongAddress, 500,
                                         pendingNoticeFraction)) {
     Weak->Delegation.setExecutors({{StrongAddress, "dc", 500}});
     REQUIRE(Loop.runUntil([this] { return Weak->Delegation.isDelegating(); },
@@ -185,6 +191,38 @@
   CHECK(it.Strong->Executor.openRequests() == 0);
 }
 
+// Guards against a body that is sent to a daemon outside of the regions of its
+// route and of the daemon that received it.
+TEST_CASE("a request is delegated only to a daemon in an allowed region or in "
+          "the own one") {
+  const coordination::gate::RegionMap regions{{"dc", "eu"}, {"other", "us"}};
+  const auto isDelegated = [&regions](const std::string &executorDataCentre,
+                                      const std::vector<std::string> &allowed,
+                                      bool isNoneAllowed = false) {
+    DaemonPair it(0.7, coordination::gate::RegionPolicy("dc", "", regions));
+    it.Weak->Delegation.setExecutors(
+        {{it.StrongAddress, executorDataCentre, 500}});
+    state::Route route = it.Table->routes().front();
+    route.AllowedRegions = allowed;
+    route.IsNoRegionAllowed = isNoneAllowed;
+    it.Table = std::make_shared<const state::RouteTable>(
+        5, std::vector{route}, std::vector<state::RoutedService>(),
+        state::CallerLimits());
+    it.Strong->Executor.setRoutes(it.Table);
+    it.call();
+    REQUIRE(it.waitForResults(1));
+    return it.Strong->Local.Calls.size() == 1;
+  };
+  CHECK(isDelegated("other", {}));
+  CHECK(isDelegated("unknown", {}));
+  CHECK(isDelegated("other", {"us"}));
+  CHECK(isDelegated("dc", {"us"}));
+  CHECK_FALSE(isDelegated("other", {"eu"}));
+  CHECK_FALSE(isDelegated("other", {"asia"}));
+  CHECK_FALSE(isDelegated("unknown", {"eu", "us"}));
+  CHECK_FALSE(isDelegated("dc", {}, true));
+}
+
 // Guards against an answer that states more missing parts than the request has.
 TEST_CASE("a reply that lacks more parts than were asked for is a failure") {
   DaemonPair it;
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -158,3 +158,19 @@
     }
   }
 }
+
+TEST_CASE("a request that no region allows is explained with its figures") {
+  const std::string log =
+      "2026-03-30T21:14:59.033Z level=info event=region_not_allowed id=a "
+      "route=all allowed=eu,us region=asia parts=90 forbidden=31 "
+      "service=s7\n"
+      "2026-03-30T21:14:59.034Z level=info event=request_failed id=a route=all "
+      "version=5 executor=\"\" reason=region_not_allowed ran=not_run\n";
+  const std::string text = explain(log, "a");
+  CHECK(contains(text, "its route allows the regions eu,us; 31 of 90 services "
+                       "have no replica there, such as s7; this daemon is in "
+                       "region asia"));
+  CHECK(contains(text, "failed: region_not_allowed; it did not run, and is "
+                       "rejected until the route's regions or the replicas "
+                       "change"));
+}
--- a/tests/forward_execution_test.cc
+++ b/tests/forward_execution_test.cc
@@ -635,3 +635,39 @@
     CHECK(it.Policy.Taken <= it.Policy.Tokens);
   }
 }
+
+// Guards against a request that is sent although it cannot succeed, and against
+// one that fails although enough of its shards are in allowed regions.
+TEST_CASE("a request whose replicas are in no allowed region is rejected at "
+          "once") {
+  Fixture it;
+  it.Options.Forbidden = {0};
+  it.Options.RejectedFor = 50ms;
+  it.start();
+  CHECK(it.Attempts.empty());
+  REQUIRE(it.Finished);
+  const auto &failure = std::get<ForwardFailure>(it.Finished->Result);
+  CHECK(failure.Fault == ForwardFault::RegionNotAllowed);
+  CHECK(failure.Ran == ExecutionState::NotRun);
+  CHECK(failure.RetryAfter == 1s);
+  CHECK(forwardFaultName(failure.Fault) == "region_not_allowed");
+}
+
+TEST_CASE("shards in no allowed region are left out of the answer while enough "
+          "others remain") {
+  Fixture few(4);
+  few.Options.Forbidden = {1, 2};
+  few.Options.LeftOut = {1, 3};
+  few.start();
+  CHECK(few.Attempts.empty());
+  REQUIRE(few.Finished);
+  const auto &failure = std::get<ForwardFailure>(few.Finished->Result);
+  CHECK(failure.Fault == ForwardFault::RegionNotAllowed);
+  CHECK(failure.Ran == ExecutionState::NotRun);
+  Fixture enough(4);
+  enough.Options.Forbidden = {2};
+  enough.Options.LeftOut = {2};
+  enough.start();
+  CHECK_FALSE(enough.Finished);
+  CHECK(enough.Attempts.size() == 3);
+}
--- a/tests/forward_task_test.cc
+++ b/tests/forward_task_test.cc
@@ -83,8 +83,16 @@
   state::RouteTablePtr Table;
   std::unique_ptr<ForwardTask> Task;
 
-  explicit Deployment(const std::string &probePath, std::uint64_t seed = 1) {
+  /// With `regions`, the replicas "a" are in data centre "za" and the replicas
+  /// "b" in "zb".
+  explicit Deployment(
+      const std::string &probePath, std::uint64_t seed = 1,
+      std::optional<coordination::gate::RegionPolicy> regions = {}) {
     ForwardTaskOptions options;
+    if (regions) {
+      options.DataCentre = "za";
+      options.Regions = *regions;
+    }
     options.Seed = seed;
     options.AssumedDaemons = 1;
     options.Pool.IdleProbeAge = ShortIdleAge;
@@ -115,6 +123,8 @@
         record.Id = id;
         record.Service = service.Name;
         record.Address = replica->Address.toText();
+        if (regions)
+          record.DataCentre = std::string("z") + copy;
         records.emplace(id, record);
         Replicas.emplace(id, std::move(replica));
       }
@@ -227,3 +237,164 @@
   CHECK(site.serve("one", 2) == 1);
   CHECK(paused.Requests["/one"] == 2);
 }
+
+namespace {
+
+/// Replicas "a" are in region "eu", where the daemon is, and "b" in "us".
+struct RegionSite : Deployment {
+  std::vector<ForwardResult> Results;
+
+  RegionSite()
+      : Deployment("", 1,
+                   coordination::gate::RegionPolicy(
+                       "za", "eu", {{"za", "eu"}, {"zb", "us"}})) {}
+
+  /// Publishes the regions of all routes, or that none is allowed.
+  void allow(const std::vector<std::string> &regions,
+             bool isNoneAllowed = false) {
+    std::vector<state::Route> routes = Table->routes();
+    for (state::Route &route : routes) {
+      route.AllowedRegions = regions;
+      route.IsNoRegionAllowed = isNoneAllowed;
+    }
+    std::vector<state::RoutedService> services;
+    for (const auto &[name, service] : Table->services())
+      services.push_back(service);
+    Table = std::make_shared<const state::RouteTable>(
+        Table->version() + 1, routes, services, state::CallerLimits());
+    Task->setRoutes(Table);
+  }
+
+  void start(const std::string &routeName) {
+    ForwardedRequest message;
+    message.RequestId = "id";
+    message.Method = "GET";
+    message.Path = "/" + routeName;
+    ForwardCall call;
+    call.Message = std::make_shared<const ForwardedRequest>(std::move(message));
+    call.Table = Table;
+    call.Route = &Table->routes()[routeName == "one" ? 0 : 1];
+    call.Services = call.Route->isSharded() ? call.Route->Shards.Services
+                                            : std::vector<std::string>{"pool"};
+    call.Remaining = 400ms;
+    Task->forward(std::move(call), [this](ForwardResult result) {
+      Results.push_back(std::move(result));
+    });
+  }
+  void waitForResults(std::size_t n) {
+    REQUIRE(Loop.runUntil([&] { return Results.size() >= n; }, TestLimit));
+  }
+
+  /// Requests that the replicas of "a" or "b" have received.
+  int received(char copy) const {
+    int n = 0;
+    for (const auto &[id, replica] : Replicas)
+      if (id.back() == copy)
+        for (const auto &[path, count] : replica->Requests)
+          n += count;
+    return n;
+  }
+};
+
+} // namespace
+
+// Guards against a first attempt, a hedge or a retry that leaves the regions of
+// the route.
+TEST_CASE("requests reach replicas in the allowed regions only") {
+  const std::string route = GENERATE("one", "all");
+  const char allowed = GENERATE('a', 'b');
+  const int fault = GENERATE(0, 1, 2);
+  CAPTURE(route, allowed, fault);
+  RegionSite site;
+  site.allow({allowed == 'a' ? "eu" : "us"});
+  for (const auto &[id, replica] : site.Replicas) {
+    replica->Rejects = fault == 1 && id.back() == allowed;
+    replica->HoldsAll = fault == 2 && id.back() == allowed;
+  }
+  for (std::size_t i = 1; i != 9; ++i) {
+    site.start(route);
+    if (fault != 2)
+      site.waitForResults(i);
+  }
+  site.waitForResults(8);
+  CHECK(site.received(allowed) > 0);
+  CHECK(site.received(allowed == 'a' ? 'b' : 'a') == 0);
+  for (const ForwardResult &result : site.Results)
+    CHECK(std::holds_alternative<coordination::ForwardFailure>(
+              result.Outcome) == (fault != 0));
+}
+
+TEST_CASE("without a list of regions, or with both in it, all replicas are "
+          "used") {
+  RegionSite site;
+  if (GENERATE(false, true))
+    site.allow({"us", "eu"});
+  CHECK(site.serve("one", 2) == 2);
+  CHECK(site.received('a') == 1);
+  CHECK(site.received('b') == 1);
+}
+
+TEST_CASE("a request that no region allows is rejected at once, as not run") {
+  const std::string route = GENERATE("one", "all");
+  RegionSite site;
+  SECTION("a region without replicas") { site.allow({"asia"}); }
+  SECTION("no region") { site.allow({}, true); }
+  const state::TimePoint begin = site.Loop.now();
+  site.start(route);
+  site.waitForResults(1);
+  CHECK(site.Loop.now() - begin < 200ms);
+  const auto *failure =
+      std::get_if<coordination::ForwardFailure>(&site.Results[0].Outcome);
+  REQUIRE(failure != nullptr);
+  CHECK(failure->Fault == coordination::ForwardFault::RegionNotAllowed);
+  CHECK(failure->Ran == coordination::ExecutionState::NotRun);
+  CHECK(site.received('a') + site.received('b') == 0);
+  CHECK(site.Metrics.exposition().find(
+            "galenaflow_forbidden_parts_total " +
+            std::to_string(route == "one" ? 1 : 3)) != std::string::npos);
+}
+
+// Guards against a request that is sent by another list than that of the route
+// with which it began.
+TEST_CASE("a waiting request keeps the regions with which it began") {
+  RegionSite site;
+  site.allow({"eu"});
+  site.Replicas.at("poola")->HoldsAll = true;
+  site.start("one"); // takes the only connection
+  site.start("one"); // waits
+  site.runFor(50ms);
+  CHECK(site.received('a') == 1);
+  site.allow({"us"});
+  site.runFor(100ms);
+  CHECK(site.received('b') == 0);
+  site.start("one");
+  site.waitForResults(1);
+  CHECK(site.received('b') == 1);
+  site.waitForResults(3);
+  CHECK(site.received('b') == 1);
+  CHECK(site.received('a') == 1);
+}
+
+// Guards against a replica in a forbidden region that gets the requests which
+// wait when it registers.
+TEST_CASE("a replica that registers in a forbidden region gets no waiting "
+          "request") {
+  RegionSite site;
+  site.allow({"eu"});
+  site.Replicas.at("poola")->HoldsAll = true;
+  site.start("one");
+  site.start("one");
+  site.runFor(50ms);
+  std::map<std::string, state::ReplicaRecord, std::less<>> records;
+  for (const auto &[id, replica] : site.Replicas) {
+    state::ReplicaRecord record;
+    record.Id = id == "poolb" ? "poolc" : id;
+    record.Service = replica->Service;
+    record.Address = replica->Address.toText();
+    record.DataCentre = std::string("z") + id.back();
+    records.emplace(record.Id, record);
+  }
+  site.Task->setReplicas(records);
+  site.waitForResults(2);
+  CHECK(site.received('b') == 0);
+}
--- a/tests/http_response_parser_test.cc
+++ b/tests/http_response_parser_test.cc
@@ -333,7 +333,7 @@
     for (const std::string &rest : std::vector<std::string>{
              "\r\n\r\n", NoBody,
              "\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\nabc",
-             "\r\nX-Response-Seal: s\r\nContent-Length: 2\r\n\r\nab"}) {
+             "\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nab"}) {
       INFO(status << rest);
       HttpResponseParser parser(options);
       parser.feed("HTTP/1.1 " + status + " x" + rest);
