Test regions at a whole node, and lengths and idle timeouts out of range

A route with regions is served by a node in them and refused with 503, as not run, elsewhere. A caller's Content-Length or chunk size with a sign, out of range or above the limit is not handled, and the next caller is. A server's idle timeout that overflows is ignored, and a negative one closes the connection.

--- a/tests/backend_api_test.cc
+++ b/tests/backend_api_test.cc
@@ -182,6 +182,19 @@
   REQUIRE(load);
   CHECK(*load == LoadReport{1, 4, 2, 12, {{41, 3}, {40, 2}}});
   CHECK_FALSE(decodeLoad(R"({"slots":-1,"snapshots":[]})"));
+  // Guards against figures that wrap or are cut off.
+  for (const char *number : {"4294967296", "18446744073709551617", "-1", "1.5",
+                             "1e3", "null", "\"1\""})
+    for (const char *name : {"in_flight", "queued", "slots", "connections"}) {
+      INFO(name << " " << number);
+      std::string figures = R"("snapshots":[])";
+      if (std::string_view(name) != "slots")
+        figures += R"(,"slots":2)";
+      CHECK_FALSE(decodeLoad("{" + figures + ",\"" + name +
+                             "\":" + std::string(number) + "}"));
+    }
+  CHECK_FALSE(decodeLoad(
+      R"({"slots":2,"snapshots":[{"id":18446744073709551616,"layout":1}]})"));
   CHECK(parseNotRun("snapshot_gone") == NotRunReason::SnapshotGone);
   CHECK_FALSE(parseNotRun("Shed"));
   CHECK(nlohmann::json::parse(
--- a/tests/http_transport_test.cc
+++ b/tests/http_transport_test.cc
@@ -873,3 +873,81 @@
   }
   CHECK(responded == 30);
 }
+
+// Guards against an idle timeout of a server that closes connections at once or
+// never, since its number overflows.
+TEST_CASE("an idle timeout that a server states is bounded, and ignored when "
+          "it is none") {
+  struct Case {
+    std::string Timeout;
+    bool IsKept;
+  };
+  const auto it = GENERATE(values<Case>({{"0", false},
+                                         {"-5", false},
+                                         {"-9223372036854775808", false},
+                                         {"5", true},
+                                         {"9223372036854775807", true},
+                                         {"9223372036854775808", true},
+                                         {"99999999999999999999", true},
+                                         {"-99999999999999999999", true},
+                                         {"x", true},
+                                         {"", true}}));
+  INFO(it.Timeout);
+  RawServer server;
+  server.Responses = {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=" + it.Timeout +
+                      "\r\nContent-Length: 0\r\n\r\n"};
+  HttpConnection connection(server.Loop, server.Address);
+  for (int i = 0; i != 2; ++i) {
+    Exchange exchange{server.Loop, {}};
+    connection.send({"GET", "/", {}, ""}, 10s, exchange.callback());
+    REQUIRE(exchange.waitForResult());
+    CHECK(exchange.Result->has_value());
+    server.Loop.runUntil([] { return false; }, 30ms);
+    CHECK(connection.isConnected() == it.IsKept);
+  }
+}
+
+// Guards against a body whose length is taken with a sign or modulo a power of
+// two, so that its rest is read as the caller's next request.
+TEST_CASE("a caller's body without a valid length is not handled, and the next "
+          "caller is") {
+  const std::string framing =
+      GENERATE("Content-Length: -1", "Content-Length: +5", "Content-Length: x",
+               "Content-Length: 5x", "Content-Length: 0x5",
+               "Content-Length: 1e1", "Content-Length: 18446744073709551615",
+               "Content-Length: 18446744073709551616",
+               "Content-Length: 18446744073709551621",
+               "Content-Length: 99999999999999999999999",
+               "Content-Length: 1001", "Transfer-Encoding: chunked\r\n\r\n-1",
+               "Transfer-Encoding: chunked\r\n\r\nx",
+               "Transfer-Encoding: chunked\r\n\r\nffffffffffffffff",
+               "Transfer-Encoding: chunked\r\n\r\n10000000000000005",
+               "Transfer-Encoding: chunked\r\n\r\n3e9");
+  INFO(framing);
+  EventLoop loop;
+  std::vector<std::string> handled;
+  HttpServerOptions options;
+  options.MaxBodyBytes = 1000;
+  HttpServer server(loop, options,
+                    [&](const HttpRequest &request, const auto &responder) {
+                      handled.push_back(request.Method + " " + request.Body);
+                      responder->send(jsonResponse(200, "{}"));
+                    });
+  const auto address = server.listen(anyPort());
+  const int caller = socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(connect(caller, address->data(), address->Length) == 0);
+  std::string request = "POST / HTTP/1.1\r\nHost: h\r\n" + framing;
+  request += framing.find("chunked") == std::string::npos ? "\r\n\r\n" : "\r\n";
+  request +=
+      "helloGET /inner HTTP/1.1\r\nHost: h\r\n\r\n" + std::string(1200, 'x');
+  ::send(caller, request.data(), request.size(), MSG_NOSIGNAL);
+  loop.runUntil([] { return false; }, 60ms);
+  close(caller);
+  CHECK(handled.empty());
+  HttpConnection connection(loop, *address);
+  Exchange exchange{loop, {}};
+  connection.send({"POST", "/", {}, "next"}, 10s, exchange.callback());
+  REQUIRE(exchange.waitForResult());
+  REQUIRE(exchange.Result->has_value());
+  CHECK(handled.back() == "POST next");
+}
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -82,6 +82,20 @@
                                services + "]" + padding + "}");
   }
 
+  /// Publishes a route over one service and one over shards, with this list of
+  /// regions.
+  void publishRegions(int version, const std::string &regions) {
+    const std::string list = R"("allowed_regions":)" + regions + "}";
+    Store.put("op/config", R"({"version":)" + std::to_string(version) +
+                               R"(,"routes":[
+ {"name":"all","host":"h","prefix":"/all/","route_type":"safe",
+  "timeout_ms":400,"target_latency_ms":80,"fanout":["s0","s1","s2","s3"],
+  "max_attempts":2,"top_k":3,"min_shard_ratio":0.7,)" +
+                               list + R"(,{"name":"one","host":"h",
+  "prefix":"/one/","route_type":"safe","timeout_ms":800,"service":"pool",)" +
+                               list + R"(],"services":[]})");
+  }
+
   /// Adds a route whose requests may take longer than a stop.
   void publishLongRoute() {
     Store.put("op/config", R"({"version":9,"routes":[
@@ -1344,3 +1358,42 @@
   site.call("/one/x");
   CHECK(site.replica("o0").runs().size() == 1);
 }
+
+// Guards against a request that leaves the regions of its route, and against a
+// refusal after which the caller does not know that it has not run.
+TEST_CASE("a route is served in its regions only, and refused as not run where "
+          "it has none") {
+  Site site;
+  const bool isRegionStated = GENERATE(false, true);
+  if (isRegionStated)
+    site.Settings.Region = "eu";
+  else
+    site.Settings.Regions = {{"z1", "eu"}, {"z2", "us"}};
+  site.start();
+  struct Case {
+    std::string Regions;
+    int Status;
+  };
+  int version = 10;
+  for (const Case &it : {Case{R"(["eu"])", 200},
+                         {R"(["us"])", 503},
+                         {"[]", 200},
+                         {R"(["us","eu"])", 200},
+                         {R"("eu")", 503},
+                         {"null", 200},
+                         {R"(["eu",7])", 503}}) {
+    INFO(it.Regions);
+    site.publishRegions(++version, it.Regions);
+    site.runFor(1300ms);
+    for (const char *path : {"/one/x", "/all/x"}) {
+      const auto answer = site.call(path);
+      CHECK(answer.Status == it.Status);
+      CHECK((site.executionCount(site.LastId) == 0) == (it.Status == 503));
+      if (it.Status == 200)
+        continue;
+      CHECK(answer.Body == "region_not_allowed\n");
+      CHECK(answer.Headers.find("Retry-After"));
+      CHECK_FALSE(answer.Headers.find("X-Response-Seal"));
+    }
+  }
+}
