State the pause of allowed replicas only, and test extra attempts

A request whose allowed replicas had all asked for a pause was rejected without the time of the pause, because an unpaused replica of another region was counted as usable.

--- a/src/forwarding/forward_limits.cc
+++ b/src/forwarding/forward_limits.cc
@@ -44,10 +44,11 @@
   LastPauseEnd = std::max(LastPauseEnd, until);
 }
 
-// Returns the time until each of the services has a replica that is not paused;
-// nothing when they have one now.
+// Returns the time until each of the services has an allowed replica that is
+// not paused; nothing when they have one now.
 std::optional<Duration>
-ForwardTask::pauseOf(const std::vector<std::string> &services) const {
+ForwardTask::pauseOf(const state::Route &route,
+                     const std::vector<std::string> &services) const {
   Duration longest(0);
   for (const std::string &service : services) {
     const auto replicas = ReplicasByService.find(service);
@@ -55,7 +56,8 @@
       continue;
     TimePoint first = TimePoint::max();
     for (const ReplicaPtr &replica : replicas->second)
-      if (!replica->Record.Draining)
+      if (!replica->Record.Draining &&
+          Options.Regions.allowsReplica(route, replica->Record.DataCentre))
         first = std::min(first, replica->PausedUntil);
     // The smallest time, of a replica that had no pause, allows no subtraction.
     if (first > Loop.now() && first != TimePoint::max())
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -248,7 +248,8 @@
   auto *failure = std::get_if<coordination::ForwardFailure>(&result.Outcome);
   if (failure != nullptr &&
       failure->Fault == coordination::ForwardFault::ServerLimit)
-    failure->RetryAfter = pauseOf(request->Execution.options().Services);
+    failure->RetryAfter = pauseOf(*request->Execution.options().Route,
+                                  request->Execution.options().Services);
   result.Counts = request->Execution.counts();
   result.Elapsed = Loop.now() - request->ArrivedAt;
   result.Remaining = request->CallerDeadline - Loop.now();
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -279,7 +279,8 @@
   void recordPause(Replica &replica, state::Duration pause);
   bool isPaused(const Replica &replica) const;
   std::optional<state::Duration>
-  pauseOf(const std::vector<std::string> &services) const;
+  pauseOf(const state::Route &route,
+          const std::vector<std::string> &services) const;
   void applyReplicas(const coordination::LeavingReplicas::Records &records);
   coordination::FleetComposition fleetComposition() const;
   coordination::LimitShare limitShare(const Replica &replica) const;
--- a/tests/forward_task_test.cc
+++ b/tests/forward_task_test.cc
@@ -92,6 +92,7 @@
     if (regions) {
       options.DataCentre = "za";
       options.Regions = *regions;
+      options.ExtraBudget.Ratio = 1; // extra attempts fail for no other reason
     }
     options.Seed = seed;
     options.AssumedDaemons = 1;
@@ -319,9 +320,32 @@
   site.waitForResults(8);
   CHECK(site.received(allowed) > 0);
   CHECK(site.received(allowed == 'a' ? 'b' : 'a') == 0);
-  for (const ForwardResult &result : site.Results)
+  // No extra attempt is made for want of a second replica in the region.
+  for (const ForwardResult &result : site.Results) {
     CHECK(std::holds_alternative<coordination::ForwardFailure>(
               result.Outcome) == (fault != 0));
+    CHECK(result.Counts.Retries == 0);
+    CHECK(result.Counts.Hedges == 0);
+  }
+}
+
+// Guards against a request that waits for nothing, since a replica outside of
+// its regions could take it.
+TEST_CASE("a request whose allowed replicas have asked for a pause is rejected "
+          "at once") {
+  RegionSite site;
+  site.allow({"us"});
+  site.Replicas.at("poolb")->Rejects = true;
+  site.start("one");
+  site.waitForResults(1);
+  site.start("one");
+  site.waitForResults(2);
+  const auto *failure =
+      std::get_if<coordination::ForwardFailure>(&site.Results[1].Outcome);
+  REQUIRE(failure != nullptr);
+  CHECK(failure->Fault == coordination::ForwardFault::ServerLimit);
+  CHECK(failure->RetryAfter);
+  CHECK(site.received('b') == 1);
 }
 
 TEST_CASE("without a list of regions, or with both in it, all replicas are "
