--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -21,6 +21,11 @@
 
 namespace {
 
+/// A member raises its incarnation by one for each false suspicion, so that no
+/// member gets near this number. From the end of the range of the type it could
+/// not refute any more.
+constexpr std::uint64_t MaxIncarnation = std::uint64_t{1} << 62;
+
 bool isRunning(MemberState state) {
   return state == MemberState::Alive || state == MemberState::Suspect;
 }
@@ -237,9 +242,13 @@
 void Membership::applyUpdate(const MemberUpdate &update, TimePoint now,
                              MembershipActions &actions) {
   if (update.Id == Self.Id) {
-    refute(update);
+    // The own number stays at most MaxIncarnation, which the others accept.
+    if (update.Incarnation < MaxIncarnation)
+      refute(update);
     return;
   }
+  if (update.Incarnation > MaxIncarnation)
+    return;
   const auto it = Members.find(update.Id);
   if (it == Members.end()) {
     if (!isRunning(update.State))
--- a/src/protocol/fleet_messages.cc
+++ b/src/protocol/fleet_messages.cc
@@ -34,10 +34,6 @@
   return flatbuffers::EndianScalar(number);
 }
 
-/// A member raises its incarnation by one for each false suspicion. From a
-/// number near the end of the range it could not refute any more.
-constexpr std::uint64_t MaxIncarnation = std::uint64_t{1} << 62;
-
 enum class MessageType : std::uint16_t {
   Ping = 21,
   PingRequest = 22,
@@ -312,7 +308,6 @@
 
   MemberUpdate item(const fleet::MemberUpdate &update) {
     require(update.state() <= static_cast<std::uint8_t>(MemberState::Left));
-    require(update.incarnation() <= MaxIncarnation);
     return {member(update.id()), text(update.address()),
             text(update.data_centre()),
             static_cast<MemberState>(update.state()), update.incarnation()};
--- a/tests/forward_task_test.cc
+++ b/tests/forward_task_test.cc
@@ -348,6 +348,21 @@
   CHECK(site.received('b') == 1);
 }
 
+// Guards against parts of a request that cannot succeed, which use up the
+// replicas of the other parts.
+TEST_CASE("no part is sent while the allowed replicas of a needed shard have "
+          "asked for a pause") {
+  RegionSite site;
+  site.allow({"us"});
+  site.Replicas.at("s0b")->Rejects = true;
+  site.start("all");
+  site.waitForResults(1);
+  site.start("all");
+  site.waitForResults(2);
+  for (const char *id : {"s0b", "s1b", "s2b"})
+    CHECK(site.Replicas.at(id)->Requests["/all"] == 1);
+}
+
 TEST_CASE("without a list of regions, or with both in it, all replicas are "
           "used") {
   RegionSite site;
