--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -75,56 +75,6 @@
 
 } // namespace
 
-std::string_view attemptEndName(AttemptEnd end) {
-  switch (end) {
-  case AttemptEnd::Rejected:
-    return "rejected";
-  case AttemptEnd::Misdirected:
-    return "misdirected";
-  case AttemptEnd::NotSent:
-    return "not_sent";
-  case AttemptEnd::AtLimit:
-    return "at_limit";
-  case AttemptEnd::Stopping:
-    return "stopping";
-  case AttemptEnd::Failed:
-    return "failed";
-  case AttemptEnd::Unknown:
-    break;
-  }
-  return "unknown";
-}
-
-std::string_view forwardFaultName(ForwardFault fault) {
-  switch (fault) {
-  case ForwardFault::NoReplica:
-    return "no_replica";
-  case ForwardFault::NoCapacity:
-    return "no_capacity";
-  case ForwardFault::RejectedByServer:
-    return "rejected_by_server";
-  case ForwardFault::BackendFailed:
-    return "backend_failed";
-  case ForwardFault::DeadlineExceeded:
-    return "deadline_exceeded";
-  case ForwardFault::TooFewParts:
-    return "too_few_parts";
-  case ForwardFault::ServerLimit:
-    return "server_limit";
-  case ForwardFault::Quarantined:
-    return "quarantined";
-  case ForwardFault::Stopping:
-    return "stopping";
-  case ForwardFault::NoRoom:
-    return "no_room";
-  case ForwardFault::RegionNotAllowed:
-    return "region_not_allowed";
-  case ForwardFault::CallerGone:
-    break;
-  }
-  return "caller_gone";
-}
-
 ForwardExecution::ForwardExecution(ForwardOptions options,
                                    ForwardPolicy &policy)
     : Options(std::move(options)), Policy(policy),
@@ -133,22 +83,34 @@
 }
 
 ForwardActions ForwardExecution::start(TimePoint now) {
-  for (const std::uint32_t part : Options.Forbidden)
-    failPart(part, ForwardFault::RegionNotAllowed);
+  leaveOutEvacuated();
+  leaveOutForbidden();
   const bool canSucceed = hasEnoughParts(Parts.size() - FailedParts);
-  if (Options.RejectedFor && canSucceed)
+  if (canSucceed && Options.RejectedFor)
     fail(ForwardFault::NoRoom);
-  else
+  else if (canSucceed)
     sendPrimaries();
   tryFinish(now);
   return completeEvent(now);
 }
 
+// First, so that a request that lacks these parts is not told to return when
+// there is room.
+void ForwardExecution::leaveOutEvacuated() {
+  for (std::uint32_t part = 0; part != Parts.size(); ++part)
+    if (Policy.isEvacuated(Options.Services[part]))
+      failPart(part, ForwardFault::Evacuated);
+}
+
+void ForwardExecution::leaveOutForbidden() {
+  for (const std::uint32_t part : Options.Forbidden)
+    if (!Parts[part].Failed)
+      failPart(part, ForwardFault::RegionNotAllowed);
+}
+
 // No attempt is sent unless the request can succeed: a part of a request that
 // fails for want of others would use up the limit of its replica.
 void ForwardExecution::sendPrimaries() {
-  if (!hasEnoughParts(Parts.size() - FailedParts))
-    return;
   for (const std::uint32_t part : Options.LeftOut)
     if (!Parts[part].Failed)
       failPart(part, ForwardFault::NoRoom);
@@ -320,7 +282,10 @@
     part.IsRetryHeld = true;
   } else if (part.Open == 0 && !retry(index, failure.End)) {
     ForwardFault fault = ForwardFault::BackendFailed;
-    if (failure.End == AttemptEnd::NotSent)
+    if (failure.End == AttemptEnd::NotSent &&
+        Policy.isEvacuated(Options.Services[index]))
+      fault = ForwardFault::Evacuated;
+    else if (failure.End == AttemptEnd::NotSent)
       fault = part.Tried.empty() ? ForwardFault::NoReplica
                                  : ForwardFault::BackendFailed;
     else if (failure.End == AttemptEnd::Rejected)
@@ -413,7 +378,7 @@
   }
   if (!mayRun(part) || !Policy.hasOther(service, part.Tried))
     return;
-  if (!Policy.tryTakeExtra(service)) {
+  if (!Policy.hasIdle(service, part.Tried) || !Policy.tryTakeExtra(service)) {
     part.HedgeAt = now + HedgeTokenRetryDelay;
     return;
   }
@@ -464,6 +429,7 @@
     const bool isRejected = FailedParts == total ||
                             LastFault == ForwardFault::ServerLimit ||
                             LastFault == ForwardFault::NoRoom ||
+                            LastFault == ForwardFault::Evacuated ||
                             LastFault == ForwardFault::RegionNotAllowed ||
                             LastFault == ForwardFault::Stopping;
     fail(isRejected ? LastFault : ForwardFault::TooFewParts);
--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -28,14 +28,15 @@
   std::string_view Subject;
   std::vector<std::string_view> Events;
 };
-const std::array<ViewEvents, 4> &viewEvents() {
-  static const std::array<ViewEvents, 4> All = {
+const std::array<ViewEvents, 5> &viewEvents() {
+  static const std::array<ViewEvents, 5> All = {
       ViewEvents{"routes", {"routes_in_force", "configuration_invalid"}},
       ViewEvents{
           "directory",
           {"directory_lost", "directory_regained", "directory_history_lost"}},
       ViewEvents{"relay", {"relay_in_use", "relay_lost"}},
-      ViewEvents{"fleet", {"fleet_counted"}}};
+      ViewEvents{"fleet", {"fleet_counted"}},
+      ViewEvents{"evacuations", {"data_centre_evacuated", "evacuation_ended"}}};
   return All;
 }
 
@@ -80,6 +81,13 @@
   if (line.Event == "delegation_silent")
     return "executor " + line.field("executor") + " has not answered for " +
            line.field("elapsed_ms") + " ms";
+  if (line.Event == "request_withheld")
+    return "not sent: " + line.field("cold") + " of " + line.field("replicas") +
+           " replicas of " + line.field("service") +
+           " are cold, and all daemons together may send " +
+           line.field("max_per_second") +
+           " requests a second to each; this daemon's share, of " +
+           line.field("daemons") + " daemons, is used up";
   if (line.Event == "region_not_allowed")
     return "its route allows the regions " + line.field("allowed") + "; " +
            line.field("forbidden") + " of " + line.field("parts") +
@@ -106,6 +114,9 @@
   if (line.Event == "caller_left")
     return "the caller disconnected before an answer; it may have run";
   std::string text = "failed: " + line.field("reason") + "; ";
+  if (line.field("reason") == "evacuated")
+    text = "rejected: all usable replicas of a needed service are in evacuated "
+           "data centres; ";
   if (line.field("reason") == "region_not_allowed")
     return text + "it did not run, and is rejected until the route's regions "
                   "or the replicas change";
--- a/src/forwarding/forward_admission.cc
+++ b/src/forwarding/forward_admission.cc
@@ -1,5 +1,7 @@
 #include "forwarding/forward_task.h"
 
+#include "state/log.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -8,9 +10,10 @@
 
 namespace galenaflow::forwarding {
 
+using coordination::AttemptOutcome;
 using coordination::admission::AdmissionRequest;
-using coordination::admission::PartForecast;
 using coordination::admission::ReplicaConnections;
+using coordination::admission::RoomForecast;
 using state::Duration;
 using state::TimePoint;
 
@@ -24,36 +27,53 @@
 /// no shorter time to return is stated.
 constexpr Duration MinReturn = std::chrono::milliseconds(30);
 
+/// A few shards always have long queues where replicas are slow or lost. Demand
+/// exceeds the room of a set of shards only when more of them have.
+constexpr double MinCongestedFraction = 0.08;
+
+/// The same for a service without shards: one full replica says little.
+constexpr double MinCongestedReplicas = 2;
+
 /// Attempts before another one that are counted.
 constexpr std::ptrdiff_t MaxAhead = 1000;
 
 } // namespace
 
-bool ForwardTask::hasRoom(const Replica &replica) const {
-  return Room.mayTake(replica.Record.Id, Loop.now());
+// Hedges to replicas with queues help against single slow replicas. When there
+// is no room they only take the place of other requests.
+bool ForwardTask::hasIdle(std::string_view service,
+                          std::span<const state::ReplicaId> tried) {
+  return !Admission.isLimiting() || Placement.hasOther(
+                                        service, tried,
+                                        [this](std::string_view id) {
+                                          return Room.isIdle(id, Loop.now());
+                                        },
+                                        Loop.now());
 }
 
-void ForwardTask::setMaxWaits() {
-  std::map<std::string_view, Duration> shortest;
-  const auto add = [&shortest](std::string_view service, Duration objective) {
-    const auto [it, isNew] = shortest.try_emplace(service, objective);
-    if (!isNew)
-      it->second = std::min(it->second, objective);
-  };
+void ForwardTask::setUrgentNeeds() {
+  UrgentNeeds.clear();
   for (const state::Route &route : Table->routes()) {
     if (route.LatencyObjective == Duration(0))
       continue;
+    const UrgentNeed need{
+        route.Priority, route.LatencyObjective / MaxWaitDivisor,
+        route.isSharded() ? 1 - route.Shards.MinShardRatio : 0.0};
+    const auto add = [this, &need](const std::string &service) {
+      const auto [it, isNew] = UrgentNeeds.try_emplace(service, need);
+      if (!isNew && need.Priority < it->second.Priority)
+        it->second = need;
+    };
     for (const std::string &service : route.Shards.Services)
-      add(service, route.LatencyObjective);
+      add(service);
     for (const state::WeightedTarget &target : route.Targets)
-      add(target.Service, route.LatencyObjective);
+      add(target.Service);
   }
-  for (const auto &[service, objective] : shortest)
-    Room.setMaxWait(service, objective / MaxWaitDivisor);
 }
 
 std::vector<ReplicaConnections>
-ForwardTask::connections(const std::string &service) {
+ForwardTask::connections(const std::string &service,
+                         const state::Route &route) {
   std::vector<ReplicaConnections> result;
   const auto replicas = ReplicasByService.find(service);
   if (replicas == ReplicasByService.end())
@@ -61,23 +81,22 @@
   for (const ReplicaPtr &replica : replicas->second) {
     const bool isCooling =
         replica->Pool.limit() == 0 && replica->CooldownUntil > Loop.now();
-    if (replica->Record.Draining || isCooling || !allowsRequest(*replica))
+    if (!takesAttempts(*replica) || isCooling || !allowsRequest(*replica) ||
+        !Options.Regions.allowsReplica(route, replica->Record.DataCentre))
       continue;
     // One connection may be opened where the plan has none.
-    const auto total = static_cast<std::uint32_t>(
-        std::max<std::size_t>(1, replica->Pool.limit()));
-    const auto busy = static_cast<std::uint32_t>(
-        std::min<std::size_t>(total, replica->Pool.busy()));
-    result.push_back({replica->Record.Id, total - busy, total});
+    const std::size_t total = std::max<std::size_t>(1, replica->Pool.limit());
+    const std::size_t free = total - std::min(total, replica->Pool.busy());
+    result.push_back({replica->Record.Id, static_cast<std::uint32_t>(free)});
   }
   return result;
 }
 
-PartForecast ForwardTask::forecast(const std::string &service,
+RoomForecast ForwardTask::forecast(const std::string &service,
                                    const state::Route &route,
                                    const RequestClass &cls,
                                    TimePoint deadline) {
-  const auto replicas = connections(service);
+  const auto replicas = connections(service, route);
   const auto queue = WaitingAttempts.find(service);
   std::uint32_t ahead = 0;
   if (queue != WaitingAttempts.end()) {
@@ -88,8 +107,7 @@
       ++ahead;
     }
   }
-  return {Room.queueDelay(replicas, ahead, Loop.now()),
-          Room.attemptTime(replicas, cls.Id, Loop.now())};
+  return Room.forecast(service, replicas, ahead, cls.Id, Loop.now());
 }
 
 void ForwardTask::decideAdmission(coordination::ForwardOptions &options,
@@ -98,7 +116,7 @@
   const state::Route &route = *options.Route;
   if (options.IsSuspect)
     return;
-  std::vector<PartForecast> parts;
+  std::vector<RoomForecast> parts;
   parts.reserve(options.Services.size());
   for (const std::string &service : options.Services)
     parts.push_back(forecast(service, route, cls, options.DeadlineAt));
@@ -112,11 +130,13 @@
           : 1;
   request.Remaining = options.DeadlineAt - Loop.now();
   request.Objective = route.LatencyObjective;
-  const bool hasReturned = elapsed >= MinReturn;
-  request.Useful = hasReturned ? request.Remaining
-                               : route.LatencyObjective - elapsed - returnTime -
-                                     Options.PartialMargin;
-  auto decision = Admission.decide(request);
+  request.Class = cls.Id;
+  request.Elapsed = elapsed;
+  request.Useful = route.LatencyObjective - returnTime - Options.PartialMargin;
+  if (elapsed < MinReturn)
+    request.Useful -= elapsed;
+  request.Useful = std::min(request.Useful, request.Remaining);
+  auto decision = Admission.decide(request, Loop.now());
   if (!decision.IsAdmitted) {
     options.RejectedFor = decision.RetryAfter;
     AdmissionRejections.add();
@@ -126,4 +146,68 @@
   options.LeftOut = std::move(decision.LeftOut);
 }
 
+// A request is congested when it was rejected by, or had to wait too long at,
+// more parts than it can do without. The wait is too long when the most urgent
+// request that uses the service could not meet its objective.
+void ForwardTask::recordCongestion(Request &request, const Attempt &attempt,
+                                   AttemptOutcome outcome,
+                                   const ReplicaResult &result) {
+  const state::Route &route = *request.Execution.options().Route;
+  if (outcome == AttemptOutcome::NotRun && !isMisdirected(result)) {
+    // Some replicas reject requests although they have room.
+    if (!result.Load || result.Load->Waiting >= result.Load->Slots)
+      ++request.RejectedAttempts;
+  } else if (result.Load) {
+    const Duration wait =
+        Room.statedWait(attempt.Target->Record.Id, *result.Load);
+    const auto need = UrgentNeeds.find(attempt.Target->Record.Service);
+    if (need != UrgentNeeds.end() && wait > need->second.MaxWait)
+      ++request.DelayedAttempts;
+    if (route.LatencyObjective != Duration(0) &&
+        wait > route.LatencyObjective / MaxWaitDivisor)
+      ++request.LateAttempts;
+  }
+  if (!request.HasMetCongestion && Room.isKnown() && pressure(request) > 1) {
+    request.HasMetCongestion = true;
+    const auto id = requestClass(request.ClassKey).Id;
+    const bool wasOpen = Admission.share(id) >= 1;
+    Admission.onCongested(id, Loop.now());
+    if (wasOpen)
+      state::log::info("admission_limited",
+                       {{"route", route.Name},
+                        {"share", Admission.share(id)},
+                        {"parts", request.Execution.options().Services.size()},
+                        {"rejected", request.RejectedAttempts},
+                        {"late", request.LateAttempts},
+                        {"delayed", request.DelayedAttempts}});
+  }
+}
+
+// Returns the queues that the request has met, relative to what it can do
+// without.
+double ForwardTask::pressure(const Request &request) const {
+  const auto &options = request.Execution.options();
+  const auto need = UrgentNeeds.find(options.Services.front());
+  if (need == UrgentNeeds.end())
+    return 0;
+  const double late = request.RejectedAttempts + request.LateAttempts;
+  if (!options.Route->isSharded())
+    return late / MinCongestedReplicas;
+  const auto n = static_cast<double>(options.Services.size());
+  const double spare =
+      std::max(1 - options.Route->Shards.MinShardRatio, MinCongestedFraction);
+  const double urgentSpare =
+      std::max(need->second.SpareFraction, MinCongestedFraction);
+  return std::max(late / (spare * n),
+                  request.DelayedAttempts / (urgentSpare * n));
+}
+
+void ForwardTask::recordPressure(const Request &request) {
+  if (request.Execution.options().RejectedFor || request.HasMetCongestion ||
+      !request.Execution.counts().IsAnswered)
+    return;
+  Admission.onEnded(requestClass(request.ClassKey).Id, pressure(request),
+                    Loop.now());
+}
+
 } // namespace galenaflow::forwarding
--- a/src/forwarding/forward_dispatch.cc
+++ b/src/forwarding/forward_dispatch.cc
@@ -39,9 +39,6 @@
 /// How often the replicas of waiting attempts are checked.
 constexpr Duration WaitCheckInterval = std::chrono::milliseconds(50);
 
-/// The same while replicas are held, mostly for some tens of milliseconds.
-constexpr Duration HoldCheckInterval = std::chrono::milliseconds(10);
-
 AttemptOutcome toOutcome(const ReplicaResult &result, bool cancelled) {
   if (std::holds_alternative<coordination::BackendResponse>(result.Outcome))
     return AttemptOutcome::Succeeded;
@@ -53,12 +50,6 @@
              : AttemptOutcome::Failed;
 }
 
-bool isMisdirected(const ReplicaResult &result) {
-  const auto *failure =
-      std::get_if<coordination::AttemptFailure>(&result.Outcome);
-  return failure != nullptr && failure->End == AttemptEnd::Misdirected;
-}
-
 } // namespace
 
 void ForwardTask::endUnfinishable() {
@@ -111,8 +102,11 @@
     Retries.add();
   const auto &options = request.Execution.options();
   const std::string &service = request.Execution.service(action.Part);
-  WaitingAttempts[service].insert({options.Route->Priority, options.DeadlineAt,
-                                   id, action.Number, action.Part});
+  std::set<WaitKey> &queue = WaitingAttempts[service];
+  if (queue.empty())
+    Room.onBacklog(service, Loop.now());
+  queue.insert({options.Route->Priority, options.DeadlineAt, id, action.Number,
+                action.Part});
   scheduleDispatch(service);
 }
 
@@ -159,12 +153,7 @@
     it = queue.upper_bound(key);
   }
   if (!queue.empty() && WaitTimer == 0)
-    WaitTimer = Loop.schedule(waitCheckInterval(), [this] { checkWaiting(); });
-}
-
-Duration ForwardTask::waitCheckInterval() const {
-  return Room.heldReplicas(Loop.now()) == 0 ? WaitCheckInterval
-                                            : HoldCheckInterval;
+    WaitTimer = Loop.schedule(WaitCheckInterval, [this] { checkWaiting(); });
 }
 
 void ForwardTask::checkWaiting() {
@@ -178,7 +167,7 @@
       scheduleDispatch(service);
   }
   if (isAnyWaiting)
-    WaitTimer = Loop.schedule(waitCheckInterval(), [this] { checkWaiting(); });
+    WaitTimer = Loop.schedule(WaitCheckInterval, [this] { checkWaiting(); });
 }
 
 // Costs less than a dispatch of many attempts that all have to wait.
@@ -187,8 +176,7 @@
       service, {},
       [this](std::string_view id) {
         const auto it = Replicas.find(id);
-        if (it == Replicas.end() || !allowsRequest(*it->second) ||
-            !hasRoom(*it->second))
+        if (it == Replicas.end() || !allowsRequest(*it->second))
           return false;
         const Replica &replica = *it->second;
         return replica.Pool.hasFree() || (replica.Pool.limit() == 0 &&
@@ -210,16 +198,20 @@
   const auto tried =
       withForbidden(*request.Execution.options().Route, service,
                     request.Execution.triedReplicas(key.Part), both);
-  const auto canSend = [this](std::string_view id) {
-    const auto replica = Replicas.find(id);
-    return replica != Replicas.end() && replica->second->Pool.hasFree() &&
-           hasRoom(*replica->second) && allowsRequest(*replica->second);
-  };
-  // A replica whose connections are probed first has no free one afterwards.
-  while (const auto chosen =
-             Placement.choose(service, tried, canSend, Loop.now()))
-    if (send(request, key, Replicas.at(*chosen)))
-      return true;
+  // Cold replicas are only used while no other can be.
+  for (const bool isCold : {false, true}) {
+    const auto canSend = [this, isCold](std::string_view id) {
+      const auto replica = Replicas.find(id);
+      return replica != Replicas.end() && replica->second->Pool.hasFree() &&
+             Gate.isCold(id, Loop.now()) == isCold &&
+             allowsRequest(*replica->second);
+    };
+    // A replica whose connections are probed first has no free one afterwards.
+    while (const auto chosen =
+               Placement.choose(service, tried, canSend, Loop.now()))
+      if (send(request, key, Replicas.at(*chosen)))
+        return true;
+  }
   if (hasOther(service, tried)) {
     if (allowTemporaryConnection(service, tried))
       scheduleDispatch(service);
@@ -228,6 +220,10 @@
   const AttemptEnd end = Placement.hasOther(service, tried, Loop.now())
                              ? AttemptEnd::AtLimit
                              : AttemptEnd::NotSent;
+  if (end == AttemptEnd::AtLimit &&
+      Gate.withheldCold(service, Loop.now(),
+                        allowedDataCentres(*request.Execution.options().Route)))
+    WithheldAttempts.add();
   failUnsent(key, request, end);
   return true;
 }
@@ -248,9 +244,8 @@
   for (const ReplicaPtr &replica : replicas->second) {
     const bool wasTried = std::find(tried.begin(), tried.end(),
                                     replica->Record.Id) != tried.end();
-    if (wasTried || replica->Record.Draining || replica->Pool.limit() != 0 ||
-        replica->CooldownUntil > Loop.now() || !hasRoom(*replica) ||
-        !allowsRequest(*replica))
+    if (wasTried || !takesAttempts(*replica) || replica->Pool.limit() != 0 ||
+        replica->CooldownUntil > Loop.now() || !allowsRequest(*replica))
       continue;
     replica->Pool.setLimit(1);
     return true;
@@ -274,22 +269,25 @@
   attempt.ExpectedLatency = expectedLatency(request.ClassKey);
   attempt.Exchange = target->Pool.send(
       Protocol.encode(*request.Message, target->Record.Id, remaining),
-      remaining, [this, id, target](transport::HttpResult result) {
+      remaining,
+      [this, id, target](transport::HttpResult result) {
         onAttemptEnded(id, std::move(result));
         // The pool must not be destroyed inside its own callback.
         Loop.post([target] {});
-      });
+      },
+      // Setting up a connection can take seconds.
+      [this, target] { return !Gate.isEvacuated(target->Record.DataCentre); });
   // The pool probes its connections and calls its onFree() callback when one
   // can be used.
   if (attempt.Exchange == 0)
     return false;
   request.Attempts.emplace(key.Number, id);
-  if (target->Limiter) {
+  if (Gate.isCold(target->Record.Id, now))
+    ColdAttempts.add();
+  if (Gate.onSent(target->Record.Id, now))
     LimitedAttempts.add();
-    target->Limiter->onSent(limitShare(*target), now);
-  }
   Placement.onSent(target->Record.Id, attempt.ExpectedLatency, now);
-  Room.onSent(target->Record.Id);
+  Room.onSent(target->Record.Service, now);
   Attempts.emplace(id, std::move(attempt));
   executeActions(key.Request,
                  request.Execution.onSent(key.Number, target->Record.Id, now));
@@ -322,6 +320,8 @@
   const Attempt &attempt = node.mapped();
   const TimePoint now = Loop.now();
   const auto request = Requests.find(attempt.Request);
+  const bool hasResponded = result.has_value();
+  recordContact(*attempt.Target, result);
   ReplicaResult decoded = Protocol.decode(*attempt.Message, std::move(result));
   const AttemptOutcome outcome = toOutcome(decoded, attempt.WasCancelled);
   if (outcome != AttemptOutcome::Succeeded &&
@@ -331,8 +331,7 @@
     RequestClass &cls = requestClass(attempt.ClassKey);
     cls.MedianLatency.add(now - attempt.SentAt);
     cls.HedgeLatency.add(now - attempt.SentAt);
-    Room.onResponse(attempt.Target->Record.Service, attempt.Target->Record.Id,
-                    cls.Id, now - attempt.SentAt,
+    Room.onResponse(attempt.Target->Record.Id, cls.Id, now - attempt.SentAt,
                     decoded.Load ? &*decoded.Load : nullptr, now);
   } else if (outcome == AttemptOutcome::NotRun) {
     Rejections.add();
@@ -340,8 +339,12 @@
     FailedAttempts.add();
   }
   if (outcome == AttemptOutcome::NotRun && !isMisdirected(decoded))
-    Room.onRejected(attempt.Target->Record.Service, attempt.Target->Record.Id,
+    Room.onRejected(attempt.Target->Record.Id,
                     decoded.Load ? &*decoded.Load : nullptr, now);
+  if (hasResponded && !isMisdirected(decoded))
+    Gate.onResponse(attempt.Target->Record.Id,
+                    attempt.Target->Record.Incarnation, decoded.ColdRemaining,
+                    now);
   recordLimit(*attempt.Target, decoded);
   if (decoded.Pause)
     recordPause(*attempt.Target, *decoded.Pause);
@@ -354,10 +357,12 @@
                      {{"replica", attempt.Target->Record.Id},
                       {"address", attempt.Target->Record.Address}});
     Placement.onMisdirected(attempt.Target->Record.Id);
+    Gate.onMisdirected(attempt.Target->Record.Id, attempt.SentAt);
   } else if (decoded.Load)
     Placement.onLoad(attempt.Target->Record.Id, *decoded.Load, now);
   if (request == Requests.end())
     return;
+  recordCongestion(*request->second, attempt, outcome, decoded);
   request->second->Attempts.erase(attempt.Number);
   auto &execution = request->second->Execution;
   if (auto *response =
--- a/src/forwarding/forward_protocol.h
+++ b/src/forwarding/forward_protocol.h
@@ -43,8 +43,14 @@
   std::optional<state::Duration> Pause{};
 
   bool IsLeaving = false; ///< whether the replica states that it leaves
+
+  /// Time for which the replica is still cold, when it states one.
+  std::optional<state::Duration> ColdRemaining{};
 };
 
+/// Whether another replica has answered at the address.
+bool isMisdirected(const ReplicaResult &result);
+
 /// Encodes requests to replicas and decodes their responses.
 class ReplicaProtocol {
 public:
--- a/src/forwarding/forward_regions.cc
+++ b/src/forwarding/forward_regions.cc
@@ -30,7 +30,17 @@
   bool isAtLimit(std::string_view service) override {
     std::vector<state::ReplicaId> forbidden;
     return Task.isAtLimit(service,
-                          Task.withForbidden(Route, service, {}, forbidden));
+                          Task.withForbidden(Route, service, {}, forbidden),
+                          Task.allowedDataCentres(Route));
+  }
+  bool hasIdle(std::string_view service,
+               std::span<const state::ReplicaId> tried) override {
+    std::vector<state::ReplicaId> both;
+    return Task.hasIdle(service,
+                        Task.withForbidden(Route, service, tried, both));
+  }
+  bool isEvacuated(std::string_view service) override {
+    return Task.isEvacuated(Route, service);
   }
 
 private:
@@ -73,6 +83,31 @@
                       });
 }
 
+bool ForwardTask::isEvacuated(const state::Route &route,
+                              std::string_view service) const {
+  const auto replicas = ReplicasByService.find(service);
+  if (Gate.evacuated().empty() || replicas == ReplicasByService.end())
+    return false;
+  bool isAnyEvacuated = false;
+  for (const ReplicaPtr &replica : replicas->second) {
+    if (!Options.Regions.allowsReplica(route, replica->Record.DataCentre))
+      continue;
+    if (takesAttempts(*replica))
+      return false;
+    isAnyEvacuated |= Gate.isEvacuated(replica->Record.DataCentre);
+  }
+  return isAnyEvacuated;
+}
+
+ForwardTask::DataCentreFilter
+ForwardTask::allowedDataCentres(const state::Route &route) const {
+  if (!route.isRestricted())
+    return {};
+  return [this, &route](std::string_view dataCentre) {
+    return Options.Regions.allowsReplica(route, dataCentre);
+  };
+}
+
 void ForwardTask::findForbidden(const ForwardedRequest &message,
                                 coordination::ForwardOptions &options) const {
   const state::Route &route = *options.Route;
--- a/src/forwarding/forward_replicas.cc
+++ b/src/forwarding/forward_replicas.cc
@@ -25,6 +25,11 @@
   std::vector<coordination::PlannedReplica> planned;
   std::vector<Replica *> usable;
   for (const ReplicaPtr &replica : replicas) {
+    if (Gate.isEvacuated(replica->Record.DataCentre)) {
+      replica->Pool.setLimit(0);
+      replica->IsWarm = false;
+      continue;
+    }
     if (replica->Record.Draining)
       continue;
     usable.push_back(replica.get());
@@ -46,12 +51,14 @@
     return;
   state::log::info("replica_leaving", {{"replica", replica.Record.Id},
                                        {"service", replica.Record.Service}});
-  Loop.post([this] {
-    coordination::LeavingReplicas::Records records;
-    for (const auto &[id, it] : Replicas)
-      records.emplace(id, it->Record);
-    setReplicas(records);
-  });
+  Loop.post([this] { reapplyReplicas(); });
+}
+
+void ForwardTask::reapplyReplicas() {
+  coordination::LeavingReplicas::Records records;
+  for (const auto &[id, it] : Replicas)
+    records.emplace(id, it->Record);
+  setReplicas(records);
 }
 
 void ForwardTask::setReplicas(
@@ -67,7 +74,8 @@
 
 void ForwardTask::applyReplicas(
     const coordination::LeavingReplicas::Records &records) {
-  Placement.setReplicas(records, Loop.now());
+  Gate.setReplicas(records, Loop.now());
+  placeReplicas(records);
   Room.retain([&records](std::string_view id) { return records.contains(id); });
   for (auto it = Replicas.begin(); it != Replicas.end();) {
     const auto record = records.find(it->first);
@@ -78,7 +86,6 @@
       ++it;
       continue;
     }
-    keepLimit(known);
     // Open attempts keep the replica alive until they have ended.
     Loop.post([removed = std::move(it->second)] {});
     it = Replicas.erase(it);
@@ -99,17 +106,12 @@
         std::make_shared<Replica>(Loop, record, *address, Options.Pool);
     replica->Pool.onFree(
         [this, service = record.Service] { scheduleDispatch(service); });
-    restoreLimit(*replica);
     Replicas.emplace(id, std::move(replica));
   }
   ReplicasByService.clear();
-  for (const auto &[id, replica] : Replicas) {
-    std::vector<ReplicaPtr> &replicas =
-        ReplicasByService[replica->Record.Service];
-    replica->Rank = static_cast<std::uint32_t>(replicas.size());
-    replicas.push_back(replica);
-  }
-  countLimited();
+  for (const auto &[id, replica] : Replicas)
+    ReplicasByService[replica->Record.Service].push_back(replica);
+  findEvacuatedServices();
   planConnections();
   for (const auto &[id, replica] : Replicas)
     warm(*replica);
@@ -122,20 +124,23 @@
 }
 
 void ForwardTask::warm(Replica &replica) {
-  if (replica.Record.Draining || !replica.IsWarm ||
+  if (!takesAttempts(replica) || !replica.IsWarm ||
       Loop.now() - StartedAt < Options.WarmDelay ||
       !replica.Backoff.mayConnect(Loop.now()))
     return;
   replica.Pool.warm(Options.WarmConnections);
 }
 
-void ForwardTask::updateBackoff(Replica &replica) const {
+void ForwardTask::updateBackoff(Replica &replica) {
   const std::uint64_t n = replica.Pool.refusedConnections();
   if (std::exchange(replica.SeenRefusals, n) != n) {
     replica.CooldownUntil = Loop.now() + Options.ReplicaCooldown;
     replica.Backoff.onRefused(Loop.now());
+    Gate.onConnectionLost(replica.Record.Id, replica.Record.Incarnation,
+                          Loop.now());
   } else if (replica.Pool.connected() != 0) {
     replica.Backoff.onConnected();
+    Gate.onConnected(replica.Record.Id, Loop.now());
   }
 }
 
@@ -149,6 +154,7 @@
       if (isRouted)
         warm(*replica);
   }
+  recordColdChanges();
   WarmTimer = Loop.schedule(Options.WarmInterval, [this] { warmAll(); });
 }
 
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -6,7 +6,8 @@
 
 // Starts requests, executes the actions of their executions and passes on the
 // results. The other parts of this class are in forward_dispatch.cc,
-// forward_limits.cc, forward_regions.cc and forward_replicas.cc.
+// forward_evacuation.cc, forward_limits.cc, forward_regions.cc and
+// forward_replicas.cc.
 
 namespace galenaflow::forwarding {
 
@@ -36,6 +37,8 @@
                          state::MetricRegistry &metrics)
     : Loop(loop), Protocol(protocol), Options(std::move(options)),
       Placement(Options.DataCentre, std::mt19937_64(Options.Seed)),
+      Gate({Options.AssumedDaemons, Options.UncountedDaemons, Options.Seed,
+            Options.Cold, loop.now()}),
       Admission({}, std::mt19937_64(Options.Seed + 1)), StartedAt(loop.now()),
       LastFleetGrowthAt(StartedAt),
       Hedges(metrics.counter("galenaflow_hedges_total",
@@ -52,11 +55,22 @@
       LimitedAttempts(
           metrics.counter("galenaflow_limited_attempts_total",
                           "Attempts at replicas with a request limit")),
+      ColdReplicas(metrics.gauge("galenaflow_cold_replicas",
+                                 "Replicas that count as cold")),
+      ColdAttempts(metrics.counter("galenaflow_cold_attempts_total",
+                                   "Attempts sent to cold replicas")),
+      WithheldAttempts(metrics.counter(
+          "galenaflow_cold_withheld_total",
+          "Attempts not sent, since the service has only cold replicas whose "
+          "allowance is used up")),
       AdmissionRejections(metrics.counter(
           "galenaflow_admission_rejections_total",
           "Requests rejected on arrival, since the replicas have no room")),
       PartsWithoutRoom(metrics.counter("galenaflow_parts_without_room_total",
                                        "Parts left out of admitted requests")),
+      EvacuatedCount(metrics.gauge("galenaflow_evacuated_data_centres",
+                                   "Data centres whose replicas get no "
+                                   "requests, as the operator wants it")),
       ForbiddenParts(metrics.counter(
           "galenaflow_forbidden_parts_total",
           "Parts not sent, since no replica is in an allowed region")) {
@@ -73,12 +87,13 @@
 
 void ForwardTask::setRoutes(const state::RouteTablePtr &table) {
   Table = table;
-  DelegatedServices.clear();
+  std::set<std::string, std::less<>> delegated;
   for (const state::Route &route : table->routes())
     if (isDelegable(route))
-      DelegatedServices.insert(route.Shards.Services.begin(),
-                               route.Shards.Services.end());
-  setMaxWaits();
+      delegated.insert(route.Shards.Services.begin(),
+                       route.Shards.Services.end());
+  Gate.setServices(table->services(), delegated);
+  setUrgentNeeds();
   planConnections();
 }
 
@@ -93,8 +108,9 @@
   if (fleet.Daemons > Fleet.Daemons)
     LastFleetGrowthAt = Loop.now();
   Fleet = fleet;
-  if (fleet.Daemons != 0)
-    LastKnownDaemons = fleet.Daemons;
+  Gate.setFleet({fleet.Daemons, true, fleet.Executors, fleet.IsExecutor,
+                 fleet.IsDelegating},
+                Loop.now());
   planConnections();
 }
 
@@ -243,13 +259,17 @@
   Loop.cancel(request->Timer);
   if (!request->Callback)
     return;
+  recordPressure(*request);
   ForwardResult result;
   result.Outcome = std::move(action.Result);
   auto *failure = std::get_if<coordination::ForwardFailure>(&result.Outcome);
   if (failure != nullptr &&
-      failure->Fault == coordination::ForwardFault::ServerLimit)
-    failure->RetryAfter = pauseOf(*request->Execution.options().Route,
-                                  request->Execution.options().Services);
+      failure->Fault == coordination::ForwardFault::ServerLimit) {
+    failure->RetryAfter =
+        Gate.pauseOf(request->Execution.options().Services, Loop.now(),
+                     allowedDataCentres(*request->Execution.options().Route));
+    logWithheld(*request);
+  }
   result.Counts = request->Execution.counts();
   result.Elapsed = Loop.now() - request->ArrivedAt;
   result.Remaining = request->CallerDeadline - Loop.now();
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -7,12 +7,13 @@
 #include "coordination/connect_backoff.h"
 #include "coordination/connection_plan.h"
 #include "coordination/gate/region_policy.h"
+#include "coordination/gate/replica_gate.h"
 #include "coordination/hedge_policy.h"
 #include "coordination/lag_estimate.h"
 #include "coordination/leaving_replicas.h"
-#include "coordination/request_limiter.h"
 #include "coordination/window_budget.h"
 #include "forwarding/forwarder.h"
+#include "state/evacuation.h"
 #include "state/metrics.h"
 #include "transport/backend_pool.h"
 
@@ -78,6 +79,11 @@
   /// Time before the deadline at which the final answer is sent.
   state::Duration DeadlineMargin = std::chrono::milliseconds(8);
 
+  coordination::gate::ColdBounds Cold;
+
+  /// See coordination::gate::ReplicaGateOptions.
+  std::uint32_t UncountedDaemons = 12;
+
   transport::BackendPoolOptions Pool;
   std::uint64_t Seed = 1;
 };
@@ -107,6 +113,11 @@
   void setReplicas(
       const std::map<std::string, state::ReplicaRecord, std::less<>> &records);
 
+  /// Sets the data centres whose replicas get no attempts from now on. Their
+  /// idle connections are closed at once, those in use when their exchange has
+  /// ended. Call before setReplicas() when both have changed.
+  void setEvacuated(const state::EvacuatedDataCentres &names);
+
   void setFleet(const FleetView &fleet);
 
   /// A replica has stated its request limit to this or another daemon; zero:
@@ -153,22 +164,9 @@
     std::uint64_t SeenRefusals = 0; ///< refused connections at the last check
     state::TimePoint CooldownUntil = state::TimePoint::min();
     coordination::ConnectBackoff Backoff;
-    std::uint32_t Rank = 0; ///< position among the replicas of its service
-    std::optional<coordination::RequestLimiter> Limiter;
-    state::TimePoint PausedUntil = state::TimePoint::min();
   };
   using ReplicaPtr = std::shared_ptr<Replica>;
 
-  /// What a replica that has left the directory accepts.
-  struct UnlistedLimit {
-    std::uint64_t Incarnation = 0;
-    std::optional<coordination::RequestLimiter> Limiter;
-    state::TimePoint PausedUntil = state::TimePoint::min();
-  };
-
-  /// Most replicas in UnlistedLimits.
-  static constexpr std::size_t MaxUnlistedLimits = 10'000;
-
   using AttemptId = std::uint64_t;
 
   struct Attempt {
@@ -197,6 +195,10 @@
     state::TimePoint ArrivedAt;
     state::TimePoint CallerDeadline;
     transport::TimerId Timer = 0;
+    std::uint32_t RejectedAttempts = 0; ///< by full replicas
+    std::uint32_t LateAttempts = 0;     ///< with a queue too long for this one
+    std::uint32_t DelayedAttempts = 0;  ///< with one too long for an urgent one
+    bool HasMetCongestion = false;
 
     /// Open attempts that have been sent.
     std::map<coordination::AttemptNumber, AttemptId> Attempts;
@@ -213,12 +215,21 @@
     auto operator<=>(const WaitKey &) const = default;
   };
 
+  using DataCentreFilter = coordination::gate::ReplicaGate::DataCentreFilter;
+
   bool tryTakeExtra(std::string_view service) override;
   bool hasOther(std::string_view service,
                 std::span<const state::ReplicaId> tried) override;
   bool isAtLimit(std::string_view service) override;
+  bool hasIdle(std::string_view service,
+               std::span<const state::ReplicaId> tried) override;
+  bool isEvacuated(std::string_view service) override;
+
+  /// The same without the excluded replicas, which are outside of the allowed
+  /// data centres.
   bool isAtLimit(std::string_view service,
-                 std::span<const state::ReplicaId> excluded);
+                 std::span<const state::ReplicaId> excluded,
+                 const DataCentreFilter &allowed);
 
   class RestrictedPolicy;
   std::unique_ptr<coordination::ForwardPolicy>
@@ -231,6 +242,14 @@
                 std::span<const state::ReplicaId> tried,
                 std::vector<state::ReplicaId> &both) const;
   bool isForbidden(const state::Route &route, std::string_view service) const;
+
+  /// Whether all replicas that the route allows and that could be used are in
+  /// evacuated data centres.
+  bool isEvacuated(const state::Route &route, std::string_view service) const;
+
+  /// Returns the data centres that the route allows. The route must outlive the
+  /// result.
+  DataCentreFilter allowedDataCentres(const state::Route &route) const;
   void findForbidden(const ForwardedRequest &message,
                      coordination::ForwardOptions &options) const;
 
@@ -241,14 +260,18 @@
   void decideAdmission(coordination::ForwardOptions &options,
                        const RequestClass &cls, state::Duration elapsed,
                        state::Duration returnTime);
-  coordination::admission::PartForecast forecast(const std::string &service,
+  coordination::admission::RoomForecast forecast(const std::string &service,
                                                  const state::Route &route,
                                                  const RequestClass &cls,
                                                  state::TimePoint deadline);
   std::vector<coordination::admission::ReplicaConnections>
-  connections(const std::string &service);
-  bool hasRoom(const Replica &replica) const;
-  void setMaxWaits();
+  connections(const std::string &service, const state::Route &route);
+  void setUrgentNeeds();
+  void recordCongestion(Request &request, const Attempt &attempt,
+                        coordination::AttemptOutcome outcome,
+                        const ReplicaResult &result);
+  double pressure(const Request &request) const;
+  void recordPressure(const Request &request);
   void executeActions(ForwardId id, coordination::ForwardActions actions);
   void queueAttempt(ForwardId id, Request &request,
                     const coordination::SendAttempt &action);
@@ -259,7 +282,6 @@
   void dispatch(const std::string &service);
   void scheduleDispatch(const std::string &service);
   void checkWaiting();
-  state::Duration waitCheckInterval() const;
   bool mayDispatch(const std::string &service);
   void endUnfinishable();
   void findUnfinishable(const std::string &service,
@@ -276,26 +298,29 @@
                         const ReplicaResult &result) const;
   void recordLimit(const Replica &replica, const ReplicaResult &result);
   void recordLeaving(const Replica &replica);
-  void recordPause(Replica &replica, state::Duration pause);
-  bool isPaused(const Replica &replica) const;
-  std::optional<state::Duration>
-  pauseOf(const state::Route &route,
-          const std::vector<std::string> &services) const;
+  void recordPause(const Replica &replica, state::Duration pause);
+  bool takesAttempts(const Replica &replica) const {
+    return !replica.Record.Draining &&
+           !Gate.isEvacuated(replica.Record.DataCentre);
+  }
+  void reapplyReplicas();
+  void placeReplicas(const coordination::LeavingReplicas::Records &records);
+  void findEvacuatedServices();
+  void logEvacuations();
   void applyReplicas(const coordination::LeavingReplicas::Records &records);
   coordination::FleetComposition fleetComposition() const;
-  coordination::LimitShare limitShare(const Replica &replica) const;
-  bool allowsRequest(Replica &replica);
-  void keepLimit(const Replica &replica);
-  void restoreLimit(Replica &replica);
-  void dropEndedPauses();
-  void countLimited();
+  bool allowsRequest(const Replica &replica);
+  void recordContact(const Replica &replica,
+                     const transport::HttpResult &result);
+  void recordColdChanges();
+  void logWithheld(const Request &request);
   double fleetExtraShare() const;
   void planConnections();
   void planConnections(std::string_view service,
                        const std::vector<ReplicaPtr> &replicas);
   void warmAll();
   void warm(Replica &replica);
-  void updateBackoff(Replica &replica) const;
+  void updateBackoff(Replica &replica);
   bool allowTemporaryConnection(const std::string &service,
                                 std::span<const state::ReplicaId> tried);
 
@@ -303,21 +328,26 @@
   ReplicaProtocol &Protocol;
   ForwardTaskOptions Options;
   coordination::ReplicaPlacement Placement;
+  coordination::gate::ReplicaGate Gate;
   state::RouteTablePtr Table;
   FleetView Fleet;
-  std::uint32_t LastKnownDaemons = 0;
-
-  /// Services of shard sets whose requests are delegated to executors.
-  std::set<std::string, std::less<>> DelegatedServices;
-  std::size_t LimitedReplicas = 0;
   coordination::LeavingReplicas Leaving;
-  state::TimePoint LastPauseEnd = state::TimePoint::min();
+  state::EvacuatedDataCentres LoggedEvacuated;
 
-  /// Of replicas that are not in the directory, where they may return.
-  std::map<std::string, UnlistedLimit, std::less<>> UnlistedLimits;
+  /// Services that have replicas in evacuated data centres and no usable ones
+  /// elsewhere.
+  std::set<std::string, std::less<>> EvacuatedServices;
   LimitCallback LimitStatedCallback;
   coordination::admission::RoomEstimate Room;
   coordination::admission::RequestAdmission Admission;
+
+  /// What the most urgent route that uses a service needs there.
+  struct UrgentNeed {
+    int Priority = 0;
+    state::Duration MaxWait{0};
+    double SpareFraction = 0; ///< of its parts, which it does not need
+  };
+  std::map<std::string, UrgentNeed, std::less<>> UrgentNeeds;
   state::TimePoint StartedAt;
   state::TimePoint LastFleetGrowthAt; ///< when the count of daemons last grew
   std::map<std::string, ReplicaPtr, std::less<>> Replicas;
@@ -342,8 +372,12 @@
   state::Counter &Rejections;
   state::Counter &FailedAttempts;
   state::Counter &LimitedAttempts;
+  state::Gauge &ColdReplicas;
+  state::Counter &ColdAttempts;
+  state::Counter &WithheldAttempts;
   state::Counter &AdmissionRejections;
   state::Counter &PartsWithoutRoom;
+  state::Gauge &EvacuatedCount;
   state::Counter &ForbiddenParts;
 };
 
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -57,6 +57,20 @@
       CHECK(line->Event == "unfinished");
 }
 
+TEST_CASE("a request that cold replicas did not get is explained") {
+  const std::string text =
+      "a 2026-01-01T00:00:00.010Z level=info event=request_withheld id=r "
+      "service=pool cold=2 replicas=3 max_per_second=14 daemons=86\n"
+      "a 2026-01-01T00:00:00.020Z level=info event=request_failed id=r "
+      "reason=server_limit ran=not_run\n";
+  const std::string output = explain(text, "r");
+  INFO(output);
+  CHECK(contains(output, "2 of 3 replicas of pool are cold"));
+  CHECK(contains(output, "14 requests a second to each"));
+  CHECK(contains(output, "of 86 daemons, is used up"));
+  CHECK(contains(output, "failed: server_limit; it did not run"));
+}
+
 TEST_CASE("lines of several daemons are ordered by time") {
   const std::string text =
       "b 2026-01-01T00:00:00.030Z level=info event=request_failed id=r "
@@ -159,6 +173,21 @@
   }
 }
 
+// Guards against a rejection that an operator cannot trace to the evacuation.
+TEST_CASE("a request that was rejected for an evacuation names it") {
+  const std::string text = explain(
+      "2026-03-30T21:14:58.000Z level=info event=data_centre_evacuated "
+      "data_centre=x replicas=30 replicas_left=60 services_without=1 "
+      "evacuated=1\n"
+      "2026-03-30T21:14:59.500Z level=info event=request_failed id=a route=r "
+      "version=3 executor=\"\" reason=evacuated ran=not_run elapsed_ms=0 "
+      "left_ms=400 parts=1 missing=s hedges=0 retries=0 rejections=0\n",
+      "a");
+  CHECK(contains(text, "in evacuated data centres; it did not run"));
+  CHECK(contains(text, "evacuations: data_centre_evacuated 1500 ms before, "));
+  CHECK(contains(text, "data_centre=x"));
+}
+
 TEST_CASE("a request that no region allows is explained with its figures") {
   const std::string log =
       "2026-03-30T21:14:59.033Z level=info event=region_not_allowed id=a "
--- a/tests/forward_execution_test.cc
+++ b/tests/forward_execution_test.cc
@@ -29,6 +29,14 @@
     return AtLimit.contains(std::string(service));
   }
   std::set<std::string> AtLimit; ///< services
+  bool hasIdle(std::string_view, std::span<const state::ReplicaId>) override {
+    return IsIdle;
+  }
+  bool IsIdle = true;
+  bool isEvacuated(std::string_view service) override {
+    return Evacuated.contains(std::string(service));
+  }
+  std::set<std::string> Evacuated; ///< services
 };
 
 struct Fixture {
@@ -118,6 +126,45 @@
   CHECK(failure.Ran == ExecutionState::NotRun);
 }
 
+// Guards against a request that waits for replicas in evacuated data centres,
+// and against an answer that tells its caller to return when there is room.
+TEST_CASE("a request whose services are evacuated is rejected before any "
+          "attempt") {
+  const std::size_t shards = GENERATE(0, 4);
+  Fixture it(shards);
+  it.Policy.Evacuated = {"s", "s0", "s1"};
+  if (GENERATE(false, true))
+    it.Options.RejectedFor = 40ms;
+  it.start();
+  CHECK(it.Attempts.empty());
+  REQUIRE(it.Finished);
+  CHECK(it.failure().Fault == ForwardFault::Evacuated);
+  CHECK(it.failure().Ran == ExecutionState::NotRun);
+  CHECK(forwardFaultName(it.failure().Fault) == "evacuated");
+}
+
+TEST_CASE("evacuated shards are left out if the others are enough") {
+  Fixture it(4);
+  it.Policy.Evacuated = {"s2"};
+  it.Options.LeftOut = {2};
+  it.start();
+  CHECK(it.Attempts.size() == 3);
+  CHECK_FALSE(it.Finished);
+}
+
+// Guards against a reason that does not name the evacuation when it begins
+// while the attempt waits.
+TEST_CASE("a waiting request whose services become evacuated is rejected") {
+  Fixture it;
+  it.start();
+  it.Policy.Evacuated = {"s"};
+  it.Policy.Replicas = 0;
+  it.fail(0, AttemptEnd::NotSent);
+  REQUIRE(it.Finished);
+  CHECK(it.failure().Fault == ForwardFault::Evacuated);
+  CHECK(it.failure().Ran == ExecutionState::NotRun);
+}
+
 TEST_CASE("shards at their limits are left out if the others are enough") {
   Fixture it(4);
   it.Policy.AtLimit = {"s2"};
@@ -636,6 +683,51 @@
   }
 }
 
+// Guards against parts that use room which others need, of a request that is
+// rejected all the same.
+TEST_CASE("a request that is rejected for want of room sends nothing") {
+  Fixture test(20);
+  test.Options.RejectedFor = 150ms;
+  test.start();
+  CHECK(test.Attempts.empty());
+  REQUIRE(test.Finished);
+  const auto &failure = std::get<ForwardFailure>(test.Finished->Result);
+  CHECK(failure.Fault == ForwardFault::NoRoom);
+  CHECK(failure.Ran == ExecutionState::NotRun);
+  CHECK(failure.RetryAfter == Duration(150ms));
+}
+
+// Guards against an answer that states another coverage than it has.
+TEST_CASE("parts without room are left out and counted as missing") {
+  Fixture test(20);
+  test.Options.LeftOut = {2, 5};
+  test.start();
+  CHECK(test.Attempts.size() == 18);
+  test.markAllSent();
+  for (AttemptNumber i = 0; i != 18; ++i)
+    test.executeActions(test.Execution->onResponse(
+        i, {200, {}, "0123456789abcdef", "sig" + std::to_string(i)}, test.Now));
+  REQUIRE(test.Finished);
+  CHECK(std::get<MergedAnswer>(test.Finished->Result).Missing == 2);
+}
+
+// Guards against hedges that take the place of other requests when there is no
+// room.
+TEST_CASE("no hedge is sent while only busy replicas are left") {
+  Fixture test;
+  test.Options.HedgeAfter = 20ms;
+  test.Policy.IsIdle = false;
+  test.start();
+  test.markAllSent();
+  test.Now += 25ms;
+  test.executeActions(test.Execution->onTimer(test.Now));
+  CHECK(test.Attempts.size() == 1);
+  test.Policy.IsIdle = true;
+  test.Now += 25ms;
+  test.executeActions(test.Execution->onTimer(test.Now));
+  CHECK(test.Attempts.size() == 2);
+}
+
 // Guards against a request that is sent although it cannot succeed, and against
 // one that fails although enough of its shards are in allowed regions.
 TEST_CASE("a request whose replicas are in no allowed region is rejected at "
@@ -671,3 +763,15 @@
   CHECK_FALSE(enough.Finished);
   CHECK(enough.Attempts.size() == 3);
 }
+
+// Guards against a part that is counted as failed twice, with which a request
+// fails although enough of its parts are left.
+TEST_CASE("a part that is evacuated and in no allowed region fails once") {
+  Fixture test(4);
+  test.Policy.Evacuated = {test.Options.Services[2]};
+  test.Options.Forbidden = {2};
+  test.Options.LeftOut = {2};
+  test.start();
+  CHECK_FALSE(test.Finished);
+  CHECK(test.Attempts.size() == 3);
+}
--- a/tests/forward_task_test.cc
+++ b/tests/forward_task_test.cc
@@ -1,6 +1,7 @@
 #include "forwarding/forward_task.h"
 #include "standin/raw_http_server.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace galenaflow;
@@ -20,6 +21,10 @@
 /// Of a replica that rejects a request.
 constexpr auto RequestedPause = 150ms;
 
+/// Header of the responses of a cold replica, and the time that it states.
+constexpr const char *ColdName = "cold";
+constexpr auto StatedColdTime = 5s;
+
 /// Forwards the path and takes status and body of the response.
 struct PlainProtocol final : ReplicaProtocol {
   transport::HttpRequest encode(const ForwardedRequest &message,
@@ -30,10 +35,12 @@
   ReplicaResult decode(const ForwardedRequest &,
                        transport::HttpResult result) const override {
     if (!result)
-      return {coordination::AttemptFailure{coordination::AttemptEnd::Unknown,
-                                           {},
-                                           result.error().Cause.Text,
-                                           result.error().EndedByPeer},
+      return {coordination::AttemptFailure{
+                  result.error().MaybeSent ? coordination::AttemptEnd::Unknown
+                                           : coordination::AttemptEnd::NotSent,
+                  {},
+                  result.error().Cause.Text,
+                  result.error().EndedByPeer},
               {}};
     if (result->Status == 503) {
       ReplicaResult rejected{coordination::AttemptFailure{
@@ -42,9 +49,13 @@
       rejected.Pause = RequestedPause;
       return rejected;
     }
-    return {coordination::BackendResponse{
-                result->Status, {}, std::move(result->Body), "seal"},
-            {}};
+    ReplicaResult answered{
+        coordination::BackendResponse{
+            result->Status, {}, std::move(result->Body), "seal"},
+        {}};
+    if (result->Headers.find(ColdName))
+      answered.ColdRemaining = StatedColdTime;
+    return answered;
   }
 };
 
@@ -60,6 +71,8 @@
           transport::HttpResponse response;
           if (Rejects)
             response.Status = 503;
+          if (IsCold)
+            response.Headers.add(ColdName, "1");
           response.Body = "0123456789abcdef"; // one record
           connection->respond(response);
         }) {
@@ -71,6 +84,7 @@
   std::map<std::string, int> Requests; ///< received, by path
   bool HoldsProbes = false;            ///< does not respond to probes
   bool HoldsAll = false;               ///< does not respond
+  bool IsCold = false;                 ///< states StatedColdTime
   bool Rejects = false; ///< runs nothing and asks for RequestedPause
 };
 
@@ -81,13 +95,16 @@
   PlainProtocol Protocol;
   std::map<std::string, std::unique_ptr<Replica>, std::less<>> Replicas;
   state::RouteTablePtr Table;
+  std::map<std::string, state::ReplicaRecord, std::less<>> Records;
   std::unique_ptr<ForwardTask> Task;
+  std::vector<ForwardResult> Results;
 
   /// With `regions`, the replicas "a" are in data centre "za" and the replicas
   /// "b" in "zb".
   explicit Deployment(
       const std::string &probePath, std::uint64_t seed = 1,
-      std::optional<coordination::gate::RegionPolicy> regions = {}) {
+      state::Duration objective = 0ms, double coldRate = 0,
+      const std::optional<coordination::gate::RegionPolicy> &regions = {}) {
     ForwardTaskOptions options;
     if (regions) {
       options.DataCentre = "za";
@@ -96,6 +113,7 @@
     }
     options.Seed = seed;
     options.AssumedDaemons = 1;
+    options.UncountedDaemons = 1;
     options.Pool.IdleProbeAge = ShortIdleAge;
     options.Pool.ProbePath = probePath;
     Task = std::make_unique<ForwardTask>(Loop, Protocol, options, Metrics);
@@ -104,6 +122,7 @@
     one.IsIdempotent = true;
     one.MaxAttempts = 2;
     one.Timeout = 400ms;
+    one.LatencyObjective = objective;
     state::Route all = one;
     all.Name = "all";
     one.Targets.push_back({"pool", 1});
@@ -112,24 +131,54 @@
       all.Shards.Services.emplace_back(shard);
       services.push_back({shard, 1});
     }
+    for (state::RoutedService &service : services) {
+      service.ColdDuration = 5s;
+      service.ColdRequestRate = coldRate;
+    }
     Table = std::make_shared<const state::RouteTable>(
         1, std::vector{one, all}, services, state::CallerLimits());
     Task->setRoutes(Table);
-    std::map<std::string, state::ReplicaRecord, std::less<>> records;
     for (const state::RoutedService &service : services)
-      for (const char *copy : {"a", "b"}) {
-        const std::string id = service.Name + copy;
-        auto replica = std::make_unique<Replica>(Loop, service.Name);
-        state::ReplicaRecord record;
-        record.Id = id;
-        record.Service = service.Name;
-        record.Address = replica->Address.toText();
-        if (regions)
-          record.DataCentre = std::string("z") + copy;
-        records.emplace(id, record);
-        Replicas.emplace(id, std::move(replica));
-      }
-    Task->setReplicas(records);
+      for (const char *copy : {"a", "b"})
+        add(service.Name + copy, service.Name,
+            regions ? std::string("z") + copy : "");
+    Task->setReplicas(Records);
+  }
+
+  Replica &add(const std::string &id, const std::string &service,
+               const std::string &dataCentre = "") {
+    auto replica = std::make_unique<Replica>(Loop, service);
+    state::ReplicaRecord &record = Records[id];
+    record.Id = id;
+    record.Service = service;
+    record.Address = replica->Address.toText();
+    record.DataCentre = dataCentre;
+    return *Replicas.emplace(id, std::move(replica)).first->second;
+  }
+
+  /// Places the replicas whose ids end with "a" in the data centre "x", and the
+  /// others in "y".
+  void placeInTwoDataCentres() {
+    for (auto &[id, record] : Records)
+      record.DataCentre = id.ends_with('a') ? "x" : "y";
+    Task->setReplicas(Records);
+  }
+
+  /// Requests that have arrived at the replicas in "x".
+  int requestsInX() {
+    int n = 0;
+    for (const auto &[id, replica] : Replicas)
+      if (Records.at(id).DataCentre == "x")
+        for (const auto &[path, count] : replica->Requests)
+          n += count;
+    return n;
+  }
+  std::size_t connectionsInX() const {
+    std::size_t n = 0;
+    for (const auto &[id, replica] : Replicas)
+      if (Records.at(id).DataCentre == "x")
+        n += replica->Server.openConnections();
+    return n;
   }
 
   void runFor(state::Duration d) {
@@ -139,9 +188,29 @@
   /// Sends `n` requests on the route at the same time. Returns how many get a
   /// complete answer.
   int serve(const std::string &routeName, int n) {
+    Results.clear();
+    start(routeName, n);
+    return finish(n);
+  }
+
+  /// Waits for `n` results. Returns the number of complete answers.
+  int finish(int n) {
+    REQUIRE(Loop.runUntil(
+        [&] { return Results.size() == static_cast<std::size_t>(n); },
+        TestLimit));
+    return static_cast<int>(std::count_if(
+        Results.begin(), Results.end(), [](const ForwardResult &result) {
+          const auto *merged =
+              std::get_if<coordination::MergedAnswer>(&result.Outcome);
+          const auto *single =
+              std::get_if<coordination::BackendResponse>(&result.Outcome);
+          return merged != nullptr ? merged->Missing == 0
+                                   : single != nullptr && single->isSuccess();
+        }));
+  }
+
+  void start(const std::string &routeName, int n) {
     const state::Route &route = Table->routes()[routeName == "one" ? 0 : 1];
-    int ended = 0;
-    int served = 0;
     for (int i = 0; i != n; ++i) {
       ForwardedRequest message;
       message.RequestId = "id-" + std::to_string(i);
@@ -155,20 +224,15 @@
       call.Services = route.isSharded() ? route.Shards.Services
                                         : std::vector<std::string>{"pool"};
       call.Remaining = 400ms;
-      Task->forward(std::move(call), [&](const ForwardResult &result) {
-        ++ended;
-        const auto *merged =
-            std::get_if<coordination::MergedAnswer>(&result.Outcome);
-        const auto *single =
-            std::get_if<coordination::BackendResponse>(&result.Outcome);
-        const bool isServed = merged != nullptr
-                                  ? merged->Missing == 0
-                                  : single != nullptr && single->isSuccess();
-        served += isServed ? 1 : 0;
+      Task->forward(std::move(call), [this](ForwardResult result) {
+        Results.push_back(std::move(result));
       });
     }
-    REQUIRE(Loop.runUntil([&] { return ended == n; }, TestLimit));
-    return served;
+  }
+
+  /// The failure of the only result, or null.
+  const coordination::ForwardFailure *failure() const {
+    return std::get_if<coordination::ForwardFailure>(&Results.at(0).Outcome);
   }
 
   std::uint64_t acceptedConnections() const {
@@ -239,14 +303,224 @@
   CHECK(paused.Requests["/one"] == 2);
 }
 
+// Guards against requests to a data centre that the operator has evacuated, and
+// against connections that stay open there.
+TEST_CASE("an evacuated data centre gets no requests until the evacuation has "
+          "ended") {
+  const std::string route = GENERATE("one", "all");
+  Deployment site("");
+  site.placeInTwoDataCentres();
+  CHECK(site.serve(route, 6) == 6);
+  site.runFor(SettleTime);
+  REQUIRE(site.connectionsInX() != 0);
+  const int before = site.requestsInX();
+  site.Task->setEvacuated({"x"});
+  site.runFor(SettleTime);
+  CHECK(site.connectionsInX() == 0);
+  CHECK(site.serve(route, 6) == 6);
+  // A new view of the directory does not undo it.
+  site.Task->setReplicas(site.Records);
+  CHECK(site.serve(route, 6) == 6);
+  CHECK(site.requestsInX() == before);
+  CHECK(site.Metrics.exposition().find("galenaflow_evacuated_data_centres 1") !=
+        std::string::npos);
+  site.Task->setEvacuated({});
+  for (int i = 0; i != 5; ++i)
+    CHECK(site.serve(route, 6) == 6);
+  CHECK(site.requestsInX() > before);
+}
+
+// Guards against retries that leave the remaining replicas for the evacuated
+// ones.
+TEST_CASE("a rejected request is not retried in an evacuated data centre") {
+  Deployment site("");
+  site.placeInTwoDataCentres();
+  for (const auto &[id, replica] : site.Replicas)
+    replica->Rejects = site.Records.at(id).DataCentre == "y";
+  CHECK(site.serve("one", 1) == 1); // in "x", at once or as a retry
+  const int before = site.requestsInX();
+  site.Task->setEvacuated({"x"});
+  CHECK(site.serve("one", 3) == 0);
+  CHECK(site.requestsInX() == before);
+}
+
+// Guards against hedges to evacuated replicas while the others are slow.
+TEST_CASE("a slow request is not hedged in an evacuated data centre") {
+  constexpr auto objective = 60ms;
+  const bool isEvacuated = GENERATE(false, true);
+  Deployment site("", 1, objective);
+  site.placeInTwoDataCentres();
+  site.serve("one", 20); // earns the budget of a hedge
+  site.runFor(SettleTime);
+  for (const auto &[id, replica] : site.Replicas)
+    replica->HoldsAll = site.Records.at(id).DataCentre == "y";
+  const int before = site.requestsInX();
+  if (isEvacuated)
+    site.Task->setEvacuated({"x"});
+  site.serve("one", 4);
+  CHECK((site.requestsInX() == before) == isEvacuated);
+}
+
+// Guards against attempts that were queued before the evacuation and are sent
+// to it when a connection there becomes free.
+TEST_CASE("queued attempts are not sent to an evacuated data centre") {
+  Deployment site("");
+  site.placeInTwoDataCentres();
+  for (const auto &[id, replica] : site.Replicas)
+    replica->HoldsAll = true;
+  site.start("one", 6);
+  site.runFor(SettleTime);
+  REQUIRE(site.requestsInX() == 1);
+  site.Task->setEvacuated({"x"});
+  for (const auto &[id, replica] : site.Replicas)
+    replica->HoldsAll = false;
+  site.finish(6);
+  site.runFor(SettleTime);
+  CHECK(site.requestsInX() == 1);
+  CHECK(site.connectionsInX() == 0);
+}
+
+// Guards against a request that is written when its connection is set up,
+// although the evacuation has begun meanwhile.
+TEST_CASE("a request whose connection is being set up is sent elsewhere") {
+  for (std::uint64_t seed = 1; seed != 9; ++seed) {
+    Deployment site("", seed);
+    site.placeInTwoDataCentres();
+    site.start("one", 1);
+    // After the dispatch, before the connection is set up.
+    site.Loop.post([&] { site.Task->setEvacuated({"x"}); });
+    CHECK(site.finish(1) == 1);
+    CHECK(site.requestsInX() == 0);
+  }
+}
+
+// Guards against requests that wait for their deadline although no replica may
+// run them.
+TEST_CASE("a request without a replica elsewhere is rejected at once") {
+  Deployment site("");
+  site.placeInTwoDataCentres();
+  SECTION("before it arrives") {
+    site.Task->setEvacuated({"x", "y"});
+    site.start(GENERATE("one", "all"), 1);
+  }
+  SECTION("while it waits") {
+    for (const auto &[id, replica] : site.Replicas)
+      replica->HoldsAll = true;
+    site.start("one", 3);
+    site.runFor(SettleTime);
+    site.Task->setEvacuated({"x", "y"});
+  }
+  const state::TimePoint from = site.Loop.now();
+  REQUIRE(site.Loop.runUntil([&] { return !site.Results.empty(); }, 200ms));
+  CHECK(site.Loop.now() - from < 100ms);
+  REQUIRE(site.failure() != nullptr);
+  CHECK(site.failure()->Fault == coordination::ForwardFault::Evacuated);
+  CHECK(site.failure()->Ran == coordination::ExecutionState::NotRun);
+}
+
+// Guards against a request that waits for a shard that no replica may serve.
+TEST_CASE("a shard without a replica elsewhere is left out of the answer") {
+  Deployment site("");
+  site.placeInTwoDataCentres();
+  site.Records.at("s1b").DataCentre = "x";
+  site.Task->setReplicas(site.Records);
+  site.Task->setEvacuated({"x"});
+  state::Route most = site.Table->routes()[1];
+  most.Shards.MinShardRatio = 0.5;
+  site.Table = std::make_shared<const state::RouteTable>(
+      2, std::vector{site.Table->routes()[0], most},
+      std::vector<state::RoutedService>{
+          {"pool", 1}, {"s0", 1}, {"s1", 1}, {"s2", 1}},
+      state::CallerLimits());
+  site.Task->setRoutes(site.Table);
+  site.start("all", 1);
+  CHECK(site.finish(1) == 0);
+  const auto *merged =
+      std::get_if<coordination::MergedAnswer>(&site.Results.at(0).Outcome);
+  REQUIRE(merged != nullptr);
+  CHECK(merged->Missing == 1);
+  CHECK(site.requestsInX() == 0);
+}
+
+TEST_CASE("the evacuation of a data centre without replicas changes nothing") {
+  Deployment site("");
+  site.placeInTwoDataCentres();
+  CHECK(site.serve("all", 4) == 4);
+  const std::uint64_t accepted = site.acceptedConnections();
+  site.Task->setEvacuated({"nowhere"});
+  CHECK(site.serve("all", 4) == 4);
+  CHECK(site.acceptedConnections() == accepted);
+}
+
+// Guards against a replica that gets requests because it registered after the
+// evacuation had begun.
+TEST_CASE("a replica that registers in an evacuated data centre gets no "
+          "requests and no connection") {
+  Deployment site("");
+  site.placeInTwoDataCentres();
+  site.Task->setEvacuated({"x"});
+  const Replica &late = site.add("poolz", "pool", "x");
+  site.Task->setReplicas(site.Records);
+  CHECK(site.serve("one", 6) == 6);
+  CHECK(site.requestsInX() == 0);
+  CHECK(late.Server.stats().Accepted == 0);
+  site.Task->setEvacuated({});
+  for (int i = 0; i != 5; ++i)
+    CHECK(site.serve("one", 6) == 6);
+  CHECK(late.Server.stats().Accepted != 0);
+}
+
+// Guards against requests to a cold replica while another one is merely busy,
+// and against the rejection of requests that could wait for that one.
+TEST_CASE("a request waits for a warm replica while the cold one is at its "
+          "allowance") {
+  constexpr double coldRate = 6;
+  Deployment site("", 1, 0ms, coldRate);
+  site.runFor(coordination::gate::ColdWindow + SettleTime);
+  Replica &cold = *site.Replicas.at("poola");
+  Replica &warm = *site.Replicas.at("poolb");
+  cold.IsCold = true;
+  while (cold.Requests["/one"] == 0)
+    CHECK(site.serve("one", 2) == 2);
+  const int before = cold.Requests["/one"];
+  // One after the other: the warm replica is always free.
+  for (int i = 0; i != 20; ++i)
+    CHECK(site.serve("one", 1) == 1);
+  CHECK(cold.Requests["/one"] == before);
+  // At once: the cold one helps out, within 14 / 2 requests in 1.25 s.
+  CHECK(site.serve("one", 40) == 40);
+  CHECK(cold.Requests["/one"] <= before + 7);
+  CHECK(warm.Requests["/one"] >= 50);
+}
+
+// Guards against a crash of cold replicas, and against requests that wait for
+// their deadline while nothing can run them.
+TEST_CASE("a service of cold replicas is served within their allowances") {
+  constexpr double coldRate = 6;
+  Deployment site("", 1, 0ms, coldRate);
+  site.runFor(coordination::gate::ColdWindow + SettleTime);
+  for (const char *id : {"poola", "poolb"})
+    site.Replicas.at(id)->IsCold = true;
+  site.serve("one", 2);
+  site.serve("one", 2);
+  const int before = site.requests("/one");
+  const auto begin = site.Loop.now();
+  int served = 0;
+  while (site.Loop.now() - begin < 1s) {
+    const auto calledAt = site.Loop.now();
+    served += site.serve("one", 10);
+    CHECK(site.Loop.now() - calledAt < 200ms);
+  }
+  CHECK(served > 0);
+  CHECK(site.requests("/one") - before <= 2 * 7);
+}
+
 namespace {
 
 /// Replicas "a" are in region "eu", where the daemon is, and "b" in "us".
 struct RegionSite : Deployment {
-  std::vector<ForwardResult> Results;
-
   RegionSite()
-      : Deployment("", 1,
+      : Deployment("", 1, 0ms, 0,
                    coordination::gate::RegionPolicy(
                        "za", "eu", {{"za", "eu"}, {"zb", "us"}})) {}
 
@@ -437,3 +711,25 @@
   site.waitForResults(2);
   CHECK(site.received('b') == 0);
 }
+
+// Guards against a request that waits for its deadline, or leaves its regions,
+// since a data centre elsewhere is still in use.
+TEST_CASE("a request is rejected at once while the data centres of its regions "
+          "are evacuated") {
+  const std::string route = GENERATE("one", "all");
+  RegionSite site;
+  site.allow({"eu"});
+  site.Task->setEvacuated({"za"});
+  const state::TimePoint begin = site.Loop.now();
+  site.start(route);
+  site.waitForResults(1);
+  CHECK(site.Loop.now() - begin < 200ms);
+  REQUIRE(site.failure() != nullptr);
+  CHECK(site.failure()->Fault == coordination::ForwardFault::Evacuated);
+  CHECK(site.failure()->Ran == coordination::ExecutionState::NotRun);
+  CHECK(site.received('a') + site.received('b') == 0);
+  // An evacuation outside of the regions changes nothing.
+  site.Task->setEvacuated({"zb"});
+  CHECK(site.serve(route, 2) == 2);
+  CHECK(site.received('b') == 0);
+}
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -382,6 +382,38 @@
   }
 }
 
+TEST_CASE("the cold rate of a service is read, and is none by default") {
+  const auto table = decodeRoutes(
+      R"({"version":1,"routes":[],"services":[
+          {"name":"a","max_conns":2,"cold_start_s":8.5,"cold_per_s":6},
+          {"name":"b","max_conns":2},
+          {"name":"c","max_conns":2,"cold_start_s":-1,"cold_per_s":"6"}]})");
+  REQUIRE(table);
+  const auto &services = (*table)->services();
+  CHECK(services.at("a").ColdDuration == std::chrono::milliseconds(8500));
+  CHECK(services.at("a").ColdRequestRate == 6);
+  CHECK(services.at("b").ColdDuration == state::Duration(0));
+  CHECK(services.at("b").ColdRequestRate == 0);
+  CHECK(services.at("c").ColdDuration == state::Duration(0));
+  CHECK(services.at("c").ColdRequestRate == 0);
+  std::vector<std::string> places;
+  for (const auto &it : (*table)->findings().items())
+    places.push_back(it.Place);
+  CHECK(places == std::vector<std::string>{"/services/2/cold_start_s",
+                                           "/services/2/cold_per_s"});
+}
+
+// Guards against a replica that is never used again for one damaged number.
+TEST_CASE("a cold time out of range is ignored") {
+  CHECK(decodeColdTime("3000") == std::chrono::seconds(3));
+  CHECK(decodeColdTime(" 0 ") == state::Duration(0));
+  CHECK(decodeColdTime("3600000") == MaxColdTime);
+  for (const char *bad : {"", "-1", "3600001", "1e300", "nan", "inf", "3s"}) {
+    INFO(bad);
+    CHECK_FALSE(decodeColdTime(bad));
+  }
+}
+
 // Guards against requests to a replica of another service, because another
 // writer's entry stands under its id.
 TEST_CASE("an entry names a replica only with all fields in their types") {
@@ -450,6 +482,38 @@
   CHECK_FALSE(decodePage(R"({"items":[]})"));
 }
 
+// Guards against evacuations that are missed because of their value, and names
+// that no replica can have.
+TEST_CASE(
+    "evacuations are decoded by their keys, in the order of the changes") {
+  using state::EvacuationChange;
+  const std::string longName(256, 'z');
+  const auto changes = decodeChanges(
+      R"({"events":[{"key":"op/evacuate/z1","value":"e30=","rev":5},)"
+      R"({"key":"op/evacuate/z2","value":"!!!!","rev":6},)"
+      R"({"key":"op/evacuate/","value":"e30=","rev":7},)"
+      R"({"key":"op/evacuate","value":"e30=","rev":7},)"
+      R"({"key":"op/evacuated/z4","value":"e30=","rev":7},)"
+      R"({"key":"op/evacuate/)" +
+      longName +
+      R"(","value":"e30=","rev":7},)"
+      R"({"key":"op/evacuate/z1","rev":8,"removed":true},)"
+      R"({"key":"op/evacuate/a/b c","rev":9}],"store_revision":20})");
+  REQUIRE(changes);
+  CHECK(changes->Evacuations ==
+        std::vector<EvacuationChange>{
+            {"z1", true}, {"z2", true}, {"z1", false}, {"a/b c", true}});
+  CHECK(changes->Changes.empty());
+  CHECK(changes->Position == state::DirectoryPosition{0, 9});
+  const auto page = decodePage(
+      R"({"items":[{"key":"op/config","value":""},)"
+      R"({"key":"op/evacuate/z1","value":"e30=","rev":3},)"
+      R"({"key":"op/evacuate/z2","value":"","rev":4}],"store_revision":9})");
+  REQUIRE(page);
+  CHECK(page->Evacuations ==
+        std::vector<EvacuationChange>{{"z1", true}, {"z2", true}});
+}
+
 // Guards against a configuration that is passed over in silence.
 TEST_CASE("a configuration that cannot be read is reported with the reason") {
   const std::string good = standin::encodeBase64(Config);
--- a/tests/platform/soak.cc
+++ b/tests/platform/soak.cc
@@ -141,16 +141,23 @@
 }
 
 void Soak::startReplicas() {
-  std::vector<std::pair<std::string, std::string>> wanted;
-  for (int shard = 0; shard != ShardCount; ++shard)
-    for (const char *copy : {"a", "b"})
-      wanted.emplace_back(shardName(shard) + copy, shardName(shard));
+  struct Wanted {
+    std::string Id;
+    std::string Service;
+    std::string DataCentre;
+  };
+  std::vector<Wanted> wanted;
+  for (int shard = 0; shard != ShardCount; ++shard) {
+    wanted.push_back({shardName(shard) + "a", shardName(shard), "z1"});
+    wanted.push_back({shardName(shard) + "b", shardName(shard), "z2"});
+  }
   for (const char *id : {"p0", "p1", "p2"})
-    wanted.emplace_back(id, "pool");
+    wanted.push_back({id, "pool", id[1] == '1' ? "z2" : "z1"});
   for (const char *id : {"o0", "o1"})
-    wanted.emplace_back(id, "other");
-  for (const auto &[id, service] : wanted) {
-    Replicas.push_back(std::make_unique<ReplicaStandin>(Loop, id, service));
+    wanted.push_back({id, "other", id[1] == '1' ? "z2" : "z1"});
+  for (const auto &[id, service, dataCentre] : wanted) {
+    Replicas.push_back(
+        std::make_unique<ReplicaStandin>(Loop, id, service, dataCentre));
     ReplicaStandin &replica = *Replicas.back();
     ReplicaRoutes.push_back(openRoute(id, replica.address()));
     replica.advertise(
@@ -177,8 +184,11 @@
     shards.push_back(shardName(shard));
     services.push_back({{"name", shardName(shard)}, {"max_conns", 26}});
   }
-  for (const char *name : {"pool", "other"})
-    services.push_back({{"name", name}, {"max_conns", 26}});
+  services.push_back({{"name", "pool"},
+                      {"max_conns", 26},
+                      {"cold_start_s", ColdSeconds},
+                      {"cold_per_s", ColdRate}});
+  services.push_back({{"name", "other"}, {"max_conns", 26}});
   const json routes = {{{"name", "all"},
                         {"host", "h"},
                         {"prefix", "/all/"},
@@ -226,7 +236,9 @@
   sendCalls();
   keepCopies();
   injectLimit();
+  injectColdReturn();
   startDeadly();
+  startEvacuation();
   const state::TimePoint end = Loop.now() + Options.FaultTime;
   while (Loop.now() < end) {
     injectFault();
@@ -259,6 +271,8 @@
   checkLeaving();
   checkPauses();
   checkDeadly();
+  checkEvacuations();
+  checkCold();
   checkDelegation();
   if (!Violations.empty())
     for (const Daemon &daemon : Daemons)
@@ -271,7 +285,10 @@
             << " leaving_checks=" << LeavingChecks
             << " pause_checks=" << PauseChecks
             << " deadly_checks=" << DeadlyChecks
-            << " broken=" << Violations.size() << std::endl;
+            << " evacuations=" << Evacuations.size()
+            << " evacuation_checks=" << EvacuationChecks
+            << " cold_checks=" << ColdChecks << " broken=" << Violations.size()
+            << std::endl;
   return Violations;
 }
 
@@ -535,7 +552,7 @@
 }
 
 void Soak::injectFault() {
-  switch (randomBelow(10)) {
+  switch (randomBelow(12)) {
   case 0:
     injectDaemonFault(Daemons[randomBelow(Daemons.size())]);
     break;
@@ -560,6 +577,12 @@
   case 7:
     injectPause();
     break;
+  case 8:
+    injectEvacuation();
+    break;
+  case 9:
+    injectColdReturn();
+    break;
   default:
     injectReplicaFault();
   }
@@ -639,6 +662,7 @@
   const Duration away(300'000 + randomBelow(1'700'000));
   const Duration rewritten = away + Duration(randomBelow(1'200'000));
   recordFaultPeriod(StoreTarget, rewritten);
+  StoreRestores.push_back(FaultPeriods.back());
   Store.faults().Silent = true;
   schedule(away, [this, copy] {
     Store.faults() = {};
@@ -660,6 +684,7 @@
 
 void Soak::rewriteEntries() {
   publish();
+  rewriteEvacuations();
   for (const auto &replica : Replicas)
     Store.put(replica->key(),
               replica->entry(DrainingSince.contains(replica->id()) ? "draining"
@@ -757,6 +782,8 @@
 
 void Soak::clearFaults() {
   Store.faults() = {};
+  for (const EvacuationPeriod &it : std::vector(Evacuations))
+    endEvacuation(it.DataCentre);
   for (const auto &replica : Replicas) {
     replica->behaviour() = {};
     replica->endLimit();
