--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -69,57 +69,11 @@
 /// Each request of the service adds to the budget.
 constexpr Duration HedgeTokenRetryDelay = std::chrono::milliseconds(10);
 
-} // namespace
+/// Only another configuration or replica allows a request that no region does.
+/// Both take about a second to come into force.
+constexpr Duration RegionRetryDelay = std::chrono::seconds(1);
 
-std::string_view attemptEndName(AttemptEnd end) {
-  switch (end) {
-  case AttemptEnd::Rejected:
-    return "rejected";
-  case AttemptEnd::Misdirected:
-    return "misdirected";
-  case AttemptEnd::NotSent:
-    return "not_sent";
-  case AttemptEnd::AtLimit:
-    return "at_limit";
-  case AttemptEnd::Stopping:
-    return "stopping";
-  case AttemptEnd::Failed:
-    return "failed";
-  case AttemptEnd::Unknown:
-    break;
-  }
-  return "unknown";
-}
-
-std::string_view forwardFaultName(ForwardFault fault) {
-  switch (fault) {
-  case ForwardFault::NoReplica:
-    return "no_replica";
-  case ForwardFault::NoCapacity:
-    return "no_capacity";
-  case ForwardFault::RejectedByServer:
-    return "rejected_by_server";
-  case ForwardFault::BackendFailed:
-    return "backend_failed";
-  case ForwardFault::DeadlineExceeded:
-    return "deadline_exceeded";
-  case ForwardFault::TooFewParts:
-    return "too_few_parts";
-  case ForwardFault::ServerLimit:
-    return "server_limit";
-  case ForwardFault::Quarantined:
-    return "quarantined";
-  case ForwardFault::Stopping:
-    return "stopping";
-  case ForwardFault::NoRoom:
-    return "no_room";
-  case ForwardFault::Evacuated:
-    return "evacuated";
-  case ForwardFault::CallerGone:
-    break;
-  }
-  return "caller_gone";
-}
+} // namespace
 
 ForwardExecution::ForwardExecution(ForwardOptions options,
                                    ForwardPolicy &policy)
@@ -130,6 +84,7 @@
 
 ForwardActions ForwardExecution::start(TimePoint now) {
   leaveOutEvacuated();
+  leaveOutForbidden();
   const bool canSucceed = hasEnoughParts(Parts.size() - FailedParts);
   if (canSucceed && Options.RejectedFor)
     fail(ForwardFault::NoRoom);
@@ -147,6 +102,12 @@
       failPart(part, ForwardFault::Evacuated);
 }
 
+void ForwardExecution::leaveOutForbidden() {
+  for (const std::uint32_t part : Options.Forbidden)
+    if (!Parts[part].Failed)
+      failPart(part, ForwardFault::RegionNotAllowed);
+}
+
 // No attempt is sent unless the request can succeed: a part of a request that
 // fails for want of others would use up the limit of its replica.
 void ForwardExecution::sendPrimaries() {
@@ -469,6 +430,7 @@
                             LastFault == ForwardFault::ServerLimit ||
                             LastFault == ForwardFault::NoRoom ||
                             LastFault == ForwardFault::Evacuated ||
+                            LastFault == ForwardFault::RegionNotAllowed ||
                             LastFault == ForwardFault::Stopping;
     fail(isRejected ? LastFault : ForwardFault::TooFewParts);
     return;
@@ -532,6 +494,8 @@
   failure.Response = std::move(LastFailure);
   if (fault == ForwardFault::NoRoom)
     failure.RetryAfter = Options.RejectedFor;
+  if (fault == ForwardFault::RegionNotAllowed)
+    failure.RetryAfter = RegionRetryDelay;
   Pending.emplace_back(FinishForward{std::move(failure)});
 }
 
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -81,6 +81,7 @@
   Stopping,    ///< this process exits before the request could end
   NoRoom,      ///< more is waiting at the replicas than can be served in time
   Evacuated,   ///< all usable replicas are in data centres that are evacuated
+  RegionNotAllowed, ///< no replica is in a region that the route allows
   CallerGone,
 };
 
@@ -181,6 +182,10 @@
   /// Parts that are not sent, since they have no room.
   std::vector<std::uint32_t> LeftOut;
 
+  /// Parts that are not sent, since their replicas are in regions that the
+  /// route does not allow.
+  std::vector<std::uint32_t> Forbidden;
+
   /// Set when the request is rejected for want of room: the time after which
   /// its caller may try again.
   std::optional<Duration> RejectedFor;
@@ -263,6 +268,7 @@
 
   Attempt *openAttempt(AttemptNumber number);
   void leaveOutEvacuated();
+  void leaveOutForbidden();
   void sendPrimaries();
   void sendFirstPrimary();
   void sendRemainingPrimaries();
--- a/src/coordination/gate/replica_gate.cc
+++ b/src/coordination/gate/replica_gate.cc
@@ -293,8 +293,8 @@
 }
 
 std::optional<Duration>
-ReplicaGate::pauseOf(std::span<const std::string> services,
-                     TimePoint now) const {
+ReplicaGate::pauseOf(std::span<const std::string> services, TimePoint now,
+                     const DataCentreFilter &allowed) const {
   Duration longest(0);
   for (const std::string &name : services) {
     const auto service = ServiceStates.find(name);
@@ -303,7 +303,8 @@
     TimePoint first = TimePoint::max();
     for (const std::string &id : service->second.Replicas) {
       const ReplicaState &replica = Replicas.find(id)->second;
-      if (replica.IsDraining || Evacuated.contains(replica.DataCentre))
+      if (replica.IsDraining || Evacuated.contains(replica.DataCentre) ||
+          (allowed && !allowed(replica.DataCentre)))
         continue;
       TimePoint usableAt = replica.Stated.PausedUntil;
       if (isCold(replica, now))
@@ -429,8 +430,9 @@
                                          Options.Seed, now);
 }
 
-std::optional<ColdStatus> ReplicaGate::withheldCold(std::string_view name,
-                                                    TimePoint now) const {
+std::optional<ColdStatus>
+ReplicaGate::withheldCold(std::string_view name, TimePoint now,
+                          const DataCentreFilter &allowed) const {
   const auto service = ServiceStates.find(name);
   if (service == ServiceStates.end() || service->second.ColdRate <= 0)
     return std::nullopt;
@@ -438,7 +440,8 @@
   bool isWithheld = false;
   for (const std::string &id : service->second.Replicas) {
     const ReplicaState &it = Replicas.find(id)->second;
-    if (it.IsDraining || Evacuated.contains(it.DataCentre))
+    if (it.IsDraining || Evacuated.contains(it.DataCentre) ||
+        (allowed && !allowed(it.DataCentre)))
       continue;
     ++status.Replicas;
     if (!isCold(it, now))
--- a/src/coordination/gate/replica_gate.h
+++ b/src/coordination/gate/replica_gate.h
@@ -79,6 +79,9 @@
   using Records = std::map<std::string, state::ReplicaRecord, std::less<>>;
   using DataCentres = std::set<std::string, std::less<>>;
 
+  /// Whether a request may be sent to a data centre; empty: to all of them.
+  using DataCentreFilter = std::function<bool(std::string_view dataCentre)>;
+
   explicit ReplicaGate(ReplicaGateOptions options) : Options(options) {}
 
   /// Replaces the listed replicas. What a replica has stated is kept while it
@@ -138,9 +141,10 @@
 
   /// Returns the time until each of the services has a replica that is neither
   /// paused nor cold, but at most MaxColdWait for cold ones; nothing when they
-  /// have one now.
+  /// have one now. Replicas in data centres that are not `allowed` are ignored.
   std::optional<Duration> pauseOf(std::span<const std::string> services,
-                                  TimePoint now) const;
+                                  TimePoint now,
+                                  const DataCentreFilter &allowed = {}) const;
 
   /// Longest time after which a caller is asked to return while all replicas
   /// are cold, since the allowances permit some requests.
@@ -166,9 +170,11 @@
   bool isCold(std::string_view replica, TimePoint now) const;
 
   /// Returns the state of the service's replicas if some of them are cold and
-  /// get no request now.
-  std::optional<ColdStatus> withheldCold(std::string_view service,
-                                         TimePoint now) const;
+  /// get no request now. Replicas in data centres that are not `allowed` are
+  /// ignored.
+  std::optional<ColdStatus>
+  withheldCold(std::string_view service, TimePoint now,
+               const DataCentreFilter &allowed = {}) const;
 
   std::size_t coldReplicas(TimePoint now) const;
 
--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -88,6 +88,12 @@
            line.field("max_per_second") +
            " requests a second to each; this daemon's share, of " +
            line.field("daemons") + " daemons, is used up";
+  if (line.Event == "region_not_allowed")
+    return "its route allows the regions " + line.field("allowed") + "; " +
+           line.field("forbidden") + " of " + line.field("parts") +
+           " services have no replica there, such as " + line.field("service") +
+           "; this daemon is in region " +
+           (line.field("region").empty() ? "unknown" : line.field("region"));
   if (line.Event == "caller_left")
     return "the caller closed its connection";
   return line.Event + " " + formatFields(line);
@@ -111,6 +117,9 @@
   if (line.field("reason") == "evacuated")
     text = "rejected: all usable replicas of a needed service are in evacuated "
            "data centres; ";
+  if (line.field("reason") == "region_not_allowed")
+    return text + "it did not run, and is rejected until the route's regions "
+                  "or the replicas change";
   if (ran == "not_run")
     return text + "it did not run and can be sent again";
   if (ran == "ran")
--- a/src/forwarding/forward_admission.cc
+++ b/src/forwarding/forward_admission.cc
@@ -72,7 +72,8 @@
 }
 
 std::vector<ReplicaConnections>
-ForwardTask::connections(const std::string &service) {
+ForwardTask::connections(const std::string &service,
+                         const state::Route &route) {
   std::vector<ReplicaConnections> result;
   const auto replicas = ReplicasByService.find(service);
   if (replicas == ReplicasByService.end())
@@ -80,7 +81,8 @@
   for (const ReplicaPtr &replica : replicas->second) {
     const bool isCooling =
         replica->Pool.limit() == 0 && replica->CooldownUntil > Loop.now();
-    if (!takesAttempts(*replica) || isCooling || !allowsRequest(*replica))
+    if (!takesAttempts(*replica) || isCooling || !allowsRequest(*replica) ||
+        !Options.Regions.allowsReplica(route, replica->Record.DataCentre))
       continue;
     // One connection may be opened where the plan has none.
     const std::size_t total = std::max<std::size_t>(1, replica->Pool.limit());
@@ -94,7 +96,7 @@
                                    const state::Route &route,
                                    const RequestClass &cls,
                                    TimePoint deadline) {
-  const auto replicas = connections(service);
+  const auto replicas = connections(service, route);
   const auto queue = WaitingAttempts.find(service);
   std::uint32_t ahead = 0;
   if (queue != WaitingAttempts.end()) {
--- a/src/forwarding/forward_dispatch.cc
+++ b/src/forwarding/forward_dispatch.cc
@@ -194,7 +194,10 @@
     failUnsent(key, request, AttemptEnd::Stopping);
     return true;
   }
-  const auto tried = request.Execution.triedReplicas(key.Part);
+  std::vector<state::ReplicaId> both;
+  const auto tried =
+      withForbidden(*request.Execution.options().Route, service,
+                    request.Execution.triedReplicas(key.Part), both);
   // Cold replicas are only used while no other can be.
   for (const bool isCold : {false, true}) {
     const auto canSend = [this, isCold](std::string_view id) {
@@ -217,7 +220,9 @@
   const AttemptEnd end = Placement.hasOther(service, tried, Loop.now())
                              ? AttemptEnd::AtLimit
                              : AttemptEnd::NotSent;
-  if (end == AttemptEnd::AtLimit && Gate.withheldCold(service, Loop.now()))
+  if (end == AttemptEnd::AtLimit &&
+      Gate.withheldCold(service, Loop.now(),
+                        allowedDataCentres(*request.Execution.options().Route)))
     WithheldAttempts.add();
   failUnsent(key, request, end);
   return true;
--- a/src/forwarding/forward_limits.cc
+++ b/src/forwarding/forward_limits.cc
@@ -42,8 +42,10 @@
 }
 
 void ForwardTask::logWithheld(const Request &request) {
-  for (const std::string &service : request.Execution.options().Services)
-    if (const auto status = Gate.withheldCold(service, Loop.now())) {
+  const auto &options = request.Execution.options();
+  const auto allowed = allowedDataCentres(*options.Route);
+  for (const std::string &service : options.Services)
+    if (const auto status = Gate.withheldCold(service, Loop.now(), allowed)) {
       state::log::info("request_withheld",
                        {{"id", request.Message->RequestId},
                         {"service", service},
@@ -124,6 +126,12 @@
 
 // Attempts that wait for a connection have not used their tokens yet.
 bool ForwardTask::isAtLimit(std::string_view service) {
+  return isAtLimit(service, {}, {});
+}
+
+bool ForwardTask::isAtLimit(std::string_view service,
+                            std::span<const state::ReplicaId> excluded,
+                            const DataCentreFilter &allowed) {
   if (!Gate.isAnyRestricted(Loop.now()))
     return false;
   const auto queue = WaitingAttempts.find(service);
@@ -132,7 +140,7 @@
   std::size_t tokens = 0;
   bool isUsable = false;
   const bool hasRoom = Placement.hasOther(
-      service, {},
+      service, excluded,
       [&](std::string_view id) {
         isUsable = true;
         const auto available = Gate.available(id, Loop.now());
@@ -143,7 +151,7 @@
       },
       Loop.now());
   const bool isAtLimit = isUsable && !hasRoom;
-  if (isAtLimit && Gate.withheldCold(service, Loop.now()))
+  if (isAtLimit && Gate.withheldCold(service, Loop.now(), allowed))
     WithheldAttempts.add();
   return isAtLimit;
 }
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -6,7 +6,8 @@
 
 // Starts requests, executes the actions of their executions and passes on the
 // results. The other parts of this class are in forward_dispatch.cc,
-// forward_evacuation.cc, forward_limits.cc and forward_replicas.cc.
+// forward_evacuation.cc, forward_limits.cc, forward_regions.cc and
+// forward_replicas.cc.
 
 namespace galenaflow::forwarding {
 
@@ -69,7 +70,10 @@
                                        "Parts left out of admitted requests")),
       EvacuatedCount(metrics.gauge("galenaflow_evacuated_data_centres",
                                    "Data centres whose replicas get no "
-                                   "requests, as the operator wants it")) {
+                                   "requests, as the operator wants it")),
+      ForbiddenParts(metrics.counter(
+          "galenaflow_forbidden_parts_total",
+          "Parts not sent, since no replica is in an allowed region")) {
   warmAll();
 }
 
@@ -178,12 +182,18 @@
     Budgets.try_emplace(service, Options.ExtraBudget, StartedAt)
         .first->second.onRequest(Loop.now());
   const ForwardId id = ++LastRequest;
-  coordination::ForwardPolicy &policy = *this;
+  auto ownPolicy = restrictedPolicy(route);
+  coordination::ForwardPolicy &policy =
+      ownPolicy ? *ownPolicy
+                : static_cast<coordination::ForwardPolicy &>(*this);
   const TimePoint deadline = Loop.now() + call.Remaining;
   auto message = std::move(call.Message);
-  auto created = std::make_unique<Request>(
-      std::move(message), makeOptions(call, requestClass(key)), policy);
+  auto options = makeOptions(call, requestClass(key));
+  findForbidden(*message, options);
+  auto created =
+      std::make_unique<Request>(std::move(message), std::move(options), policy);
   Request &request = *created;
+  request.OwnPolicy = std::move(ownPolicy);
   request.ClassKey = key;
   request.Callback = std::move(callback);
   request.ArrivedAt = Loop.now();
@@ -256,7 +266,8 @@
   if (failure != nullptr &&
       failure->Fault == coordination::ForwardFault::ServerLimit) {
     failure->RetryAfter =
-        Gate.pauseOf(request->Execution.options().Services, Loop.now());
+        Gate.pauseOf(request->Execution.options().Services, Loop.now(),
+                     allowedDataCentres(*request->Execution.options().Route));
     logWithheld(*request);
   }
   result.Counts = request->Execution.counts();
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -6,6 +6,7 @@
 #include "coordination/caller_elapsed_estimate.h"
 #include "coordination/connect_backoff.h"
 #include "coordination/connection_plan.h"
+#include "coordination/gate/region_policy.h"
 #include "coordination/gate/replica_gate.h"
 #include "coordination/hedge_policy.h"
 #include "coordination/lag_estimate.h"
@@ -63,6 +64,8 @@
   /// number of daemons is not known.
   double FleetExtraAttempts = 0;
 
+  coordination::gate::RegionPolicy Regions;
+
   /// Quantile of attempt latencies after which a hedge is sent to another
   /// replica.
   double HedgeQuantile = 0.9;
@@ -185,6 +188,7 @@
             coordination::ForwardPolicy &policy)
         : Message(std::move(message)), Execution(std::move(options), policy) {}
     std::shared_ptr<const ForwardedRequest> Message;
+    std::unique_ptr<coordination::ForwardPolicy> OwnPolicy; ///< or null
     coordination::ForwardExecution Execution;
     RequestClassKey ClassKey;
     ForwardCallback Callback;
@@ -211,6 +215,8 @@
     auto operator<=>(const WaitKey &) const = default;
   };
 
+  using DataCentreFilter = coordination::gate::ReplicaGate::DataCentreFilter;
+
   bool tryTakeExtra(std::string_view service) override;
   bool hasOther(std::string_view service,
                 std::span<const state::ReplicaId> tried) override;
@@ -219,6 +225,34 @@
                std::span<const state::ReplicaId> tried) override;
   bool isEvacuated(std::string_view service) override;
 
+  /// The same without the excluded replicas, which are outside of the allowed
+  /// data centres.
+  bool isAtLimit(std::string_view service,
+                 std::span<const state::ReplicaId> excluded,
+                 const DataCentreFilter &allowed);
+
+  class RestrictedPolicy;
+  std::unique_ptr<coordination::ForwardPolicy>
+  restrictedPolicy(const state::Route &route);
+
+  /// Returns `tried` and the replicas of the service that the route forbids.
+  /// `both` is used only when the route is restricted.
+  std::span<const state::ReplicaId>
+  withForbidden(const state::Route &route, std::string_view service,
+                std::span<const state::ReplicaId> tried,
+                std::vector<state::ReplicaId> &both) const;
+  bool isForbidden(const state::Route &route, std::string_view service) const;
+
+  /// Whether all replicas that the route allows and that could be used are in
+  /// evacuated data centres.
+  bool isEvacuated(const state::Route &route, std::string_view service) const;
+
+  /// Returns the data centres that the route allows. The route must outlive the
+  /// result.
+  DataCentreFilter allowedDataCentres(const state::Route &route) const;
+  void findForbidden(const ForwardedRequest &message,
+                     coordination::ForwardOptions &options) const;
+
   RequestClass &requestClass(const RequestClassKey &key);
   state::Duration expectedLatency(const RequestClassKey &key);
   coordination::ForwardOptions makeOptions(ForwardCall &call,
@@ -231,7 +265,7 @@
                                                  const RequestClass &cls,
                                                  state::TimePoint deadline);
   std::vector<coordination::admission::ReplicaConnections>
-  connections(const std::string &service);
+  connections(const std::string &service, const state::Route &route);
   void setUrgentNeeds();
   void recordCongestion(Request &request, const Attempt &attempt,
                         coordination::AttemptOutcome outcome,
@@ -344,6 +378,7 @@
   state::Counter &AdmissionRejections;
   state::Counter &PartsWithoutRoom;
   state::Gauge &EvacuatedCount;
+  state::Counter &ForbiddenParts;
 };
 
 } // namespace galenaflow::forwarding
--- a/tests/forward_execution_test.cc
+++ b/tests/forward_execution_test.cc
@@ -727,3 +727,51 @@
   test.executeActions(test.Execution->onTimer(test.Now));
   CHECK(test.Attempts.size() == 2);
 }
+
+// Guards against a request that is sent although it cannot succeed, and against
+// one that fails although enough of its shards are in allowed regions.
+TEST_CASE("a request whose replicas are in no allowed region is rejected at "
+          "once") {
+  Fixture it;
+  it.Options.Forbidden = {0};
+  it.Options.RejectedFor = 50ms;
+  it.start();
+  CHECK(it.Attempts.empty());
+  REQUIRE(it.Finished);
+  const auto &failure = std::get<ForwardFailure>(it.Finished->Result);
+  CHECK(failure.Fault == ForwardFault::RegionNotAllowed);
+  CHECK(failure.Ran == ExecutionState::NotRun);
+  CHECK(failure.RetryAfter == 1s);
+  CHECK(forwardFaultName(failure.Fault) == "region_not_allowed");
+}
+
+TEST_CASE("shards in no allowed region are left out of the answer while enough "
+          "others remain") {
+  Fixture few(4);
+  few.Options.Forbidden = {1, 2};
+  few.Options.LeftOut = {1, 3};
+  few.start();
+  CHECK(few.Attempts.empty());
+  REQUIRE(few.Finished);
+  const auto &failure = std::get<ForwardFailure>(few.Finished->Result);
+  CHECK(failure.Fault == ForwardFault::RegionNotAllowed);
+  CHECK(failure.Ran == ExecutionState::NotRun);
+  Fixture enough(4);
+  enough.Options.Forbidden = {2};
+  enough.Options.LeftOut = {2};
+  enough.start();
+  CHECK_FALSE(enough.Finished);
+  CHECK(enough.Attempts.size() == 3);
+}
+
+// Guards against a part that is counted as failed twice, with which a request
+// fails although enough of its parts are left.
+TEST_CASE("a part that is evacuated and in no allowed region fails once") {
+  Fixture test(4);
+  test.Policy.Evacuated = {test.Options.Services[2]};
+  test.Options.Forbidden = {2};
+  test.Options.LeftOut = {2};
+  test.start();
+  CHECK_FALSE(test.Finished);
+  CHECK(test.Attempts.size() == 3);
+}
--- a/tests/forward_task_test.cc
+++ b/tests/forward_task_test.cc
@@ -99,9 +99,18 @@
   std::unique_ptr<ForwardTask> Task;
   std::vector<ForwardResult> Results;
 
-  explicit Deployment(const std::string &probePath, std::uint64_t seed = 1,
-                      state::Duration objective = 0ms, double coldRate = 0) {
+  /// With `regions`, the replicas "a" are in data centre "za" and the replicas
+  /// "b" in "zb".
+  explicit Deployment(
+      const std::string &probePath, std::uint64_t seed = 1,
+      state::Duration objective = 0ms, double coldRate = 0,
+      const std::optional<coordination::gate::RegionPolicy> &regions = {}) {
     ForwardTaskOptions options;
+    if (regions) {
+      options.DataCentre = "za";
+      options.Regions = *regions;
+      options.ExtraBudget.Ratio = 1; // extra attempts fail for no other reason
+    }
     options.Seed = seed;
     options.AssumedDaemons = 1;
     options.UncountedDaemons = 1;
@@ -131,7 +140,8 @@
     Task->setRoutes(Table);
     for (const state::RoutedService &service : services)
       for (const char *copy : {"a", "b"})
-        add(service.Name + copy, service.Name);
+        add(service.Name + copy, service.Name,
+            regions ? std::string("z") + copy : "");
     Task->setReplicas(Records);
   }
 
@@ -504,3 +514,222 @@
   CHECK(served > 0);
   CHECK(site.requests("/one") - before <= 2 * 7);
 }
+
+namespace {
+
+/// Replicas "a" are in region "eu", where the daemon is, and "b" in "us".
+struct RegionSite : Deployment {
+  RegionSite()
+      : Deployment("", 1, 0ms, 0,
+                   coordination::gate::RegionPolicy(
+                       "za", "eu", {{"za", "eu"}, {"zb", "us"}})) {}
+
+  /// Publishes the regions of all routes, or that none is allowed.
+  void allow(const std::vector<std::string> &regions,
+             bool isNoneAllowed = false) {
+    std::vector<state::Route> routes = Table->routes();
+    for (state::Route &route : routes) {
+      route.AllowedRegions = regions;
+      route.IsNoRegionAllowed = isNoneAllowed;
+    }
+    std::vector<state::RoutedService> services;
+    for (const auto &[name, service] : Table->services())
+      services.push_back(service);
+    Table = std::make_shared<const state::RouteTable>(
+        Table->version() + 1, routes, services, state::CallerLimits());
+    Task->setRoutes(Table);
+  }
+
+  void start(const std::string &routeName) {
+    ForwardedRequest message;
+    message.RequestId = "id";
+    message.Method = "GET";
+    message.Path = "/" + routeName;
+    ForwardCall call;
+    call.Message = std::make_shared<const ForwardedRequest>(std::move(message));
+    call.Table = Table;
+    call.Route = &Table->routes()[routeName == "one" ? 0 : 1];
+    call.Services = call.Route->isSharded() ? call.Route->Shards.Services
+                                            : std::vector<std::string>{"pool"};
+    call.Remaining = 400ms;
+    Task->forward(std::move(call), [this](ForwardResult result) {
+      Results.push_back(std::move(result));
+    });
+  }
+  void waitForResults(std::size_t n) {
+    REQUIRE(Loop.runUntil([&] { return Results.size() >= n; }, TestLimit));
+  }
+
+  /// Requests that the replicas of "a" or "b" have received.
+  int received(char copy) const {
+    int n = 0;
+    for (const auto &[id, replica] : Replicas)
+      if (id.back() == copy)
+        for (const auto &[path, count] : replica->Requests)
+          n += count;
+    return n;
+  }
+};
+
+} // namespace
+
+// Guards against a first attempt, a hedge or a retry that leaves the regions of
+// the route.
+TEST_CASE("requests reach replicas in the allowed regions only") {
+  const std::string route = GENERATE("one", "all");
+  const char allowed = GENERATE('a', 'b');
+  const int fault = GENERATE(0, 1, 2);
+  CAPTURE(route, allowed, fault);
+  RegionSite site;
+  site.allow({allowed == 'a' ? "eu" : "us"});
+  for (const auto &[id, replica] : site.Replicas) {
+    replica->Rejects = fault == 1 && id.back() == allowed;
+    replica->HoldsAll = fault == 2 && id.back() == allowed;
+  }
+  for (std::size_t i = 1; i != 9; ++i) {
+    site.start(route);
+    if (fault != 2)
+      site.waitForResults(i);
+  }
+  site.waitForResults(8);
+  CHECK(site.received(allowed) > 0);
+  CHECK(site.received(allowed == 'a' ? 'b' : 'a') == 0);
+  // No extra attempt is made for want of a second replica in the region.
+  for (const ForwardResult &result : site.Results) {
+    CHECK(std::holds_alternative<coordination::ForwardFailure>(
+              result.Outcome) == (fault != 0));
+    CHECK(result.Counts.Retries == 0);
+    CHECK(result.Counts.Hedges == 0);
+  }
+}
+
+// Guards against a request that waits for nothing, since a replica outside of
+// its regions could take it.
+TEST_CASE("a request whose allowed replicas have asked for a pause is rejected "
+          "at once") {
+  RegionSite site;
+  site.allow({"us"});
+  site.Replicas.at("poolb")->Rejects = true;
+  site.start("one");
+  site.waitForResults(1);
+  site.start("one");
+  site.waitForResults(2);
+  const auto *failure =
+      std::get_if<coordination::ForwardFailure>(&site.Results[1].Outcome);
+  REQUIRE(failure != nullptr);
+  CHECK(failure->Fault == coordination::ForwardFault::ServerLimit);
+  CHECK(failure->RetryAfter);
+  CHECK(site.received('b') == 1);
+}
+
+// Guards against parts of a request that cannot succeed, which use up the
+// replicas of the other parts.
+TEST_CASE("no part is sent while the allowed replicas of a needed shard have "
+          "asked for a pause") {
+  RegionSite site;
+  site.allow({"us"});
+  site.Replicas.at("s0b")->Rejects = true;
+  site.start("all");
+  site.waitForResults(1);
+  site.start("all");
+  site.waitForResults(2);
+  for (const char *id : {"s0b", "s1b", "s2b"})
+    CHECK(site.Replicas.at(id)->Requests["/all"] == 1);
+}
+
+TEST_CASE("without a list of regions, or with both in it, all replicas are "
+          "used") {
+  RegionSite site;
+  if (GENERATE(false, true))
+    site.allow({"us", "eu"});
+  CHECK(site.serve("one", 2) == 2);
+  CHECK(site.received('a') == 1);
+  CHECK(site.received('b') == 1);
+}
+
+TEST_CASE("a request that no region allows is rejected at once, as not run") {
+  const std::string route = GENERATE("one", "all");
+  RegionSite site;
+  SECTION("a region without replicas") { site.allow({"asia"}); }
+  SECTION("no region") { site.allow({}, true); }
+  const state::TimePoint begin = site.Loop.now();
+  site.start(route);
+  site.waitForResults(1);
+  CHECK(site.Loop.now() - begin < 200ms);
+  const auto *failure =
+      std::get_if<coordination::ForwardFailure>(&site.Results[0].Outcome);
+  REQUIRE(failure != nullptr);
+  CHECK(failure->Fault == coordination::ForwardFault::RegionNotAllowed);
+  CHECK(failure->Ran == coordination::ExecutionState::NotRun);
+  CHECK(site.received('a') + site.received('b') == 0);
+  CHECK(site.Metrics.exposition().find(
+            "galenaflow_forbidden_parts_total " +
+            std::to_string(route == "one" ? 1 : 3)) != std::string::npos);
+}
+
+// Guards against a request that is sent by another list than that of the route
+// with which it began.
+TEST_CASE("a waiting request keeps the regions with which it began") {
+  RegionSite site;
+  site.allow({"eu"});
+  site.Replicas.at("poola")->HoldsAll = true;
+  site.start("one"); // takes the only connection
+  site.start("one"); // waits
+  site.runFor(50ms);
+  CHECK(site.received('a') == 1);
+  site.allow({"us"});
+  site.runFor(100ms);
+  CHECK(site.received('b') == 0);
+  site.start("one");
+  site.waitForResults(1);
+  CHECK(site.received('b') == 1);
+  site.waitForResults(3);
+  CHECK(site.received('b') == 1);
+  CHECK(site.received('a') == 1);
+}
+
+// Guards against a replica in a forbidden region that gets the requests which
+// wait when it registers.
+TEST_CASE("a replica that registers in a forbidden region gets no waiting "
+          "request") {
+  RegionSite site;
+  site.allow({"eu"});
+  site.Replicas.at("poola")->HoldsAll = true;
+  site.start("one");
+  site.start("one");
+  site.runFor(50ms);
+  std::map<std::string, state::ReplicaRecord, std::less<>> records;
+  for (const auto &[id, replica] : site.Replicas) {
+    state::ReplicaRecord record;
+    record.Id = id == "poolb" ? "poolc" : id;
+    record.Service = replica->Service;
+    record.Address = replica->Address.toText();
+    record.DataCentre = std::string("z") + id.back();
+    records.emplace(record.Id, record);
+  }
+  site.Task->setReplicas(records);
+  site.waitForResults(2);
+  CHECK(site.received('b') == 0);
+}
+
+// Guards against a request that waits for its deadline, or leaves its regions,
+// since a data centre elsewhere is still in use.
+TEST_CASE("a request is rejected at once while the data centres of its regions "
+          "are evacuated") {
+  const std::string route = GENERATE("one", "all");
+  RegionSite site;
+  site.allow({"eu"});
+  site.Task->setEvacuated({"za"});
+  const state::TimePoint begin = site.Loop.now();
+  site.start(route);
+  site.waitForResults(1);
+  CHECK(site.Loop.now() - begin < 200ms);
+  REQUIRE(site.failure() != nullptr);
+  CHECK(site.failure()->Fault == coordination::ForwardFault::Evacuated);
+  CHECK(site.failure()->Ran == coordination::ExecutionState::NotRun);
+  CHECK(site.received('a') + site.received('b') == 0);
+  // An evacuation outside of the regions changes nothing.
+  site.Task->setEvacuated({"zb"});
+  CHECK(site.serve(route, 2) == 2);
+  CHECK(site.received('b') == 0);
+}
--- a/tests/replica_gate_test.cc
+++ b/tests/replica_gate_test.cc
@@ -108,6 +108,37 @@
   CHECK_FALSE(gate.It.isAnyRestricted(gate.Now + 5s));
 }
 
+// Guards against a time to return that follows from replicas which may not get
+// the request.
+TEST_CASE("only replicas in allowed data centres count for a pause") {
+  Gate gate;
+  const std::vector<std::string> services{"s"};
+  const auto isEast = [](std::string_view name) { return name == "east"; };
+  const auto isWest = [](std::string_view name) { return name == "west"; };
+  const auto isNone = [](std::string_view) { return false; };
+  gate.It.onPause("r1", 1, 2s, gate.Now);
+  CHECK(gate.It.pauseOf(services, gate.Now, isEast) == 2s);
+  CHECK_FALSE(gate.It.pauseOf(services, gate.Now, isWest));
+  CHECK_FALSE(gate.It.pauseOf(services, gate.Now, isNone));
+  gate.It.onPause("r2", 1, 5s, gate.Now);
+  CHECK(gate.It.pauseOf(services, gate.Now, isWest) == 5s);
+  CHECK(gate.It.pauseOf(services, gate.Now) == 2s);
+}
+
+TEST_CASE("only replicas in allowed data centres are stated as cold") {
+  Gate gate;
+  gate.It.setServices(coldService(6), {});
+  gate.It.onResponse("r1", 1, 60s, gate.Now);
+  gate.It.onSent("r1", gate.Now);
+  const auto inEast = gate.It.withheldCold(
+      "s", gate.Now, [](std::string_view name) { return name == "east"; });
+  REQUIRE(inEast);
+  CHECK(inEast->Cold == 1);
+  CHECK(inEast->Replicas == 1);
+  CHECK_FALSE(gate.It.withheldCold(
+      "s", gate.Now, [](std::string_view name) { return name == "west"; }));
+}
+
 // Guards against a pause of a process that has ended being applied to the one
 // that was started under the same id.
 TEST_CASE("the pause of an earlier incarnation is ignored") {
