Run requests locally whose executor has only its own queue full

Seen: at 31 VMs, two executors reject requests since their own queues are too long, and the daemons that have the callers pass the rejection on, although they have connections of their own.

Change: such a rejection is no_capacity, and an executor refuses the request with it, so that it is run by the daemon that has the caller, as before.

--- a/src/coordination/admission/request_admission.cc
+++ b/src/coordination/admission/request_admission.cc
@@ -91,6 +91,7 @@
   }
   decision.IsAdmitted = false;
   decision.LeftOut.clear();
+  decision.IsOwnQueueLong = roomAfter > Duration(0);
   decision.RetryAfter = retryAfter(request, roomAfter);
   return decision;
 }
--- a/src/coordination/admission/request_admission.h
+++ b/src/coordination/admission/request_admission.h
@@ -32,6 +32,10 @@
   /// Parts that are left out, since the others suffice and these have no room.
   std::vector<std::uint32_t> LeftOut;
 
+  /// When not admitted: whether only this daemon's own queue is too long, so
+  /// that another daemon may serve the request.
+  bool IsOwnQueueLong = false;
+
   /// When not admitted: time after which room is expected.
   Duration RetryAfter{0};
 };
--- a/src/coordination/forward_execution.cc
+++ b/src/coordination/forward_execution.cc
@@ -87,7 +87,7 @@
   leaveOutForbidden();
   const bool canSucceed = hasEnoughParts(Parts.size() - FailedParts);
   if (canSucceed && Options.RejectedFor)
-    fail(ForwardFault::NoRoom);
+    fail(Options.RejectionFault);
   else if (canSucceed)
     sendPrimaries();
   tryFinish(now);
@@ -492,7 +492,7 @@
   else if (AnyUnknown)
     failure.Ran = ExecutionState::Unknown;
   failure.Response = std::move(LastFailure);
-  if (fault == ForwardFault::NoRoom)
+  if (Options.RejectedFor && fault == Options.RejectionFault)
     failure.RetryAfter = Options.RejectedFor;
   if (fault == ForwardFault::RegionNotAllowed)
     failure.RetryAfter = RegionRetryDelay;
--- a/src/coordination/forward_execution.h
+++ b/src/coordination/forward_execution.h
@@ -190,6 +190,10 @@
   /// its caller may try again.
   std::optional<Duration> RejectedFor;
 
+  /// Why it is rejected: NoRoom, or NoCapacity when only this daemon has too
+  /// few connections.
+  ForwardFault RejectionFault = ForwardFault::NoRoom;
+
   /// Time without a response after which a hedge is sent to another replica.
   /// Empty: no hedges.
   std::optional<Duration> HedgeAfter;
--- a/src/forwarding/executor_task.cc
+++ b/src/forwarding/executor_task.cc
@@ -39,9 +39,11 @@
   reply.Outcome = DelegationOutcome::Failed;
   const auto *failure =
       std::get_if<coordination::ForwardFailure>(&result.Outcome);
-  // The delegating daemon has time to execute the request itself.
+  // The delegating daemon has time, and connections of its own, to execute the
+  // request itself.
   if (failure != nullptr &&
-      failure->Fault == coordination::ForwardFault::Stopping &&
+      (failure->Fault == coordination::ForwardFault::Stopping ||
+       failure->Fault == coordination::ForwardFault::NoCapacity) &&
       failure->Ran == coordination::ExecutionState::NotRun) {
     reply.Outcome = DelegationOutcome::Refused;
     return reply;
--- a/src/forwarding/forward_admission.cc
+++ b/src/forwarding/forward_admission.cc
@@ -139,6 +139,8 @@
   auto decision = Admission.decide(request, Loop.now());
   if (!decision.IsAdmitted) {
     options.RejectedFor = decision.RetryAfter;
+    if (decision.IsOwnQueueLong)
+      options.RejectionFault = coordination::ForwardFault::NoCapacity;
     AdmissionRejections.add();
     return;
   }
--- a/tests/delegation_task_test.cc
+++ b/tests/delegation_task_test.cc
@@ -466,3 +466,24 @@
   CHECK(result->RetryAfter == state::Duration(120ms));
   CHECK(pair.Weak->Local.Calls.empty());
 }
+
+// Guards against callers who are rejected since the executor has too few
+// connections, while their own daemon could run the request.
+TEST_CASE("a request for which only the executor has no connection is executed "
+          "locally") {
+  DaemonPair pair;
+  pair.Strong->Local.CompletesCalls = false;
+  pair.call();
+  REQUIRE(pair.Loop.runUntil([&] { return !pair.Strong->Local.Calls.empty(); },
+                             TestLimit));
+  ForwardResult rejected;
+  rejected.Outcome =
+      coordination::ForwardFailure{coordination::ForwardFault::NoCapacity,
+                                   coordination::ExecutionState::NotRun,
+                                   {}};
+  pair.Strong->Local.complete(1, std::move(rejected));
+  REQUIRE(pair.Loop.runUntil([&] { return !pair.Results.empty(); }, TestLimit));
+  CHECK(pair.Weak->Local.Calls.size() == 1);
+  CHECK(std::holds_alternative<coordination::MergedAnswer>(
+      pair.Results[0].Outcome));
+}
--- a/tests/request_admission_test.cc
+++ b/tests/request_admission_test.cc
@@ -211,6 +211,7 @@
   parts[7] = {500ms, Duration(0), 30ms};
   decision = admission.decide(makeRequest(parts, 19), TimePoint(1h));
   CHECK_FALSE(decision.IsAdmitted);
+  CHECK(decision.IsOwnQueueLong);
   CHECK(decision.LeftOut.empty());
   // Room is expected when the better one of the two has it.
   CHECK(decision.RetryAfter >= 130ms);
