--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -205,13 +205,16 @@
         for writer in list(self.writers):
             reset(writer)
 
-    def report(self):
-        self.seq += 1
-        return self.store.put("servers/" + self.id, {
+    def entry_text(self):
+        return json.dumps({
             "service": self.service, "address": "127.0.0.1:%d" % self.port,
             "zone": self.zone, "version": "v1", "slots": self.slots,
             "state": self.state, "cold_left_ms": 0, "seq": self.seq, "born": self.born})
 
+    def report(self):
+        self.seq += 1
+        return self.store.put("servers/" + self.id, self.entry_text())
+
     async def beat(self):
         while True:
             await asyncio.sleep(1.2)
