--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -19,6 +20,7 @@
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+METRICS_PORT = 9464  # deploy/system.toml
 PROGRAM = ROOT / "target" / "galenaflow-platform"
 
 
@@ -36,6 +38,20 @@
         return s.getsockname()[1]
 
 
+def free_ips(count):
+    """Loopback addresses whose port for metrics, which the daemon fixes, is free."""
+    ips = []
+    while len(ips) < count:
+        ip = "127.%d.%d.%d" % tuple(random.randrange(1, 255) for _ in range(3))
+        try:
+            with socket.socket() as s:
+                s.bind((ip, METRICS_PORT))
+        except OSError:
+            continue
+        ips.append(ip)
+    return ips
+
+
 class Record:
     """Collects what was sent, answered and run, for record.txt."""
 
