--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -139,6 +139,16 @@
   return result;
 }
 
+/// The operator listener serves a few checkers and operators. Its connections
+/// come out of the descriptors that are left for replicas and peers.
+constexpr std::size_t MaxOperatorConnections = 64;
+
+transport::HttpServerOptions operatorServerOptions() {
+  transport::HttpServerOptions result;
+  result.MaxConnections = MaxOperatorConnections;
+  return result;
+}
+
 } // namespace
 
 struct Daemon::Impl {
@@ -207,7 +217,7 @@
             Callers.handle(request, std::move(responder));
           }),
       OperatorServer(
-          loop, {},
+          loop, operatorServerOptions(),
           [this](const transport::HttpRequest &request, const auto &responder) {
             Operator.handle(request, responder);
           }),
