Return freed memory to the kernel when a crowd has gone

Callers saw: nothing by itself. Resident memory stayed where a crowd had taken it (27,632 kB of 64 MB after large_chunks, 8,496 before it; 97,428 after sharded_requests), so the next crowd of another kind came on top.

Cause: buffers of clients lie between longer-lived blocks in the heap, and glibc returns only its end.

Change: ClientMemory records the peak of the bytes held. Ordinary callers never hold a sixteenth (2.6 MB on the smallest VM).

--- a/src/transport/client_connections.cc
+++ b/src/transport/client_connections.cc
@@ -487,7 +487,8 @@
   // Answers and copies are counted after the fact.
   if (Loop.clientMemory().missing(1, /*mayUseReserve=*/true) != 0)
     static_cast<void>(makeRoom(nullptr, 1, ClientDemand::Small));
-  if (!Connections.empty())
+  Loop.clientMemory().trim(now);
+  if (!Connections.empty() || Loop.clientMemory().mayNeedTrim())
     scheduleSweep();
 }
 
--- a/src/transport/client_memory.cc
+++ b/src/transport/client_memory.cc
@@ -3,6 +3,7 @@
 #include "state/log.h"
 
 #include <algorithm>
+#include <malloc.h>
 #include <string>
 
 // Each client is within the published limits, so only the sum can be limited. A
@@ -32,11 +33,26 @@
 }
 
 std::shared_ptr<const void> ClientMemory::makeHold(std::size_t bytes) {
-  *Held += bytes;
+  add(bytes);
   return {Held.get(),
           [held = Held, bytes](const std::size_t *) { *held -= bytes; }};
 }
 
+// The heap keeps what a crowd has freed, since its blocks lie between others,
+// and a second crowd of another kind would come on top of it.
+void ClientMemory::trim(state::TimePoint now) {
+  const bool isFallen = Peak >= Limit / TrimFraction && *Held <= Peak / 4;
+  const bool isRepeatDue = RepeatTrimAt && now >= *RepeatTrimAt;
+  if (!isFallen && !isRepeatDue)
+    return;
+  malloc_trim(0);
+  RepeatTrimAt.reset();
+  if (!isFallen)
+    return;
+  Peak = *Held;
+  RepeatTrimAt = now + TrimRepeatTime;
+}
+
 void ClientMemory::countRefusal(ClientRefusal kind, std::size_t bytes,
                                 state::TimePoint now) {
   const auto i = static_cast<std::size_t>(kind);
--- a/src/transport/client_memory.h
+++ b/src/transport/client_memory.h
@@ -4,11 +4,13 @@
 #include "state/clock.h"
 #include "state/metrics.h"
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace galenaflow::transport {
@@ -53,13 +55,25 @@
   /// Bytes that are missing before `bytes` more fit; zero if they fit.
   std::size_t missing(std::size_t bytes, bool mayUseReserve) const;
 
-  void add(std::size_t bytes) { *Held += bytes; }
+  void add(std::size_t bytes) {
+    *Held += bytes;
+    Peak = std::max(Peak, *Held);
+  }
   void release(std::size_t bytes) { *Held -= bytes; }
 
   /// Counts a copy of a request until the object is destroyed. It may outlive
   /// this one.
   std::shared_ptr<const void> makeHold(std::size_t bytes);
 
+  /// Returns freed memory to the kernel when the bytes held have fallen far
+  /// since it last did so, and once more a second later. Takes milliseconds.
+  void trim(state::TimePoint now);
+
+  /// Whether trim() has to be called again, every 100 ms or so.
+  bool mayNeedTrim() const {
+    return Peak >= Limit / TrimFraction || RepeatTrimAt.has_value();
+  }
+
   /// Counts a refusal and logs its kind, at most once a second.
   void countRefusal(ClientRefusal kind, std::size_t bytes,
                     state::TimePoint now);
@@ -75,10 +89,18 @@
   void exportTo(state::MetricRegistry &metrics) const;
 
 private:
+  /// Less of the limit is not worth a trim.
+  static constexpr std::size_t TrimFraction = 16;
+
+  /// Servers may still answer requests of clients that have gone.
+  static constexpr state::Duration TrimRepeatTime = std::chrono::seconds(1);
+
   static constexpr state::Duration LogInterval = std::chrono::seconds(1);
 
   std::size_t Limit = std::numeric_limits<std::size_t>::max() / 2;
   std::shared_ptr<std::size_t> Held = std::make_shared<std::size_t>(0);
+  std::size_t Peak = 0; ///< of the bytes held, since the last trim
+  std::optional<state::TimePoint> RepeatTrimAt;
   std::size_t Connections = 0;
   std::array<std::uint64_t, ClientRefusalCount> Refusals{};
   std::array<std::uint64_t, ClientRefusalCount> Logged{};
