Send one copy of a body to all shards of a request

Cause: every attempt encoded the whole request into a buffer of its own, so one body was held once for each connection to a replica that had not taken it. These copies were counted, but nothing asked whether they fit: 675 replicas can hold 187 MB of a VM of 160 MB. Ruled out: the input buffers and the handler's copy, which stay within the limit (39 bodies at 160 MB).

Change: HttpRequest::SharedBody is written by the socket from the one copy that the request has, beside a head of its own. The copy is counted by a hold that travels with the request, so it counts as long as any attempt uses it, also when the client has left; before, it was released with the connection.

The codec test checks that the body is the same object.

--- a/src/forwarding/executor_task.cc
+++ b/src/forwarding/executor_task.cc
@@ -139,6 +139,7 @@
   for (const auto &[name, value] : request.Headers)
     message.Headers.add(name, value);
   message.Body = std::move(request.Body);
+  message.Hold = Loop.clientMemory().makeHold(message.Body.size());
   ForwardCall call;
   call.Message = std::make_shared<const ForwardedRequest>(std::move(message));
   call.Table = Table;
@@ -149,7 +150,6 @@
   call.ReturnTime = std::clamp(request.ReturnTime, state::Duration(0),
                                route->LatencyObjective / 2);
   OpenRequest &open = OpenRequests[key];
-  open.Hold = Loop.clientMemory().makeHold(call.Message->Body.size());
   open.Id =
       Forwarding.forward(std::move(call), [this, key](ForwardResult result) {
         onResult(key, std::move(result));
--- a/src/forwarding/executor_task.h
+++ b/src/forwarding/executor_task.h
@@ -61,7 +61,6 @@
   struct OpenRequest {
     ForwardId Id = 0;
     transport::TimerId PendingTimer = 0;
-    std::shared_ptr<const void> Hold; ///< counts the body
   };
 
   transport::EventLoop &Loop;
--- a/src/forwarding/forward_dispatch.cc
+++ b/src/forwarding/forward_dispatch.cc
@@ -268,8 +268,7 @@
   attempt.Message = request.Message;
   attempt.ExpectedLatency = expectedLatency(request.ClassKey);
   attempt.Exchange = target->Pool.send(
-      Protocol.encode(*request.Message, target->Record.Id, remaining),
-      remaining,
+      Protocol.encode(request.Message, target->Record.Id, remaining), remaining,
       [this, id, target](transport::HttpResult result) {
         onAttemptEnded(id, std::move(result));
         // The pool must not be destroyed inside its own callback.
--- a/src/forwarding/forward_protocol.h
+++ b/src/forwarding/forward_protocol.h
@@ -21,6 +21,9 @@
   transport::HttpHeaders Headers; ///< end-to-end headers only
   std::string Body;
 
+  /// Counts the request in ClientMemory for as long as it exists.
+  std::shared_ptr<const void> Hold{};
+
   /// Equal for requests with equal method, host, path and body. The callers'
   /// other headers differ between attempts of one caller.
   state::RequestFingerprint fingerprint() const;
@@ -56,11 +59,11 @@
 public:
   virtual ~ReplicaProtocol() = default;
 
-  /// Makes the request to one replica; `remaining` is the time until the
-  /// deadline of its response.
-  virtual transport::HttpRequest encode(const ForwardedRequest &message,
-                                        std::string_view replica,
-                                        state::Duration remaining) const = 0;
+  /// Makes the request to one replica, which shares the body of `message`;
+  /// `remaining` is the time until the deadline of its response.
+  virtual transport::HttpRequest
+  encode(const std::shared_ptr<const ForwardedRequest> &message,
+         std::string_view replica, state::Duration remaining) const = 0;
 
   /// Classifies the response, or the failure of the exchange.
   virtual ReplicaResult decode(const ForwardedRequest &message,
--- a/src/transport/client_connections.cc
+++ b/src/transport/client_connections.cc
@@ -190,7 +190,7 @@
   if (it.Sock == nullptr || it.IsClosing)
     return;
   const std::size_t bytes = std::max(capacity(it.Sock), it.ReservedBytes) +
-                            it.CopyBytes + it.AnswerBytes + ConnectionBytes +
+                            it.AnswerBytes + ConnectionBytes +
                             (it.IsTls ? TlsBytes : 0);
   Loop.clientMemory().add(bytes);
   Loop.clientMemory().release(std::exchange(it.CountedBytes, bytes));
@@ -404,13 +404,11 @@
   connection.Read(connection.Sock, h2o_socket_error_closed);
 }
 
-ClientConnectionPtr ClientConnections::onRequest(h2o_socket_t *sock,
-                                                 std::size_t copyBytes) {
+ClientConnectionPtr ClientConnections::onRequest(h2o_socket_t *sock) {
   auto *connection = static_cast<ClientConnection *>(sock->on_close.data);
   ++connection->OpenRequests;
   connection->IsHeadAccepted = false;
   connection->ReservedBytes = 0;
-  connection->CopyBytes += copyBytes;
   count(*connection);
   return connection->shared_from_this();
 }
@@ -427,10 +425,8 @@
 }
 
 void ClientConnections::onRequestEnd(const ClientConnectionPtr &connection,
-                                     std::size_t copyBytes,
                                      std::size_t answerBytes) {
   --connection->OpenRequests;
-  connection->CopyBytes -= copyBytes;
   connection->AnswerBytes -= answerBytes;
   if (connection->Sock == nullptr)
     return;
--- a/src/transport/client_connections.h
+++ b/src/transport/client_connections.h
@@ -25,7 +25,6 @@
   bool IsClosing = false;        ///< the socket was shut down
   std::size_t OpenRequests = 0;  ///< complete ones without a written answer
   std::size_t ReservedBytes = 0; ///< for the request that is being received
-  std::size_t CopyBytes = 0;     ///< of the open requests
   std::size_t AnswerBytes = 0;   ///< that have not been taken by the client
   std::size_t CountedBytes = 0;  ///< in ClientMemory
   std::size_t DiscardedBytes = 0;
@@ -64,11 +63,11 @@
   void startReading(st_h2o_socket_t *sock);
 
   /// A complete request was copied. Returns its connection.
-  ClientConnectionPtr onRequest(st_h2o_socket_t *sock, std::size_t copyBytes);
+  ClientConnectionPtr onRequest(st_h2o_socket_t *sock);
   void onAnswer(ClientConnection &connection, std::size_t bytes);
   void onAnswerProgress(ClientConnection &connection);
   void onRequestEnd(const ClientConnectionPtr &connection,
-                    std::size_t copyBytes, std::size_t answerBytes);
+                    std::size_t answerBytes);
 
   std::size_t size() const { return Connections.size(); }
 
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -6,6 +6,7 @@
 #include "transport/socket_input.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <memory>
 #include <optional>
@@ -46,20 +47,22 @@
 /// Unused memory of a received body above which it is freed, in bytes.
 constexpr std::size_t MaxUnusedBytes = std::size_t{64} << 10;
 
+/// Returns the request without a shared body.
 std::string encodeRequest(const HttpRequest &request,
                           const std::string &authority) {
   std::string text;
-  text.reserve(512 + request.Body.size());
+  text.reserve(512 + (request.SharedBody ? 0 : request.Body.size()));
   text.append(request.Method).append(" ").append(request.Path);
   text.append(" HTTP/1.1\r\nhost: ")
       .append(request.Host.empty() ? authority : request.Host);
   for (const auto &[name, value] : request.Headers.items())
     text.append("\r\n").append(name).append(": ").append(value);
-  if (!request.Body.empty() || request.Method == "POST" ||
+  if (!request.body().empty() || request.Method == "POST" ||
       request.Method == "PUT")
-    text += "\r\ncontent-length: " + std::to_string(request.Body.size());
+    text += "\r\ncontent-length: " + std::to_string(request.body().size());
   text += "\r\n\r\n";
-  text += request.Body;
+  if (!request.SharedBody)
+    text += request.Body;
   return text;
 }
 
@@ -99,9 +102,14 @@
   TimerId OpenTimer = 0;
   TimerId IdleTimer = 0;
   state::Duration IdleTimeout = DefaultIdleTimeout;
-  std::string RequestBytes;
-  std::shared_ptr<std::string> WriteBuffer; ///< bytes being sent by Sock
-  std::shared_ptr<const void> RequestHold;  ///< counts the request's bytes
+  /// The request that is sent next, or is being sent by Sock.
+  struct Output {
+    std::string Bytes;
+    std::shared_ptr<const std::string> SharedBody;
+  };
+  Output Next;
+  std::shared_ptr<Output> InFlight;
+  std::shared_ptr<const void> RequestHold; ///< counts the request's bytes
   std::string EchoHeader;
   std::string EchoValue;
   HttpResponseParserOptions ParserOptions;
@@ -171,7 +179,7 @@
   Connecting = false;
   if (Sock == nullptr)
     return;
-  Loop.closeSocket(Sock, std::exchange(WriteBuffer, nullptr));
+  Loop.closeSocket(Sock, std::exchange(InFlight, nullptr));
   RequestHold = nullptr;
   Sock = nullptr;
   Writing = false;
@@ -216,9 +224,14 @@
   }
   MaybeSent = true;
   Writing = true;
-  WriteBuffer = std::make_shared<std::string>(std::move(RequestBytes));
-  h2o_iovec_t buf = h2o_iovec_init(WriteBuffer->data(), WriteBuffer->size());
-  h2o_socket_write(Sock, &buf, 1, &Impl::onWritten);
+  InFlight = std::make_shared<Output>(std::exchange(Next, {}));
+  const std::string &bytes = InFlight->Bytes;
+  std::array<h2o_iovec_t, 2> bufs{h2o_iovec_init(bytes.data(), bytes.size())};
+  std::size_t n = 1;
+  if (InFlight->SharedBody && !InFlight->SharedBody->empty())
+    bufs[n++] = h2o_iovec_init(InFlight->SharedBody->data(),
+                               InFlight->SharedBody->size());
+  h2o_socket_write(Sock, bufs.data(), n, &Impl::onWritten);
 }
 
 void HttpConnection::Impl::onWritten(h2o_socket_t *sock, const char *err) {
@@ -229,7 +242,7 @@
   // before it closed the connection.
   static_cast<void>(err);
   impl->Writing = false;
-  impl->WriteBuffer = nullptr;
+  impl->InFlight = nullptr;
   impl->RequestHold = nullptr;
 }
 
@@ -365,6 +378,7 @@
 
 void HttpConnection::Impl::finish(HttpResult result) {
   ResultPosted = true;
+  Next = {}; // not sent
   Parser.reset();
   Loop.cancel(DeadlineTimer);
   DeadlineTimer = 0;
@@ -434,9 +448,8 @@
   ++self.ExchangeNumber;
   self.MaybeSent = false;
   self.HasReceived = false;
-  self.RequestBytes = encodeRequest(request, self.Authority);
-  self.RequestHold =
-      self.Loop.clientMemory().makeHold(self.RequestBytes.size());
+  self.Next = {encodeRequest(request, self.Authority), request.SharedBody};
+  self.RequestHold = self.Loop.clientMemory().makeHold(self.Next.Bytes.size());
   self.EchoHeader = request.Rules.EchoHeader;
   self.EchoValue = request.Headers.find(self.EchoHeader).value_or("");
   self.ParserOptions = {};
--- a/src/transport/http_message.h
+++ b/src/transport/http_message.h
@@ -53,8 +53,18 @@
   /// is empty.
   std::string Host{};
 
+  /// Sent in place of Body if it is set. Requests with the same body share it.
+  /// Used by clients only.
+  std::shared_ptr<const std::string> SharedBody{};
+
+  /// Counts a received request in ClientMemory for as long as it exists. To be
+  /// passed on with the body.
+  std::shared_ptr<const void> Hold{};
+
   /// Used by clients only.
   ResponseRules Rules{};
+
+  const std::string &body() const { return SharedBody ? *SharedBody : Body; }
 };
 
 struct HttpResponse {
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -103,10 +103,11 @@
 
 class Responder final : public HttpResponder {
 public:
-  Responder(h2o_req_t *req, HttpServer::Impl *server, std::size_t copyBytes)
-      : Req(req), Server(server), CopyBytes(copyBytes),
+  Responder(h2o_req_t *req, HttpServer::Impl *server,
+            std::shared_ptr<const void> requestHold)
+      : Req(req), Server(server), RequestHold(std::move(requestHold)),
         Connection(server->Connections.onRequest(
-            req->conn->callbacks->get_socket(req->conn), copyBytes)) {
+            req->conn->callbacks->get_socket(req->conn))) {
     ++Server->Requests;
     Server->OpenResponders.insert(this);
     Server->scheduleDisconnectCheck();
@@ -195,7 +196,8 @@
     Req = nullptr;
     Body = {};
     Hold = nullptr;
-    Server->Connections.onRequestEnd(Connection, CopyBytes, AnswerBytes);
+    RequestHold = nullptr;
+    Server->Connections.onRequestEnd(Connection, AnswerBytes);
     if (!Sent && DisconnectCallback)
       Server->Loop.post(std::move(DisconnectCallback));
   }
@@ -231,7 +233,8 @@
 
   h2o_req_t *Req;
   HttpServer::Impl *Server;
-  std::size_t CopyBytes;       ///< of the request
+  /// A handler may keep parts of the request until it has the answer.
+  std::shared_ptr<const void> RequestHold;
   std::size_t AnswerBytes = 0; ///< counted with the connection
   ClientConnectionPtr Connection;
   ResponseGenerator Generator{{}, this};
@@ -394,7 +397,8 @@
     return 0;
   }
   HttpRequest request = copyRequest(req);
-  auto responder = std::make_shared<Responder>(req, self, copyBytes(request));
+  request.Hold = self->Loop.clientMemory().makeHold(copyBytes(request));
+  auto responder = std::make_shared<Responder>(req, self, request.Hold);
   void *slot = h2o_mem_alloc_shared(
       &req->pool, sizeof(std::shared_ptr<Responder>), &disposeResponder);
   new (slot) std::shared_ptr<Responder>(responder);
--- a/tests/forward_task_test.cc
+++ b/tests/forward_task_test.cc
@@ -27,10 +27,10 @@
 
 /// Forwards the path and takes status and body of the response.
 struct PlainProtocol final : ReplicaProtocol {
-  transport::HttpRequest encode(const ForwardedRequest &message,
-                                std::string_view,
-                                state::Duration) const override {
-    return {message.Method, message.Path, {}, message.Body};
+  transport::HttpRequest
+  encode(const std::shared_ptr<const ForwardedRequest> &message,
+         std::string_view, state::Duration) const override {
+    return {message->Method, message->Path, {}, message->Body};
   }
   ReplicaResult decode(const ForwardedRequest &,
                        transport::HttpResult result) const override {
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -826,12 +826,15 @@
   const auto call = CallerCodec().decode(incoming);
   REQUIRE(call);
   CHECK(call->Remaining == std::chrono::milliseconds(400));
-  const auto sent = ReplicaCodec().encode(call->Message, "i-1",
-                                          std::chrono::microseconds(250700));
+  const auto message =
+      std::make_shared<const forwarding::ForwardedRequest>(call->Message);
+  const auto sent =
+      ReplicaCodec().encode(message, "i-1", std::chrono::microseconds(250700));
   CHECK(sent.Method == "POST");
   CHECK(sent.Path == "/a/1?q=2");
   CHECK(sent.Host == "shop.example");
-  CHECK(sent.Body == "body");
+  CHECK(sent.body() == "body");
+  CHECK(&sent.body() == &message->Body); // not a copy
   const std::vector<std::pair<std::string, std::string>> expected{
       {"X-Request-Id", "id"},
       {"Accept", "a"},
