Count the records of open requests over many services

Cause: an open request holds the state of each part, its attempts and their places in the queues, about 160 bytes a shard, and only its head and body were counted. The connections allow 2,600 such requests on the smallest VM.

Change: an open request counts 256 bytes for each service and one more, at the daemon that runs it and at the one that delegated it. A request over several services whose record does not fit into three quarters of the limit is refused at once with 503 and Retry-After, which is true, since it has not been forwarded; an executor refuses it to the daemon that delegated it. A request to one service needs no room beyond its connection, so those of ordinary callers still get through. No client inside the published limits reaches it: the smallest VM has room for 500 open requests over 225 shards.

--- a/src/forwarding/delegation_task.cc
+++ b/src/forwarding/delegation_task.cc
@@ -155,7 +155,8 @@
   }
   Delegated.add();
   open.Executor = *executor;
-  open.CopyHold = Loop.clientMemory().makeHold(open.Call.Message->Body.size());
+  open.CopyHold = Loop.clientMemory().makeHold(
+      open.Call.Message->Body.size() + recordBytes(open.Call.Services.size()));
   Selector.onSent(*executor);
   const Duration objective = open.Call.Route->LatencyObjective;
   const Duration maxWait = endsAt(open) - open.ArrivedAt;
--- a/src/forwarding/entry_service.cc
+++ b/src/forwarding/entry_service.cc
@@ -40,6 +40,13 @@
   return Loop.now() >= RefuseFrom && ExitAt - Loop.now() < limit;
 }
 
+// A record of one service is small, and the connections are limited.
+bool EntryService::hasMemory(std::size_t services) const {
+  return services <= 1 ||
+         Loop.clientMemory().missing(recordBytes(services),
+                                     /*mayUseReserve=*/false) == 0;
+}
+
 void EntryService::setRoutes(const state::RouteTablePtr &table) {
   Table = table;
   Server.setMaxBodyBytes(table->limits().MaxBodyBytes);
@@ -100,10 +107,16 @@
            "stopping");
     return;
   }
+  std::vector<std::string> services = selectServices(*route);
+  if (!hasMemory(services.size())) {
+    refuse(*responder, call->Message.RequestId, Refusal::NoMemory,
+           "client_memory", "no_memory");
+    return;
+  }
   const std::string id = call->Message.RequestId;
   const ForwardId forwarded = Forwarding.forward(
       {std::make_shared<const ForwardedRequest>(std::move(call->Message)),
-       Table, route, selectServices(*route), remaining},
+       Table, route, std::move(services), remaining},
       [this, responder, id, table = Table, route](ForwardResult result) {
         onResult(responder, id, table, *route, std::move(result));
       });
--- a/src/forwarding/entry_service.h
+++ b/src/forwarding/entry_service.h
@@ -20,6 +20,7 @@
 enum class Refusal {
   NotReady,    ///< no routes are known yet, or not the services of this one
   Stopping,    ///< the process exits before the request would have to end
+  NoMemory,    ///< open requests take up the memory that clients may claim
   NoSuchRoute, ///< no route in force matches the request
   Failed,      ///< for the reason that the ForwardFailure states
 };
@@ -97,6 +98,9 @@
   std::optional<state::Duration>
   retryAfter(const coordination::ForwardFailure &failure);
 
+  /// Whether the record of a request over this number of services fits.
+  bool hasMemory(std::size_t services) const;
+
   /// Whether the process may exit before a request that may take `limit` ends.
   bool isTooLate(state::Duration limit) const;
 
--- a/src/forwarding/executor_task.cc
+++ b/src/forwarding/executor_task.cc
@@ -122,8 +122,9 @@
   if (route == nullptr || IsDraining ||
       OpenRequests.size() >= maxOpenRequests() ||
       request.Remaining <= state::Duration(0) || OpenRequests.contains(key) ||
-      Loop.clientMemory().missing(request.Body.size(),
-                                  /*mayUseReserve=*/false) != 0) {
+      Loop.clientMemory().missing(
+          request.Body.size() + recordBytes(route->Shards.Services.size()),
+          /*mayUseReserve=*/false) != 0) {
     Refused.add();
     DelegatedReply refusal;
     refusal.Sequence = request.Sequence;
--- a/src/forwarding/forward_task.cc
+++ b/src/forwarding/forward_task.cc
@@ -193,6 +193,8 @@
   auto created =
       std::make_unique<Request>(std::move(message), std::move(options), policy);
   Request &request = *created;
+  request.RecordHold = Loop.clientMemory().makeHold(
+      recordBytes(request.Execution.options().Services.size()));
   request.OwnPolicy = std::move(ownPolicy);
   request.ClassKey = key;
   request.Callback = std::move(callback);
--- a/src/forwarding/forward_task.h
+++ b/src/forwarding/forward_task.h
@@ -188,6 +188,7 @@
             coordination::ForwardPolicy &policy)
         : Message(std::move(message)), Execution(std::move(options), policy) {}
     std::shared_ptr<const ForwardedRequest> Message;
+    std::shared_ptr<const void> RecordHold; ///< counts recordBytes()
     std::unique_ptr<coordination::ForwardPolicy> OwnPolicy; ///< or null
     coordination::ForwardExecution Execution;
     RequestClassKey ClassKey;
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -46,6 +46,13 @@
   bool IsSuspect = false;
 };
 
+/// Memory of an open request over this number of services, in bytes, without
+/// the request itself: its parts, their attempts, and their places in queues.
+constexpr std::size_t recordBytes(std::size_t services) {
+  constexpr std::size_t bytesOfOne = 256;
+  return (1 + services) * bytesOfOne;
+}
+
 /// Requests over fewer shards are not delegated to executors: delegating one
 /// costs as much as a few sub-requests.
 constexpr std::size_t MinDelegatedParts = 16;
