Keep galenaflowd's connections to replicas within its descriptors

Callers saw: nothing yet; a process without descriptors accepts nobody and opens no files. A crowd of requests made galenaflowd open every connection that its replicas allow, 25 to each of eight: 485 descriptors with settings that leave 400, of which clients may take 266.

Cause: the limit of clients' connections leaves a third of the descriptors for replicas and peers, but nothing kept the replicas within it.

Change: all connections to replicas together take at most a quarter of the descriptors without the 200 for files. Each replica gets an equal part, at least one; a larger share of its published limit is not used. galenaflow-platform has one connection to each replica and needs no such limit.

--- a/src/daemon/backend_task.cc
+++ b/src/daemon/backend_task.cc
@@ -128,6 +128,8 @@
       removed.push_back(id);
   for (const std::string &id : removed)
     removeReplica(id);
+  for (const auto &[id, replica] : Replicas)
+    applyShare(*replica);
 }
 
 void BackendTask::addReplica(const state::Service &service,
@@ -155,7 +157,6 @@
     }
   });
   Replicas.emplace(replica.Id, std::move(created));
-  applyShare(added);
   // The first polls of the replicas are spread over a tenth of the interval.
   std::uniform_int_distribution<std::int64_t> delay(
       0, Options.PollInterval.count() / 10);
@@ -202,7 +203,12 @@
 }
 
 void BackendTask::applyShare(ReplicaState &replica) {
-  const std::uint32_t share = Services.at(replica.ServiceName)->ConnectionShare;
+  // Many requests at once would open all connections that the replicas allow,
+  // which can be more than the descriptors of the process.
+  const std::size_t most =
+      std::max<std::size_t>(1, Options.MaxConnections / Replicas.size());
+  const auto share = static_cast<std::uint32_t>(std::min<std::size_t>(
+      Services.at(replica.ServiceName)->ConnectionShare, most));
   replica.Pool.setLimit(share);
   replica.Pool.warm(Options.WarmConnections);
   executeActions(Scheduler.setLimit(replica.Listed.Id, share, Loop.now()));
--- a/src/daemon/backend_task.h
+++ b/src/daemon/backend_task.h
@@ -31,6 +31,10 @@
   /// Connections to a replica that are opened in advance.
   std::size_t WarmConnections = 2;
 
+  /// Connections to all replicas together. Each replica gets an equal part, at
+  /// least one, of which its share may use less.
+  std::size_t MaxConnections = SIZE_MAX;
+
   coordination::HedgeOptions Hedging;
   coordination::OutlierOptions Outliers;
   transport::BackendPoolOptions Pool;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -80,9 +80,20 @@
   return result;
 }
 
+/// The descriptors that this process may have.
+std::size_t descriptorLimit() {
+  rlimit limit{};
+  return getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+                 limit.rlim_cur != RLIM_INFINITY
+             ? limit.rlim_cur
+             : SIZE_MAX / 2;
+}
+
 BackendTaskOptions backendOptions(const Options &options, std::uint64_t seed) {
   BackendTaskOptions result;
   result.PollInterval = milliseconds(options.PollIntervalMs);
+  result.MaxConnections =
+      transport::ClientMemory::maxBackendConnections(descriptorLimit());
   result.Hedging.Quantile = options.HedgeQuantile;
   result.Outliers.ConsecutiveFailures = options.EjectAfterFailures;
   result.Pool.IdleProbeAge = milliseconds(options.IdleProbeMs);
@@ -118,15 +129,6 @@
   return result;
 }
 
-/// The descriptors that this process may have.
-std::size_t descriptorLimit() {
-  rlimit limit{};
-  return getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
-                 limit.rlim_cur != RLIM_INFINITY
-             ? limit.rlim_cur
-             : SIZE_MAX / 2;
-}
-
 transport::HttpServerOptions callerServerOptions(const Options &options) {
   transport::HttpServerOptions result;
   result.MaxBodyBytes = options.MaxBodyBytes;
--- a/src/transport/client_memory.cc
+++ b/src/transport/client_memory.cc
@@ -19,10 +19,20 @@
   return names[static_cast<std::size_t>(kind)];
 }
 
+namespace {
+
+std::size_t usableDescriptors(std::size_t descriptors) {
+  return descriptors - std::min(descriptors, ClientMemory::ReservedDescriptors);
+}
+
+} // namespace
+
 std::size_t ClientMemory::maxConnections(std::size_t descriptors) {
-  const std::size_t usable =
-      descriptors - std::min(descriptors, ReservedDescriptors);
-  return std::max<std::size_t>(1, usable / 3 * 2);
+  return std::max<std::size_t>(1, usableDescriptors(descriptors) / 3 * 2);
+}
+
+std::size_t ClientMemory::maxBackendConnections(std::size_t descriptors) {
+  return usableDescriptors(descriptors) / 4;
 }
 
 std::size_t ClientMemory::missing(std::size_t bytes, bool mayUseReserve) const {
--- a/src/transport/client_memory.h
+++ b/src/transport/client_memory.h
@@ -45,9 +45,13 @@
   static constexpr std::size_t ReservedDescriptors = 200;
 
   /// The connections of clients that a process with `descriptors` may have: two
-  /// thirds of those that are not reserved. The rest is for replicas and peers.
+  /// thirds of those that are not reserved.
   static std::size_t maxConnections(std::size_t descriptors);
 
+  /// The connections to replicas that such a process may have: three quarters
+  /// of the rest. What remains is for peers, probes and the platform.
+  static std::size_t maxBackendConnections(std::size_t descriptors);
+
   void setLimit(std::size_t bytes) { Limit = bytes; }
   std::size_t limit() const { return Limit; }
   std::size_t held() const { return *Held; }
