Count TLS connections before h2o handles their bytes

Callers saw: a process that ran out of memory, also with the default settings. 1,700 TLS connections that send an incomplete head took galenaflowd to 120,620 kB of 64 MB, as many bodies that stop short to 193,840 kB. With the settings of a VM of 160 MB and 4,100 descriptors: 176,736 and 274,604 kB.

Cause: three parts of one fault. The buffers of OpenSSL and the encrypted bytes of the largest read stay for as long as the connection.

Change: h2o's callback for reads is replaced for TLS connections too. It is called when the socket is decrypted, counts what the connection holds with the buffer of its largest read, and lets others or this one give way before h2o handles the bytes. The limit of connections reckons with 32 KB. OpenSSL frees the buffers of idle connections, and the receive buffer of the sockets is 16 KB, which bounds one read.

--- a/src/transport/client_connections.cc
+++ b/src/transport/client_connections.cc
@@ -5,6 +5,7 @@
 #include "transport/socket_input.h"
 
 #include <array>
+#include <bit>
 #include <charconv>
 #include <cstring>
 #include <sys/ioctl.h>
@@ -20,8 +21,11 @@
 // socket with h2o's own callback gets no bytes, since its automatic reads are
 // off. h2o does not read while a request is open, which holds up the client.
 //
-// h2o reads and decrypts TLS connections itself. Their buffers are counted by
-// the sweep, after the fact, and partial bodies of HTTP/2 are not seen.
+// h2o reads and decrypts TLS connections itself, one socket until it is empty.
+// They are counted when it is done with the socket and before it handles the
+// bytes, so the limit is exceeded by one read at most. It keeps the buffer of
+// the largest read while the connection is open. Partial bodies of HTTP/2 are
+// not seen.
 //
 // A body with a stated length reserves the buffer for all of it, and the copy
 // for the handler, before more of it is read. What is refused has not been
@@ -78,11 +82,17 @@
   return n;
 }
 
+/// What h2o holds for a TLS connection in buffers that it does not show: the
+/// encrypted bytes of the largest read.
+std::size_t tlsBufferBytes(const ClientConnection &it) {
+  return it.LargestRead == 0 ? 0 : std::bit_ceil(it.LargestRead);
+}
+
 } // namespace
 
 std::size_t ClientConnections::connectionLimit() const {
-  return std::min(MaxConnections,
-                  Loop.clientMemory().limit() / 2 / ConnectionBytes);
+  const std::size_t bytes = ConnectionBytes + (HasTls ? TlsBytes : 0);
+  return std::min(MaxConnections, Loop.clientMemory().limit() / 2 / bytes);
 }
 
 bool ClientConnections::makeRoomForConnection() {
@@ -157,7 +167,7 @@
 
 void ClientConnections::intercept(ClientConnection &connection) {
   h2o_socket_t *sock = connection.Sock;
-  if (connection.IsTls || sock->_cb.read == nullptr ||
+  if (sock->_cb.read == nullptr ||
       sock->_cb.read == &ClientConnections::onReadable)
     return;
   connection.Read = sock->_cb.read;
@@ -169,8 +179,7 @@
 void ClientConnections::interceptSoon(const ClientConnectionPtr &connection,
                                       int attempts) {
   Loop.post([this, connection, attempts] {
-    if (connection->Sock == nullptr || connection->IsTls ||
-        connection->OpenRequests != 0)
+    if (connection->Sock == nullptr || connection->OpenRequests != 0)
       return;
     if (connection->Sock->_cb.read == nullptr) {
       if (attempts > 1)
@@ -179,7 +188,8 @@
     }
     intercept(*connection);
     // A client may send its next request before it has the answer.
-    if (connection->Sock->input->size != 0 && !connection->IsHeadAccepted) {
+    if (connection->Sock->input->size != 0 && !connection->IsHeadAccepted &&
+        !connection->IsTls) {
       connection->HeadSince = Loop.now();
       static_cast<void>(acceptHead(connection));
     }
@@ -191,7 +201,7 @@
     return;
   const std::size_t bytes = std::max(capacity(it.Sock), it.ReservedBytes) +
                             it.AnswerBytes + ConnectionBytes +
-                            (it.IsTls ? TlsBytes : 0);
+                            (it.IsTls ? TlsBytes + tlsBufferBytes(it) : 0);
   Loop.clientMemory().add(bytes);
   Loop.clientMemory().release(std::exchange(it.CountedBytes, bytes));
 }
@@ -209,6 +219,10 @@
 void ClientConnections::read(const ClientConnectionPtr &connection,
                              const char *err) {
   h2o_socket_t *sock = connection->Sock;
+  if (connection->IsTls) {
+    readTls(connection, err);
+    return;
+  }
   if (connection->IsLingering) {
     discard(connection);
     return;
@@ -240,7 +254,14 @@
   if (!connection->IsHeadAccepted && !acceptHead(connection))
     return;
   count(*connection);
-  connection->Read(sock, nullptr);
+  deliver(connection, nullptr);
+}
+
+/// Passes what was read to h2o, which sets the callback for the next read.
+void ClientConnections::deliver(const ClientConnectionPtr &connection,
+                                const char *err) {
+  h2o_socket_t *sock = connection->Sock;
+  connection->Read(sock, err);
   if (connection->Sock == nullptr)
     return;
   count(*connection);
@@ -250,6 +271,39 @@
     interceptSoon(connection, /*attempts=*/100);
 }
 
+/// h2o has read and decrypted what the socket had, and calls before it handles
+/// the bytes; there are none during the handshake.
+void ClientConnections::readTls(const ClientConnectionPtr &connection,
+                                const char *err) {
+  h2o_socket_t *sock = connection->Sock;
+  const std::size_t n = err == nullptr ? sock->bytes_read : 0;
+  if (n == 0 || connection->IsClosing) {
+    deliver(connection, err);
+    return;
+  }
+  if (sock->input->size == n)
+    connection->HeadSince = Loop.now();
+  connection->LargestRead = std::max(connection->LargestRead, n);
+  touch(*connection);
+  ClientDemand demand = ClientDemand::Small;
+  if (sock->input->size > SmallRequestBytes)
+    demand = connection->IsHeadAccepted ? ClientDemand::BodyGrows
+                                        : ClientDemand::NewBody;
+  count(*connection);
+  const bool mayUseReserve = demand == ClientDemand::Small;
+  if (!evictFor(connection.get(), Loop.clientMemory().missing(0, mayUseReserve),
+                demand)) {
+    refuse(connection);
+    return;
+  }
+  if (connection->Sock == nullptr || connection->IsClosing)
+    return; // it gave way itself
+  if (!connection->IsHeadAccepted)
+    connection->IsHeadAccepted =
+        parseFraming({sock->input->bytes, sock->input->size}).HeadBytes != 0;
+  deliver(connection, nullptr);
+}
+
 /// Appends to the input buffer. Returns false if the connection was refused.
 bool ClientConnections::append(const ClientConnectionPtr &connection,
                                std::string_view bytes) {
@@ -318,9 +372,14 @@
 /// A body that grows may itself be evicted, which leaves `asking` closed.
 bool ClientConnections::makeRoom(const ClientConnection *asking,
                                  std::size_t bytes, ClientDemand demand) {
-  ClientMemory &memory = Loop.clientMemory();
-  const std::size_t missing =
-      bytes == 0 ? 0 : memory.missing(bytes, demand == ClientDemand::Small);
+  const bool mayUseReserve = demand == ClientDemand::Small;
+  return bytes == 0 ||
+         evictFor(asking, Loop.clientMemory().missing(bytes, mayUseReserve),
+                  demand);
+}
+
+bool ClientConnections::evictFor(const ClientConnection *asking,
+                                 std::size_t missing, ClientDemand demand) {
   if (missing == 0)
     return true;
   const auto evicted = selectEvictions(
@@ -435,19 +494,6 @@
   interceptSoon(connection, /*attempts=*/100);
 }
 
-/// Finds out what h2o has read from a TLS connection.
-void ClientConnections::inspectTls(ClientConnection &connection) const {
-  if (!connection.IsTls)
-    return;
-  const ClientPhase current = phase(connection);
-  if (current == ClientPhase::Idle)
-    connection.HeadSince = Loop.now();
-  if (current == ClientPhase::Head)
-    connection.IsHeadAccepted = parseFraming({connection.Sock->input->bytes,
-                                              connection.Sock->input->size})
-                                    .HeadBytes != 0;
-}
-
 void ClientConnections::scheduleSweep() {
   if (SweepTimer == 0)
     SweepTimer = Loop.schedule(SweepInterval, [this] {
@@ -464,7 +510,6 @@
   for (const ClientConnectionPtr &it : all) {
     if (it->Sock == nullptr || it->IsClosing)
       continue;
-    inspectTls(*it);
     const ClientPhase current = phase(*it);
     if (current == ClientPhase::Lingering && now >= it->LingerUntil) {
       close(*it);
--- a/src/transport/client_connections.h
+++ b/src/transport/client_connections.h
@@ -20,6 +20,7 @@
   /// The callback of h2o, which gets the bytes that were accepted.
   void (*Read)(st_h2o_socket_t *, const char *) = nullptr;
   bool IsTls = false;
+  std::size_t LargestRead = 0; ///< bytes of TLS that were decrypted in one turn
   bool IsHeadAccepted = false; ///< of the request that is being received
   bool IsLingering = false;
   bool IsClosing = false;        ///< the socket was shut down
@@ -46,6 +47,7 @@
   /// Also limited so that connections alone take at most half of the limit of
   /// EventLoop::clientMemory().
   std::size_t MaxConnections = 0;
+  bool HasTls = false; ///< whether connections will use TLS
 
   explicit ClientConnections(EventLoop &loop) : Loop(loop) {}
   ~ClientConnections() { stop(); }
@@ -87,8 +89,8 @@
   /// Counted for each connection: h2o's state of it, and the first block of the
   /// memory of a request.
   static constexpr std::size_t ConnectionBytes = std::size_t{4} << 10;
-  /// Counted for a TLS connection in addition: records and the session.
-  static constexpr std::size_t TlsBytes = std::size_t{48} << 10;
+  /// Counted for a TLS connection in addition: the session and its handshake.
+  static constexpr std::size_t TlsBytes = std::size_t{28} << 10;
 
   static void onReadable(st_h2o_socket_t *sock, const char *err);
   static void onClosed(void *data);
@@ -98,10 +100,14 @@
   void intercept(ClientConnection &connection);
   void interceptSoon(const ClientConnectionPtr &connection, int attempts);
   void read(const ClientConnectionPtr &connection, const char *err);
+  void readTls(const ClientConnectionPtr &connection, const char *err);
+  void deliver(const ClientConnectionPtr &connection, const char *err);
   bool append(const ClientConnectionPtr &connection, std::string_view bytes);
   bool acceptHead(const ClientConnectionPtr &connection);
   bool makeRoom(const ClientConnection *asking, std::size_t bytes,
                 ClientDemand demand);
+  bool evictFor(const ClientConnection *asking, std::size_t missing,
+                ClientDemand demand);
   std::vector<ClientLoad> loads(const ClientConnection *without) const;
   void count(ClientConnection &connection);
   void touch(ClientConnection &connection);
@@ -110,7 +116,6 @@
   void sendRefusal(const ClientConnection &connection);
   void close(ClientConnection &connection);
   void discard(const ClientConnectionPtr &connection);
-  void inspectTls(ClientConnection &connection) const;
   void scheduleSweep();
   void sweep();
 
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -47,6 +47,10 @@
 /// Size of a piece of an answer, in bytes.
 constexpr std::size_t WritePieceBytes = std::size_t{256} << 10;
 
+/// Receive buffer of a TLS connection, in bytes. h2o keeps a buffer for what it
+/// has read from one in one turn, which is this much at least.
+constexpr int TlsReceiveBufferBytes = 16 << 10;
+
 /// h2o refuses a chunked body that has reached its limit before the last chunk
 /// has arrived, so a body of the largest allowed size needs one byte more.
 constexpr std::size_t ChunkedSlack = 1;
@@ -293,6 +297,8 @@
     return makeError(ErrorCode::InvalidArgument,
                      "cannot load key " + options.KeyFile);
   }
+  // The buffers of a connection that is idle would take 34 KB.
+  SSL_CTX_set_mode(tls, SSL_MODE_RELEASE_BUFFERS);
   h2o_ssl_register_alpn_protocols(tls, h2o_http2_alpn_protocols);
   return tls;
 }
@@ -439,10 +445,14 @@
       return tl::unexpected(tls.error());
     Self->TlsContext = *tls;
     Self->AcceptContext.ssl_ctx = *tls;
+    Self->Connections.HasTls = true;
   }
   const auto fd = listenOn(address);
   if (!fd)
     return tl::unexpected(fd.error());
+  if (Self->TlsContext != nullptr) // accepted connections inherit this
+    setsockopt(*fd, SOL_SOCKET, SO_RCVBUF, &TlsReceiveBufferBytes,
+               sizeof(TlsReceiveBufferBytes));
   Self->Listener = h2o_evloop_socket_create(Self->Loop.handle(), *fd,
                                             H2O_SOCKET_FLAG_DONT_READ);
   Self->Listener->data = Self.get();
