Count partial bodies of HTTP/2

Cause: h2o keeps the body of each stream in a buffer of its own, does not show it, and allows a client 100 streams. Nothing counted a body before it was complete.

Change: Http2BodyCounter follows the frame headers of what a client sends and counts each body from its first frame to its end. A connection with a partial body gives way as a whole, also when other streams of it have complete requests: the client chose to mix them, and a close promises nothing. Weighed: no HTTP/2 any more, which would take it from callers who use it; h2o's headers of its streams, which need a header that no package has.

--- a/src/transport/client_connections.cc
+++ b/src/transport/client_connections.cc
@@ -24,8 +24,8 @@
 // h2o reads and decrypts TLS connections itself, one socket until it is empty.
 // They are counted when it is done with the socket and before it handles the
 // bytes, so the limit is exceeded by one read at most. It keeps the buffer of
-// the largest read while the connection is open. Partial bodies of HTTP/2 are
-// not seen.
+// the largest read while the connection is open. Bodies of HTTP/2 are counted
+// by their frames.
 //
 // A body with a stated length reserves the buffer for all of it, and the copy
 // for the handler, before more of it is read. What is refused has not been
@@ -83,9 +83,10 @@
 }
 
 /// What h2o holds for a TLS connection in buffers that it does not show: the
-/// encrypted bytes of the largest read.
+/// encrypted bytes of the largest read, and the bodies of HTTP/2.
 std::size_t tlsBufferBytes(const ClientConnection &it) {
-  return it.LargestRead == 0 ? 0 : std::bit_ceil(it.LargestRead);
+  return (it.LargestRead == 0 ? 0 : std::bit_ceil(it.LargestRead)) +
+         (it.Http2 ? it.Http2->heldBytes() : 0);
 }
 
 } // namespace
@@ -156,6 +157,10 @@
 ClientPhase ClientConnections::phase(const ClientConnection &it) const {
   if (it.IsLingering)
     return ClientPhase::Lingering;
+  // Its other streams may have complete requests, but it is the client that
+  // chose to mix them.
+  if (it.Http2 && it.Http2->heldBytes() != 0)
+    return ClientPhase::Body;
   if (it.AnswerBytes != 0)
     return ClientPhase::Answer;
   if (it.OpenRequests != 0)
@@ -179,7 +184,8 @@
 void ClientConnections::interceptSoon(const ClientConnectionPtr &connection,
                                       int attempts) {
   Loop.post([this, connection, attempts] {
-    if (connection->Sock == nullptr || connection->OpenRequests != 0)
+    if (connection->Sock == nullptr ||
+        (connection->OpenRequests != 0 && !connection->Http2))
       return;
     if (connection->Sock->_cb.read == nullptr) {
       if (attempts > 1)
@@ -281,14 +287,22 @@
     deliver(connection, err);
     return;
   }
+  const std::string_view bytes(sock->input->bytes + sock->input->size - n, n);
+  if (connection->LargestRead == 0 && bytes.starts_with("PRI"))
+    connection->Http2.emplace();
   if (sock->input->size == n)
     connection->HeadSince = Loop.now();
   connection->LargestRead = std::max(connection->LargestRead, n);
   touch(*connection);
   ClientDemand demand = ClientDemand::Small;
-  if (sock->input->size > SmallRequestBytes)
+  if (connection->Http2) {
+    connection->Http2->feed(bytes);
+    if (connection->Http2->heldBytes() > SmallRequestBytes)
+      demand = ClientDemand::BodyGrows;
+  } else if (sock->input->size > SmallRequestBytes) {
     demand = connection->IsHeadAccepted ? ClientDemand::BodyGrows
                                         : ClientDemand::NewBody;
+  }
   count(*connection);
   const bool mayUseReserve = demand == ClientDemand::Small;
   if (!evictFor(connection.get(), Loop.clientMemory().missing(0, mayUseReserve),
@@ -298,7 +312,7 @@
   }
   if (connection->Sock == nullptr || connection->IsClosing)
     return; // it gave way itself
-  if (!connection->IsHeadAccepted)
+  if (!connection->Http2 && !connection->IsHeadAccepted)
     connection->IsHeadAccepted =
         parseFraming({sock->input->bytes, sock->input->size}).HeadBytes != 0;
   deliver(connection, nullptr);
--- a/src/transport/client_connections.h
+++ b/src/transport/client_connections.h
@@ -4,6 +4,7 @@
 #include "transport/client_memory.h"
 #include "transport/client_memory_policy.h"
 #include "transport/event_loop.h"
+#include "transport/http2_body_counter.h"
 
 #include <list>
 #include <map>
@@ -21,6 +22,7 @@
   void (*Read)(st_h2o_socket_t *, const char *) = nullptr;
   bool IsTls = false;
   std::size_t LargestRead = 0; ///< bytes of TLS that were decrypted in one turn
+  std::optional<Http2BodyCounter> Http2;
   bool IsHeadAccepted = false; ///< of the request that is being received
   bool IsLingering = false;
   bool IsClosing = false;        ///< the socket was shut down
--- a/tests/crowd/crowd_cases.cc
+++ b/tests/crowd/crowd_cases.cc
@@ -42,6 +42,10 @@
 
 /// Streams of one HTTP/2 connection, each with a body that stops short.
 constexpr int Streams = 8;
+
+/// A few HTTP/2 connections with many streams.
+constexpr std::size_t StreamClients = 40;
+constexpr int ManyStreams = 50;
 constexpr std::size_t Http2FrameBytes = 16'384;
 
 void add(Scripts &scripts, std::size_t n, ClientScript script) {
@@ -104,7 +108,7 @@
 }
 
 /// Several streams with a body each that stops short of its end.
-std::string http2Bodies(const CrowdTarget &target) {
+std::string http2Bodies(const CrowdTarget &target, int streams) {
   constexpr char data = 0;
   constexpr char headers = 1;
   constexpr char settings = 4;
@@ -115,7 +119,7 @@
       http2Field(":method", "POST") + http2Field(":scheme", "https") +
       http2Field(":path", target.Http2Path) + http2Field(":authority", "h") +
       http2Field("authorization", target.Http2Authorization);
-  for (int stream = 1; stream < 2 * Streams; stream += 2) {
+  for (int stream = 1; stream < 2 * streams; stream += 2) {
     bytes += http2Frame(headers, endOfHeaders, stream, fields);
     for (std::size_t left = MaxBodyBytes - MissingBytes; left != 0;) {
       const std::size_t n = std::min(left, Http2FrameBytes);
@@ -248,14 +252,22 @@
   return scripts;
 }
 
-Scripts http2BodyClients(const CrowdTarget &target) {
-  ClientScript script{http2Bodies(target), Http2FrameBytes};
+Scripts http2Clients(const CrowdTarget &target, std::size_t n, int streams) {
+  ClientScript script{http2Bodies(target, streams), Http2FrameBytes};
   script.Channel = ChannelKind::Http2;
   Scripts scripts;
-  add(scripts, BodyClients, script);
+  add(scripts, n, script);
   return scripts;
 }
 
+Scripts http2BodyClients(const CrowdTarget &target) {
+  return http2Clients(target, BodyClients, Streams);
+}
+
+Scripts http2StreamClients(const CrowdTarget &target) {
+  return http2Clients(target, StreamClients, ManyStreams);
+}
+
 std::vector<CrowdCase> makeCases() {
   std::vector<CrowdCase> cases = {
       {"whole_bodies", &wholeBodies},
@@ -278,6 +290,7 @@
       {"tls_connections", &tlsConnections},
       {"tls_bodies", &tlsBodies},
       {"http2_bodies", &http2BodyClients},
+      {"http2_streams", &http2StreamClients},
   };
   const auto find = [&cases](std::string_view name) -> CrowdCase & {
     return *std::find_if(cases.begin(), cases.end(),
@@ -299,7 +312,8 @@
   requests.Site.Shards = RequestShards;
   requests.Site.MaxFds = 3600;
   find("health_connections").Target = Listener::Health;
-  for (const char *name : {"tls_connections", "tls_bodies", "http2_bodies"}) {
+  for (const char *name :
+       {"tls_connections", "tls_bodies", "http2_bodies", "http2_streams"}) {
     find(name).Program = DaemonProgram;
     find(name).Site.HasTls = true;
     find(name).Site.MaxFds = TlsMaxFds;
