Crowd tests: both ends of a delegation, and requests that run long

Change: a second VM with more CPU, to which the first one delegates; the same with that VM standing still while the crowd is there; four clients whose requests run until their deadline at replicas that do not answer.

--- a/tests/crowd/client_channel.cc
+++ b/tests/crowd/client_channel.cc
@@ -110,10 +110,9 @@
 private:
   bool isConnected() {
     char ignored = 0;
-    if (IsClosed || (recv(Socket, &ignored, 1, MSG_DONTWAIT | MSG_PEEK) < 0 &&
-                     errno == ENOTCONN))
-      return false;
-    return true;
+    return !IsClosed &&
+           (recv(Socket, &ignored, 1, MSG_DONTWAIT | MSG_PEEK) >= 0 ||
+            errno != ENOTCONN);
   }
 
   void check(int result) {
--- a/tests/crowd/client_crowd_main.cc
+++ b/tests/crowd/client_crowd_main.cc
@@ -93,12 +93,17 @@
   const std::vector<std::string> &run(std::size_t times);
 
 private:
-  bool isRunning() { return Visited.process().isRunning(); }
+  bool isRunning() {
+    const auto all = Visited.processes();
+    return std::all_of(all.begin(), all.end(),
+                       [](auto *it) { return it->isRunning(); });
+  }
   bool isServed() { return Visited.isOrdinaryRequestServed(); }
   void runRound(const Scripts &scripts);
   void sendAll(ClientCrowd &crowd);
   void applyEvent(ClientCrowd &crowd);
   void measure();
+  std::size_t residentMemory();
   void checkMemoryAfter();
 
   Site &Visited;
@@ -111,9 +116,18 @@
 };
 
 void CaseRun::measure() {
-  const pid_t pid = Visited.process().pid();
-  PeakMemory = std::max(PeakMemory, readStatus(pid, "VmHWM:"));
-  Descriptors = std::max(Descriptors, openDescriptors(pid));
+  for (const support::Process *it : Visited.processes()) {
+    PeakMemory = std::max(PeakMemory, readStatus(it->pid(), "VmHWM:"));
+    Descriptors = std::max(Descriptors, openDescriptors(it->pid()));
+  }
+}
+
+/// Returns that of the process with the most.
+std::size_t CaseRun::residentMemory() {
+  std::size_t most = 0;
+  for (const support::Process *it : Visited.processes())
+    most = std::max(most, readStatus(it->pid(), "VmRSS:"));
+  return most;
 }
 
 /// Steps the crowd until it is at rest.
@@ -138,6 +152,7 @@
   switch (Case.Event) {
   case CrowdEvent::None:
   case CrowdEvent::StoreAway: // before the crowd came
+  case CrowdEvent::PauseExecutor:
     return;
   case CrowdEvent::Release:
     crowd.release();
@@ -162,6 +177,8 @@
 
 void CaseRun::runRound(const Scripts &scripts) {
   Visited.setStoreAway(Case.Event == CrowdEvent::StoreAway);
+  if (Case.Event == CrowdEvent::PauseExecutor)
+    Visited.processes().back()->pause();
   ClientCrowd crowd(Visited.address(Case.Target), scripts);
   sendAll(crowd);
   applyEvent(crowd);
@@ -172,6 +189,8 @@
       isRunning())
     Failures.emplace_back("no ordinary request was served beside the crowd");
   Visited.setStoreAway(false);
+  if (Case.Event == CrowdEvent::PauseExecutor)
+    Visited.processes().back()->resume();
   measure();
 }
 
@@ -183,7 +202,7 @@
   const bool isDown = waitUntil(
       Visited,
       [&] {
-        memory = readStatus(Visited.process().pid(), "VmRSS:");
+        memory = residentMemory();
         return memory <= limit;
       },
       [] {});
@@ -203,7 +222,7 @@
                        Visited.process().output());
     return Failures;
   }
-  MemoryBefore = readStatus(Visited.process().pid(), "VmRSS:");
+  MemoryBefore = residentMemory();
   const Scripts once = Case.MakeScripts(Visited.target());
   Scripts scripts;
   for (std::size_t i = 0; i != times; ++i)
--- a/tests/crowd/crowd_cases.cc
+++ b/tests/crowd/crowd_cases.cc
@@ -35,6 +35,12 @@
 constexpr int RequestShards = 225;
 constexpr std::size_t ShardedRequestClients = 2000;
 
+/// Shards and bytes of requests that are delegated, and few clients whose
+/// requests run until their deadline.
+constexpr int DelegatedShards = 20;
+constexpr std::size_t DelegatedBytes = 60'000;
+constexpr std::size_t LongClients = 4;
+
 /// Clients and descriptors of the crowds with TLS: each connection holds many
 /// times the memory of a plain one.
 constexpr std::size_t TlsClients = 1700;
@@ -217,6 +223,25 @@
   return scripts;
 }
 
+Scripts delegatedBodies(const CrowdTarget &target) {
+  ClientScript script{target.ShardedHeadStart +
+                      "Content-Length: " + std::to_string(DelegatedBytes) +
+                      "\r\n\r\n" + std::string(DelegatedBytes, 'a')};
+  script.Reads = true;
+  script.Repeats = true;
+  Scripts scripts;
+  add(scripts, BodyClients, script);
+  return scripts;
+}
+
+Scripts longRequests(const CrowdTarget &target) {
+  ClientScript script{target.EndlessRequest};
+  script.Connections = ManyConnections;
+  Scripts scripts;
+  add(scripts, LongClients, script);
+  return scripts;
+}
+
 Scripts shardedBodies(const CrowdTarget &target) {
   Scripts scripts;
   add(scripts, ShardedBodyClients, {lengthBody(target.ShardedHeadStart, 0)});
@@ -284,6 +309,9 @@
       {"reload", &returningKinds},
       {"restart", &returningKinds},
       {"store_away", &returningKinds},
+      {"delegated_bodies", &delegatedBodies},
+      {"executor_paused", &delegatedBodies},
+      {"long_requests", &longRequests},
       {"sharded_bodies", &shardedBodies},
       {"sharded_requests", &shardedRequests},
       {"health_connections", &silentConnections},
@@ -302,6 +330,13 @@
   find("restart").Event = CrowdEvent::Restart;
   find("store_away").Event = CrowdEvent::StoreAway;
   find("ten_crowds").Rounds = 10;
+  for (const char *name : {"delegated_bodies", "executor_paused"}) {
+    find(name).Program = PlatformProgram;
+    find(name).Site.Shards = DelegatedShards;
+    find(name).Site.HasExecutor = true;
+  }
+  find("executor_paused").Event = CrowdEvent::PauseExecutor;
+  find("long_requests").Program = PlatformProgram;
   CrowdCase &bodies = find("sharded_bodies");
   bodies.Program = PlatformProgram;
   bodies.Site.Shards = BodyShards;
--- a/tests/crowd/crowd_cases.h
+++ b/tests/crowd/crowd_cases.h
@@ -16,10 +16,11 @@
 /// What happens to the program while a crowd is there.
 enum class CrowdEvent {
   None,
-  Release,   ///< the crowd sends its tails once it is at rest
-  Reload,    ///< a signal to read its settings again
-  Restart,   ///< a planned stop, and a new start
-  StoreAway, ///< the source of its configuration does not answer
+  Release,       ///< the crowd sends its tails once it is at rest
+  Reload,        ///< a signal to read its settings again
+  Restart,       ///< a planned stop, and a new start
+  StoreAway,     ///< the source of its configuration does not answer
+  PauseExecutor, ///< the VM to which requests are delegated stands still
 };
 
 /// One crowd, the site that it visits, and how it comes.
--- a/tests/crowd/crowd_site.cc
+++ b/tests/crowd/crowd_site.cc
@@ -1,6 +1,7 @@
 #include "crowd/crowd_site.h"
 
 #include "crowd/client_channel.h"
+#include "platform/machines.h"
 #include "platform/metadata_store.h"
 #include "platform/replica_standin.h"
 #include "support/certificate_file.h"
@@ -25,6 +26,9 @@
 /// The limit that both programs have for a body here.
 constexpr std::size_t MaxBodyBytes = 262'144;
 
+/// After this time a VM knows the VMs to which it can delegate.
+constexpr auto ExecutorTime = 5s;
+
 /// Replicas that do not read begin to after this time, longer than any test.
 constexpr auto NoReadTime = std::chrono::hours(1);
 
@@ -47,14 +51,27 @@
           Replicas.back()->server().options().ConnectionCost = NoReadTime;
       }
     publishRoutes();
-    writeSettings();
-    PlatformSite::start();
+    addVm("front-1", 0.12);
+    if (Options.HasExecutor)
+      addVm("front-2", 0.5);
+    for (Vm &vm : Vms)
+      start(vm);
+    if (Options.HasExecutor)
+      PlatformSite::run(ExecutorTime);
   }
   ~PlatformSite() override { std::filesystem::remove_all(Directory); }
 
-  support::Process &process() override { return *Daemon; }
+  support::Process &process() override { return *Vms.front().Program; }
+  std::vector<support::Process *> processes() override {
+    std::vector<support::Process *> result;
+    for (const Vm &vm : Vms)
+      result.push_back(vm.Program.get());
+    return result;
+  }
   transport::SocketAddress address(Listener listener) const override {
-    return listener == Listener::Callers ? Callers : Readiness;
+    const standin::MachineSettings &settings = Vms.front().Settings;
+    return *transport::parseSocketAddress(
+        listener == Listener::Callers ? settings.Listen : settings.Ready);
   }
 
   CrowdTarget target() const override {
@@ -62,7 +79,8 @@
                                "X-Request-Id: crowd\r\n"
                                "X-Deadline-Ms: 10000\r\n";
     return {"POST /record/1" + common, "GET /large/1" + common + "\r\n",
-            "POST /all/1" + common};
+            "POST /all/1" + common,
+            "GET " + std::string(SilentPath) + common + "\r\n"};
   }
 
   bool isOrdinaryRequestServed() override { return isServed("GET", ""); }
@@ -70,12 +88,7 @@
     return isServed("POST", std::string(MaxBodyBytes, 'a'));
   }
 
-  void start() override {
-    setenv("GALENAFLOW_BOOT", settingsFile().c_str(), 1);
-    Daemon = std::make_unique<support::Process>("galenaflow-platform",
-                                                std::vector<std::string>());
-    unsetenv("GALENAFLOW_BOOT");
-  }
+  void start() override { start(Vms.front()); }
 
   void setStoreAway(bool isAway) override { Store.faults().Silent = isAway; }
 
@@ -84,6 +97,7 @@
   }
 
 private:
+  static constexpr const char *SilentPath = "/record/silent";
   static constexpr std::size_t LargeAnswerBytes = 200'000;
 
   static std::string shardName(int shard) {
@@ -93,11 +107,12 @@
   void addReplica(const std::string &id, const std::string &service) {
     Replicas.push_back(
         std::make_unique<standin::ReplicaStandin>(Loop, id, service));
+    Replicas.back()->behaviour().SilentPath = SilentPath;
     Store.put(Replicas.back()->key(), Replicas.back()->entry());
   }
 
   bool isServed(const std::string &method, const std::string &body) {
-    transport::HttpConnection connection(Loop, Callers);
+    transport::HttpConnection connection(Loop, address(Listener::Callers));
     std::optional<transport::HttpResult> result;
     transport::HttpRequest request{method, "/record/1", {}, body};
     request.Host = "shop.example";
@@ -155,20 +170,34 @@
                   .dump());
   }
 
-  std::string settingsFile() const {
-    return (Directory / "node.yaml").string();
+  struct Vm {
+    standin::MachineSettings Settings;
+    std::string SettingsPath;
+    std::unique_ptr<support::Process> Program;
+  };
+
+  void addVm(const std::string &name, double cpuShare) {
+    Vm vm;
+    vm.Settings.Name = name;
+    vm.Settings.Ip = standin::machineIp(Vms.size());
+    for (std::string *it : {&vm.Settings.Listen, &vm.Settings.Ready})
+      *it = vm.Settings.Ip + ":" + standin::portOf(support::reserveAddress());
+    vm.Settings.PeerPort = PeerPort;
+    vm.Settings.Seeds = {standin::machineIp(0)};
+    vm.Settings.CpuShare = cpuShare;
+    vm.Settings.Store = StoreAddress;
+    vm.Settings.MemoryMb = Options.MemoryMb;
+    vm.Settings.MaxFds = Options.MaxFds;
+    vm.SettingsPath = (Directory / (name + ".yaml")).string();
+    standin::writeSettings(vm.SettingsPath, vm.Settings);
+    Vms.push_back(std::move(vm));
   }
 
-  void writeSettings() {
-    std::ofstream(settingsFile())
-        << "node_name: front-1\nzone: z1\nlisten:\n  front: \""
-        << Callers.toText() << "\"\n  ready: \"" << Readiness.toText()
-        << "\"\nlimits:\n  memory_mb: " << Options.MemoryMb
-        << "\n  max_fds: " << Options.MaxFds
-        << "\nbounds:\n  grace_s: 6\n  retry_ratio: 0.2\n"
-           "  retry_slack: 56\n  budget_window_s: 10\n"
-           "platform:\n  address: \""
-        << Store.listen().toText() << "\"\n";
+  static void start(Vm &vm) {
+    setenv("GALENAFLOW_BOOT", vm.SettingsPath.c_str(), 1);
+    vm.Program = std::make_unique<support::Process>("galenaflow-platform",
+                                                    std::vector<std::string>());
+    unsetenv("GALENAFLOW_BOOT");
   }
 
   SiteOptions Options;
@@ -178,11 +207,10 @@
   transport::EventLoop Loop;
   standin::MetadataStore Store{Loop};
   std::vector<std::unique_ptr<standin::ReplicaStandin>> Replicas;
-  transport::SocketAddress Callers =
-      *transport::parseSocketAddress(support::reserveAddress());
-  transport::SocketAddress Readiness =
-      *transport::parseSocketAddress(support::reserveAddress());
-  std::unique_ptr<support::Process> Daemon;
+  std::string StoreAddress = Store.listen().toText();
+  std::uint16_t PeerPort = static_cast<std::uint16_t>(
+      std::stoi(standin::portOf(support::reserveAddress())));
+  std::vector<Vm> Vms;
   std::uint64_t LastId = 0;
 };
 
--- a/tests/crowd/crowd_site.h
+++ b/tests/crowd/crowd_site.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace galenaflow::crowd {
 
@@ -29,6 +30,9 @@
   int Shards = 0;
   /// Whether the replicas of the shards read what they are sent.
   bool DoShardsRead = true;
+  /// Adds a second VM with more CPU, to which the first one delegates requests
+  /// over all shards. Only for galenaflow-platform.
+  bool HasExecutor = false;
   /// Only for galenaflowd.
   bool HasTls = false;
 };
@@ -40,6 +44,8 @@
   std::string LargeAnswerRequest;
   /// HeadStart of a request over all shards.
   std::string ShardedHeadStart{};
+  /// A complete request that its replica never answers.
+  std::string EndlessRequest{};
   /// Fields of the head of a request with HTTP/2.
   std::string Http2Path{};
   std::string Http2Authorization{};
@@ -49,7 +55,10 @@
 class Site {
 public:
   virtual ~Site() = default;
+  /// The process that the crowd visits.
   virtual support::Process &process() = 0;
+  /// All processes under test, that one first.
+  virtual std::vector<support::Process *> processes() { return {&process()}; }
   virtual transport::SocketAddress address(Listener listener) const = 0;
   virtual CrowdTarget target() const = 0;
   virtual bool isOrdinaryRequestServed() = 0;
--- a/tests/platform/machines.cc
+++ b/tests/platform/machines.cc
@@ -27,6 +27,8 @@
                       << "\"\ninternal_ports: [" << settings.PeerPort
                       << "]\nseeds: [" << seeds
                       << "]\nlimits:\n  cpu_share: " << settings.CpuShare
+                      << "\n  memory_mb: " << settings.MemoryMb
+                      << "\n  max_fds: " << settings.MaxFds
                       << "\nbounds:\n  grace_s: 6\n  retry_ratio: 0.2\n"
                       << "  retry_slack: " << settings.FleetExtraAttempts
                       << "\n  budget_window_s: 10\nplatform:\n  address: \""
--- a/tests/platform/machines.h
+++ b/tests/platform/machines.h
@@ -27,6 +27,8 @@
   double CpuShare = 0.12;
   double FleetExtraAttempts = 56;
   std::string Store;
+  std::size_t MemoryMb = 160;
+  std::size_t MaxFds = 4100;
 };
 
 void writeSettings(const std::string &path, const MachineSettings &settings);
--- a/tests/platform/replica_standin.cc
+++ b/tests/platform/replica_standin.cc
@@ -133,7 +133,7 @@
     Loop.schedule(Behaviour.ServiceTime, [this] { crash(); });
     return;
   }
-  if (Behaviour.Silent)
+  if (Behaviour.Silent || request.Path == Behaviour.SilentPath)
     return;
   if (!Behaviour.EndlessRepeated.empty()) {
     connection->respondEndlessly(Behaviour.EndlessStart,
--- a/tests/platform/replica_standin.h
+++ b/tests/platform/replica_standin.h
@@ -15,6 +15,7 @@
   state::Duration ServiceTime = std::chrono::milliseconds(1);
   bool Reject = false;          ///< rejects the request without running it
   bool Silent = false;          ///< runs the request and never responds
+  std::string SilentPath;       ///< the same for requests with this path
   bool ResetConnection = false; ///< runs the request and resets the connection
   bool Truncate = false;        ///< runs the request and truncates the response
   /// Runs the request and sends these bytes, then the second ones without end.
